--- /dev/null
+++ b/simhost/src/settings.rs
@@ -0,0 +1,131 @@
+//! Reads the settings object of a `START` line into the library's `Settings`.
+
+use doorcourse::{Class, Effect, Group, Name, Plan, Reports, Settings};
+use serde_json::Value;
+
+/// One object of the settings; a missing key reads as its zero, a value of the wrong type is a fault.
+struct Object<'a>(&'a Value);
+
+impl<'a> Object<'a> {
+    fn of(value: &'a Value, key: &str) -> Result<Self, String> {
+        match value.get(key) {
+            None => Ok(Self(&Value::Null)),
+            Some(v) if v.is_object() => Ok(Self(v)),
+            Some(_) => Err(format!("settings: {key} is not an object")),
+        }
+    }
+
+    fn typed<T>(
+        &self,
+        key: &str,
+        what: &str,
+        zero: T,
+        get: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<T, String> {
+        match self.0.get(key) {
+            None | Some(Value::Null) => Ok(zero),
+            Some(v) => get(v).ok_or_else(|| format!("settings: {key} is not {what}")),
+        }
+    }
+
+    fn number(&self, key: &str) -> Result<f64, String> {
+        self.typed(key, "a number", 0.0, Value::as_f64)
+    }
+
+    fn count(&self, key: &str) -> Result<u32, String> {
+        self.typed(key, "a small whole number", 0, |v| v.as_u64().and_then(|n| u32::try_from(n).ok()))
+    }
+
+    fn flag(&self, key: &str) -> Result<bool, String> {
+        self.typed(key, "true or false", false, Value::as_bool)
+    }
+
+    fn text(&self, key: &str) -> Result<&'a str, String> {
+        self.typed(key, "a text", "", Value::as_str)
+    }
+
+    fn list(&self, key: &str) -> Result<&'a [Value], String> {
+        self.typed(key, "a list", &[][..], |v| v.as_array().map(Vec::as_slice))
+    }
+}
+
+/// The settings in a `START` line; unknown keys are skipped.
+pub fn parse(text: &str) -> Result<Settings, String> {
+    let root: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    if !root.is_object() {
+        return Err("settings: not an object".into());
+    }
+    let top = Object(&root);
+    let extra = Object::of(&root, "extra")?;
+    let permissions = Object::of(&root, "permissions")?;
+    let rules = Object::of(&root, "rules")?;
+    let prices = Object::of(&root, "prices")?;
+    let reports = match Object::of(&root, "load-info")?.text("source")? {
+        "inline" => Reports::Answers,
+        "on_probe" => Reports::Probes,
+        "off" | "" => Reports::None,
+        other => return Err(format!("settings: unknown load source {other}")),
+    };
+    Ok(Settings {
+        gateways: top.count("fleet-size")?,
+        number: top.count("my-number")?,
+        zone: Name::from(top.text("locality")?),
+        tick: top.number("period-ms")?,
+        classes: top.list("classes")?.iter().map(class).collect::<Result<_, _>>()?,
+        plans: top.list("plans")?.iter().map(plan).collect::<Result<_, _>>()?,
+        counter: extra.flag("has-counter")?,
+        counter_timeout: extra.number("count-limit-ms")?,
+        settles: extra.flag("trued-up")?,
+        most_units: extra.number("units-top")?,
+        reports,
+        probes: permissions.flag("probes")?,
+        cancel: permissions.flag("may-cancel")?,
+        list_on_request: top.text("discovery")? == "on_request",
+        most_attempts: permissions.count("most-tries")?,
+        longest_advice: permissions.number("max-retry-after-ms")?,
+        cold_share: rules.number("cold-from")?,
+        cold_time: rules.number("cold-ms")?,
+        fall_multiple: rules.number("overload-factor")?,
+        fall_time: rules.number("fall-ms")?,
+        price_cross_zone: prices.number("cross-zone")?,
+    })
+}
+
+fn class(value: &Value) -> Result<Class, String> {
+    let class = Object(value);
+    Ok(Class {
+        name: Name::from(class.text("name")?),
+        aim: class.number("goal-time-ms")?,
+        effect: match class.text("effect")? {
+            "idempotent" => Effect::Safe,
+            "deduplicated" => Effect::Keyed,
+            "at_most_once" => Effect::Unsafe,
+            other => return Err(format!("settings: unknown effect {other}")),
+        },
+        group: match class.text("dedup-scope")? {
+            "all" | "" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return Err(format!("settings: unknown dedup-scope {other}")),
+        },
+        memory: class.number("window-ms")?,
+        worth: class.number("worth")?,
+        late_worth: class.number("late-value")?,
+    })
+}
+
+fn plan(value: &Value) -> Result<Plan, String> {
+    let plan = Object(value);
+    Ok(Plan {
+        name: Name::from(plan.text("name")?),
+        rate: plan.number("refill")?,
+        burst: plan.number("burst")?,
+        open: plan.count("parallel")?,
+        ceiling_rate: plan.number("cap-rate")?,
+        ceiling_burst: plan.number("ceiling-burst")?,
+        ceiling_slack: plan.number("ceiling-slack")?,
+        price: plan.number("worth-factor")?,
+        over_worth: plan.number("over-worth")?,
+        over_cost: plan.number("overrun-cost")?,
+    })
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,373 @@
+//! The types that pass between a host and a gateway: settings, events and actions. No behaviour lives here.
+
+use std::sync::Arc;
+
+/// A name that the host hands in and gets back unchanged: a customer, backend, class, plan, zone.
+pub type Name = Arc<str>;
+/// Milliseconds: a point on the host's clock or a span of it.
+pub type Millis = f64;
+/// The host's number for one try of a client; never used twice.
+pub type RequestId = u64;
+
+/// What repeating a request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat at any time.
+    Safe,
+    /// Carries a key: backends of one group drop a repeat for a stated time.
+    Keyed,
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// The backends that share the memory of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All backends.
+    All,
+    /// The backends of one zone.
+    Zone,
+    /// The backends of one cell.
+    Cell,
+}
+
+/// One class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// The class's name.
+    pub name: Name,
+    /// An answer within this time has its full worth.
+    pub aim: Millis,
+    /// What repeating it may do.
+    pub effect: Effect,
+    /// Who drops a keyed repeat.
+    pub group: Group,
+    /// For how long a keyed repeat is dropped, from the first send that may have run.
+    pub memory: Millis,
+    /// What an answer is worth.
+    pub worth: f64,
+    /// The share of the worth that an answer after the aim still has.
+    pub late_worth: f64,
+}
+
+/// One plan: the quota each of its customers holds over all gateways together.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The plan's name.
+    pub name: Name,
+    /// Units a second; 0 means no such quota.
+    pub rate: f64,
+    /// The most units that may be used at once.
+    pub burst: f64,
+    /// The most attempts out at once; 0 means no such quota.
+    pub open: u32,
+    /// Units a second that the hard ceiling fills by; 0 means no ceiling.
+    pub ceiling_rate: f64,
+    /// The most units that the ceiling holds.
+    pub ceiling_burst: f64,
+    /// What the ceiling may be passed by.
+    pub ceiling_slack: f64,
+    /// A factor on the worth of a request.
+    pub price: f64,
+    /// The share of its worth that a request beyond the quota earns.
+    pub over_worth: f64,
+    /// The share of its worth that a request beyond the quota costs.
+    pub over_cost: f64,
+}
+
+/// Where load reports come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// There are none.
+    None,
+    /// With the answers.
+    Answers,
+    /// With the answers to probes only.
+    Probes,
+}
+
+/// All that a gateway is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How many gateways there are.
+    pub gateways: u32,
+    /// This gateway's number, from 0.
+    pub number: u32,
+    /// The zone this gateway is in.
+    pub zone: Name,
+    /// The shortest time between two calls of `handle`.
+    pub tick: Millis,
+    /// The request classes.
+    pub classes: Vec<Class>,
+    /// The plans.
+    pub plans: Vec<Plan>,
+    /// Whether there is a shared counter.
+    pub counter: bool,
+    /// A counter call without an answer for this long is given up.
+    pub counter_timeout: Millis,
+    /// Whether the true units come with the answer.
+    pub settles: bool,
+    /// The most units of one request.
+    pub most_units: f64,
+    /// Where load reports come from.
+    pub reports: Reports,
+    /// Whether probes are allowed.
+    pub probes: bool,
+    /// Whether attempts may be called off.
+    pub cancel: bool,
+    /// Whether the list must be asked for.
+    pub list_on_request: bool,
+    /// The most attempts of one request.
+    pub most_attempts: u32,
+    /// The longest advice that a client follows.
+    pub longest_advice: Millis,
+    /// A backend starts with this share of its capacity or more.
+    pub cold_share: f64,
+    /// A backend is warm after this time at most.
+    pub cold_time: Millis,
+    /// A cold backend falls over when sent more than this multiple of its present capacity.
+    pub fall_multiple: f64,
+    /// The time over which that is judged.
+    pub fall_time: Millis,
+    /// The points taken off for one crossing of zones a request.
+    pub price_cross_zone: f64,
+}
+
+/// Settings that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingsError {
+    /// There are no classes.
+    NoClasses,
+    /// A figure is negative, not finite, or zero where it may not be.
+    BadFigure(&'static str),
+    /// The gateway's own number is not below the number of gateways.
+    NumberTooHigh,
+}
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NoClasses => write!(f, "settings name no request class"),
+            Self::BadFigure(what) => write!(f, "settings hold an unusable figure: {what}"),
+            Self::NumberTooHigh => write!(f, "the gateway's number is not below the number of gateways"),
+        }
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// What the list of backends says of one of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendState {
+    /// It runs.
+    Ready,
+    /// It finishes its work and must be sent nothing new.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+/// One line of the list of backends.
+#[derive(Clone, Debug)]
+pub struct BackendEntry {
+    /// Which backend.
+    pub name: Name,
+    /// Its zone.
+    pub zone: Name,
+    /// Its cell.
+    pub cell: u64,
+    /// What is known of it.
+    pub state: BackendState,
+    /// When it last started, where that is known.
+    pub started: Option<Millis>,
+}
+
+/// A backend's report of its own load; each value only where the site has it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it holds.
+    pub inflight: Option<f64>,
+    /// Requests that wait there.
+    pub queue: Option<f64>,
+    /// Its recent service time, without waiting.
+    pub service: Option<Millis>,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was served.
+    Served,
+    /// The backend answered with an error; it may have run.
+    Error,
+    /// The backend turned it away unseen.
+    Full,
+    /// No answer in time; it may have run or may still run.
+    TimedOut,
+    /// No connection was made; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Broken,
+    /// It was called off; it may have run.
+    CalledOff,
+    /// It was never sent.
+    NeverSent,
+}
+
+/// How a counter call ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CountOutcome {
+    /// The total after the add.
+    Total(f64),
+    /// Nothing was added.
+    NotAdded,
+    /// No answer in time; the amount may have been added.
+    Unknown,
+}
+
+/// Something that a gateway is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The whole list of backends; one that is missing is gone.
+    BackendList(Vec<BackendEntry>),
+    /// Changes to the list.
+    BackendChanges(Vec<BackendEntry>),
+    /// A call for the list failed.
+    BackendListFailed,
+    /// A request came in.
+    Request {
+        /// Its number.
+        id: RequestId,
+        /// Whose it is.
+        customer: Name,
+        /// The customer's plan.
+        plan: Name,
+        /// Its class.
+        class: Name,
+        /// The units it draws, or a guess of them.
+        units: f64,
+        /// How long until the client gives up.
+        patience: Millis,
+        /// How many gateways the customer's requests come in through.
+        spread: u32,
+    },
+    /// A stream began on an attempt; it belongs to the client from now on.
+    StreamStarted {
+        /// The request.
+        id: RequestId,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        id: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+        /// Where it was sent.
+        backend: Name,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it was out.
+        latency: Millis,
+        /// The true units, where they come with the answer.
+        true_units: Option<f64>,
+        /// Whether the request has had its final answer.
+        finished: bool,
+        /// A load report, where one came along.
+        load: Option<LoadReport>,
+    },
+    /// A probe ended.
+    ProbeEnded {
+        /// The backend.
+        backend: Name,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        latency: Millis,
+        /// A load report, where one came along.
+        load: Option<LoadReport>,
+    },
+    /// The client left; the request is over.
+    ClientLeft {
+        /// The request.
+        id: RequestId,
+    },
+    /// A timer ran out.
+    Timer {
+        /// The token given when it was set.
+        token: u64,
+    },
+    /// A counter call ended.
+    Counted {
+        /// The count's name.
+        name: u64,
+        /// How it ended.
+        outcome: CountOutcome,
+        /// How long it took.
+        latency: Millis,
+    },
+    /// A message from another gateway.
+    PeerMessage {
+        /// The sender's number.
+        from: u32,
+        /// What it says.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Something that the host is to do at once.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an attempt of a request to a backend.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// Where to.
+        backend: Name,
+        /// The attempt's time-out; `None` until the client gives up.
+        timeout: Option<Millis>,
+    },
+    /// Final answer: refused, harmless to try again.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// How long the client ought to wait.
+        retry_after: Millis,
+    },
+    /// Final answer: failed, with no promise.
+    Fail {
+        /// The request.
+        id: RequestId,
+    },
+    /// Stop waiting for an attempt.
+    CallOff {
+        /// The request.
+        id: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+    },
+    /// Set a timer.
+    SetTimer {
+        /// How long from now.
+        after: Millis,
+        /// What the timer brings back.
+        token: u64,
+    },
+    /// Probe a backend.
+    Probe {
+        /// Which one.
+        backend: Name,
+    },
+    /// Add to a shared count and hear its total.
+    Count {
+        /// The count's name, below 2^63.
+        name: u64,
+        /// What to add.
+        amount: f64,
+        /// How long a new name is kept.
+        keep: Millis,
+    },
+    /// Ask for changes to the list of backends from now on.
+    WatchBackends,
+    /// Write a line to the log.
+    Log(String),
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,1042 @@
+//! All decisions of a gateway. Its interface (settings, events, actions) is in `src/interface.rs`.
+//!
+//! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count), its
+//! customer's open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+// ---- Quotas ----
+/// Windows last this many times burst over rate: an edge forgets little, and an emptied count heals at the next.
+const WINDOW_SPAN: f64 = 2.0;
+/// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to move.
+const BLOCK_SHARE: f64 = 0.15;
+/// A block takes at most this share of what is left, split over the customer's gateways.
+const NEAR_SHARE: f64 = 0.5;
+/// A block is renewed when less than this share of it is left.
+const RENEW_SHARE: f64 = 0.4;
+/// Demand is smoothed over this share of burst over rate.
+const DEMAND_SHARE: f64 = 0.5;
+/// A block unused for this share of burst over rate goes back to the count, so that others can use it.
+const IDLE_SHARE: f64 = 0.15;
+/// A request waits for its block at most this share of its aim.
+const BLOCK_WAIT: f64 = 0.12;
+/// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the ceiling
+/// arithmetic is at `Customer::start_of`).
+const CEILING_START: f64 = 0.5;
+/// After a silent call the counter is left alone for this many time-outs, doubled at each further silence ...
+const QUIET_FIRST: f64 = 1.0;
+/// ... up to this many.
+const QUIET_MOST: f64 = 16.0;
+/// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
+const CALLS_MOST: f64 = 12.0;
+/// The most customers remembered; beyond it the customers longest idle are forgotten.
+const CUSTOMERS_MOST: usize = 20_000;
+
+// ---- Requests ----
+/// A request is held (for a block, for its open cap, for a backend with room) at most this share of its aim.
+const HOLD_SHARE: f64 = 0.45;
+/// An answer must leave this many ticks before the client's patience ends.
+const LAST_TICKS: f64 = 2.0;
+/// A repeatable attempt is given up after this share of its aim while another try can still make it ...
+const TRY_SHARE: f64 = 0.6;
+/// ... but never before this many times the usual latency: in overload a time-out only adds work.
+const TRY_LATENCIES: f64 = 5.0;
+
+// ---- Backends ----
+/// Weight of the newest latency in a backend's smoothed slowness.
+const SLOW_WEIGHT: f64 = 0.1;
+/// What a gateway keeps out at one backend at first; it follows the latencies seen.
+const ROOM_FIRST: f64 = 6.0;
+/// Room grows by this at an answer within the aim's `ROOM_SHARE` while the backend is full ...
+const ROOM_GROW: f64 = 0.3;
+/// ... and shrinks to this share at an answer past it.
+const ROOM_SHRINK: f64 = 0.85;
+/// The share of the aim that an answer may take before the backend counts as crowded.
+const ROOM_SHARE: f64 = 0.6;
+/// The most kept out at one backend by one gateway.
+const ROOM_MOST: f64 = 64.0;
+/// Failures in a row, with no answer between, that eject a backend.
+const EJECT_AFTER: u32 = 2;
+/// An ejected backend is tried again after this share of the cold time, doubled at each further failure ...
+const EJECT_FIRST: f64 = 0.04;
+/// ... up to this share.
+const EJECT_MOST: f64 = 0.3;
+/// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
+const ZONE_BIAS: f64 = 5.0;
+/// A cold backend gets this multiple of its present share of what a warm one gets. Warm backends are not sent
+/// more than they can do, so all gateways together send a cold one less than the multiple that fells it.
+const COLD_MULTIPLE: f64 = 0.8;
+/// Time between housekeeping rounds, in ms: short beside any aim.
+const SWEEP: Millis = 25.0;
+/// Load reports older than this many ms say nothing.
+const REPORT_AGE: Millis = 1000.0;
+
+const SWEEP_TOKEN: u64 = 1;
+
+fn hash(text: &str, salt: u64) -> u64 {
+    let start = 0xcbf2_9ce4_8422_2325 ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let folded = text.bytes().fold(start, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+    mix(folded)
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+struct Backend {
+    zone: Name,
+    cell: u64,
+    ready: bool,
+    started: Option<Millis>,
+    out: u32,
+    room: f64,
+    shrunk_at: Millis,
+    /// Latency over the usual latency of its class, smoothed.
+    slow: f64,
+    /// When it last answered, or was first sent something after being idle.
+    heard: Millis,
+    failures: u32,
+    eject_until: Millis,
+    eject_for: Millis,
+    /// Sends that a cold backend may still be given.
+    cold_tokens: f64,
+    /// Requests of others there, by its last report, and when that came.
+    others: f64,
+    others_at: Millis,
+}
+
+impl Backend {
+    fn new(entry: &BackendEntry) -> Self {
+        Self {
+            zone: entry.zone.clone(),
+            cell: entry.cell,
+            ready: true,
+            started: None,
+            out: 0,
+            room: ROOM_FIRST,
+            shrunk_at: 0.0,
+            slow: 1.0,
+            heard: 0.0,
+            failures: 0,
+            eject_until: 0.0,
+            eject_for: 0.0,
+            cold_tokens: 0.0,
+            others: 0.0,
+            others_at: f64::NEG_INFINITY,
+        }
+    }
+
+    /// The share of its capacity that a backend surely has by now: it rises at least evenly.
+    fn warmth(&self, now: Millis, settings: &Settings) -> f64 {
+        let Some(started) = self.started else { return 1.0 };
+        let age = ((now - started) / settings.cold_time.max(1.0)).clamp(0.0, 1.0);
+        settings.cold_share + (1.0 - settings.cold_share) * age
+    }
+
+    /// Passive ejection: guards against dead and stalled backends, which show in outcomes long before the list.
+    /// One that comes back is tried with one request at a time until it answers.
+    fn ejected(&self, now: Millis) -> bool {
+        self.failures >= EJECT_AFTER && (now < self.eject_until || self.out > 0)
+    }
+
+    fn failed(&mut self, now: Millis, settings: &Settings) -> bool {
+        self.failures += 1;
+        if self.failures < EJECT_AFTER {
+            return false;
+        }
+        let first = settings.cold_time * EJECT_FIRST;
+        self.eject_for = (self.eject_for * 2.0).clamp(first, settings.cold_time * EJECT_MOST);
+        self.eject_until = now + self.eject_for;
+        self.failures == EJECT_AFTER
+    }
+}
+
+struct Call {
+    window: u64,
+    block: f64,
+    owed: f64,
+}
+
+/// One customer as this gateway knows it.
+struct Customer {
+    plan: usize,
+    spread: f64,
+    salt: u64,
+    window: u64,
+    /// Units of the block in hand; they end with the window.
+    lease: f64,
+    /// What this gateway has added to the window's count, less what it gave back.
+    added: f64,
+    /// The count's last total heard in this window.
+    seen: f64,
+    /// What the customer's store holds by all totals heard; between them it fills at the rate.
+    store: f64,
+    store_at: Millis,
+    known: bool,
+    /// Used but not yet added (settled units, use in silence), or to be given back (negative).
+    owed: f64,
+    call: Option<Call>,
+    waiting: VecDeque<RequestId>,
+    demand: f64,
+    demand_at: Millis,
+    used_at: Millis,
+    /// This gateway's even slice of the store, spent while the counter is silent.
+    slice: Option<(f64, Millis)>,
+    open: u32,
+}
+
+impl Customer {
+    /// What an unknown customer's store is taken to hold. Under a ceiling (at least 1.6 times rate and burst by its
+    /// plan) only half the burst: a gateway may come back to an emptied count while the others have just granted
+    /// a full burst, and burst + half a burst + rate x time stays within the ceiling.
+    fn start_of(plan: &Plan) -> f64 {
+        if plan.ceiling_rate > 0.0 { plan.burst * CEILING_START } else { plan.burst }
+    }
+
+    /// Burst over rate: the time in which the quota turns over once.
+    fn turn(plan: &Plan) -> Millis {
+        plan.burst / plan.rate * 1000.0
+    }
+
+    /// The number of the window at a time, and when it began. Edges are staggered by the customer's hash, so that
+    /// the customers do not all renew at once.
+    fn window_at(&self, now: Millis, plan: &Plan) -> (u64, Millis) {
+        let length = Self::turn(plan) * WINDOW_SPAN;
+        let shift = (self.salt % 1024) as f64 / 1024.0 * length;
+        let number = ((now + shift) / length).floor();
+        (number as u64, number * length - shift)
+    }
+
+    fn refill(&mut self, now: Millis, plan: &Plan) {
+        self.store = (self.store + plan.rate * (now - self.store_at) / 1000.0).min(plan.burst);
+        self.store_at = now;
+    }
+
+    /// Moves to the present window: blocks end with theirs. What was left of the own block was never used.
+    fn roll(&mut self, now: Millis, plan: &Plan) {
+        self.refill(now, plan);
+        let (window, _) = self.window_at(now, plan);
+        if window != self.window {
+            self.store = (self.store + self.lease).min(plan.burst);
+            (self.window, self.lease, self.added, self.seen) = (window, 0.0, 0.0, 0.0);
+        }
+    }
+
+    fn note_demand(&mut self, units: f64, now: Millis, plan: &Plan) {
+        let span = Self::turn(plan) * DEMAND_SHARE;
+        self.demand *= (-(now - self.demand_at) / span).exp();
+        self.demand += units / span;
+        self.demand_at = now;
+    }
+
+    /// The block wanted now: smoothed demand of a short while; the first is burst over gateways; near the total
+    /// it falls to what waits.
+    fn block(&self, need: f64, plan: &Plan) -> f64 {
+        let target = self.demand * Self::turn(plan) * BLOCK_SHARE;
+        let room = self.store * NEAR_SHARE / self.spread;
+        let want = if self.known { target.min(room) } else { plan.burst / self.spread };
+        need.max(want.floor()).max(0.0)
+    }
+
+    /// Spends from the even slice: the silence rule. The slice starts from the customer's store as last known.
+    fn spend_slice(&mut self, units: f64, now: Millis, plan: &Plan) -> bool {
+        let (held, at) = self.slice.unwrap_or((self.store.max(0.0) / self.spread, now));
+        let filled = held + plan.rate * (now - at) / 1000.0 / self.spread;
+        let held = filled.min((plan.burst / self.spread).max(units));
+        let fits = held >= units;
+        self.slice = Some((if fits { held - units } else { held }, now));
+        if fits {
+            self.owed += units;
+            self.store -= units;
+        }
+        fits
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Stage {
+    Block,
+    Queue,
+    Out,
+    Streaming,
+}
+
+struct Request {
+    customer: Name,
+    plan: usize,
+    class: usize,
+    units: f64,
+    arrived: Millis,
+    deadline: Millis,
+    hold_until: Millis,
+    stage: Stage,
+    attempts: u32,
+    /// Units were taken from the customer's lease for it.
+    paid: bool,
+    /// When the first attempt that may have run was sent, and where.
+    may_have_run: Option<(Millis, Name)>,
+    sent_at: Millis,
+    last_backend: Option<Name>,
+}
+
+/// One gateway: build it from settings and a seed, then feed it events.
+pub struct Gateway {
+    settings: Settings,
+    random: u64,
+    now: Millis,
+    backends: BTreeMap<Name, Backend>,
+    customers: BTreeMap<Name, Customer>,
+    requests: BTreeMap<RequestId, Request>,
+    queue: VecDeque<RequestId>,
+    calls: BTreeMap<u64, Name>,
+    /// Customers that want a call while too many are out.
+    call_line: VecDeque<Name>,
+    calls_most: f64,
+    silences: u32,
+    quiet_until: Millis,
+    class_latency: Vec<f64>,
+    sweeping: bool,
+}
+
+impl Gateway {
+    /// A gateway that knows its settings and nothing else.
+    ///
+    /// # Errors
+    /// When the settings cannot be used.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        check(&settings)?;
+        let class_latency = settings.classes.iter().map(|_| 0.0).collect();
+        Ok(Self {
+            settings,
+            random: mix(seed | 1),
+            now: 0.0,
+            backends: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            queue: VecDeque::new(),
+            calls: BTreeMap::new(),
+            call_line: VecDeque::new(),
+            calls_most: CALLS_MOST,
+            silences: 0,
+            quiet_until: 0.0,
+            class_latency,
+            sweeping: false,
+        })
+    }
+
+    /// Takes one event at a time and appends what the host is to do.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if !self.sweeping {
+            self.sweeping = true;
+            out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
+            if self.settings.list_on_request {
+                out.push(Action::WatchBackends);
+            }
+        }
+        match event {
+            Event::BackendList(list) => self.on_list(list, true, out),
+            Event::BackendChanges(list) => self.on_list(list, false, out),
+            Event::BackendListFailed => out.push(Action::WatchBackends),
+            Event::Request { id, customer, plan, class, units, patience, spread } => {
+                self.on_request(id, customer, &plan, &class, units, patience, spread, out)
+            }
+            Event::StreamStarted { id } => {
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.stage = Stage::Streaming;
+                }
+            }
+            Event::AttemptEnded { id, backend, outcome, latency, true_units, finished, load, .. } => {
+                self.on_load(&backend, load);
+                self.on_backend(id, &backend, outcome, latency, out);
+                self.on_attempt(id, backend, outcome, true_units, finished, out);
+                self.drain_queue(out);
+            }
+            Event::ProbeEnded { backend, load, .. } => self.on_load(&backend, load),
+            Event::ClientLeft { id } => self.on_left(id),
+            Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
+            Event::Timer { token } => self.on_hold_over(token / 2, out),
+            Event::Counted { name, outcome, .. } => self.on_counted(name, outcome, out),
+            Event::PeerMessage { .. } => {}
+        }
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    // ---- The list of backends ----
+
+    fn on_list(&mut self, list: Vec<BackendEntry>, full: bool, out: &mut Vec<Action>) {
+        if full {
+            self.backends.values_mut().for_each(|b| b.ready = false);
+        }
+        for entry in list {
+            let backend = self.backends.entry(entry.name.clone()).or_insert_with(|| Backend::new(&entry));
+            backend.ready = entry.state == BackendState::Ready;
+            if backend.started != entry.started {
+                let out_now = backend.out;
+                *backend = Backend::new(&entry);
+                (backend.started, backend.out) = (entry.started, out_now);
+                backend.ready = entry.state == BackendState::Ready;
+            }
+        }
+        self.drain_queue(out);
+    }
+
+    fn on_load(&mut self, name: &Name, load: Option<LoadReport>) {
+        let (Some(load), Some(backend)) = (load, self.backends.get_mut(name)) else { return };
+        if let Some(held) = load.inflight.or(load.queue) {
+            backend.others = (held - f64::from(backend.out)).max(0.0);
+            backend.others_at = self.now;
+        }
+    }
+
+    // ---- Requests ----
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_request(
+        &mut self,
+        id: RequestId,
+        customer: Name,
+        plan: &str,
+        class: &str,
+        units: f64,
+        patience: Millis,
+        spread: u32,
+        out: &mut Vec<Action>,
+    ) {
+        let class = self.settings.classes.iter().position(|c| &*c.name == class);
+        let plan = self.settings.plans.iter().position(|p| &*p.name == plan);
+        let (Some(class), Some(plan)) = (class, plan) else {
+            return out.push(Action::Refuse { id, retry_after: 0.0 });
+        };
+        let aim = self.settings.classes[class].aim;
+        let deadline = self.now + patience;
+        let latest = deadline - LAST_TICKS * self.settings.tick;
+        let request = Request {
+            customer: customer.clone(),
+            plan,
+            class,
+            units: if units.is_finite() { units.max(0.0) } else { 1.0 },
+            arrived: self.now,
+            deadline,
+            hold_until: (self.now + aim * HOLD_SHARE).min(latest),
+            stage: Stage::Block,
+            attempts: 0,
+            paid: false,
+            may_have_run: None,
+            sent_at: 0.0,
+            last_backend: None,
+        };
+        let units = request.units;
+        self.requests.insert(id, request);
+        self.know(&customer, plan, spread);
+        self.admit(id, &customer, units, out);
+    }
+
+    fn know(&mut self, name: &Name, plan: usize, spread: u32) {
+        let rules = &self.settings.plans[plan];
+        let now = self.now;
+        let spread = f64::from(spread.clamp(1, self.settings.gateways.max(1)));
+        let customer = self.customers.entry(name.clone()).or_insert_with(|| Customer {
+            plan,
+            spread,
+            salt: hash(name, 0),
+            window: 0,
+            lease: 0.0,
+            added: 0.0,
+            seen: 0.0,
+            store: Customer::start_of(rules),
+            store_at: now,
+            known: false,
+            owed: 0.0,
+            call: None,
+            waiting: VecDeque::new(),
+            demand: 0.0,
+            demand_at: now,
+            used_at: now,
+            slice: None,
+            open: 0,
+        });
+        customer.spread = spread;
+    }
+
+    /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are spent,
+    /// else a short wait for a block.
+    fn admit(&mut self, id: RequestId, name: &Name, units: f64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let silent = self.silences > 0 || !self.settings.counter;
+        let Some(customer) = self.customers.get_mut(name) else { return };
+        let plan = &self.settings.plans[customer.plan];
+        if plan.rate <= 0.0 {
+            return self.admitted(id, out);
+        }
+        customer.roll(now, plan);
+        customer.note_demand(units, now, plan);
+        customer.used_at = now;
+        if customer.waiting.is_empty() && customer.lease >= units {
+            customer.lease -= units;
+            let target = customer.block(0.0, plan);
+            if !silent && customer.lease < target * RENEW_SHARE && target >= 1.0 {
+                self.ask(name, out);
+            }
+            return self.admitted(id, out);
+        }
+        if silent {
+            let fits = customer.spend_slice(units, now, plan);
+            let (store, rate) = (customer.slice.map_or(0.0, |s| s.0), plan.rate / customer.spread);
+            if self.settings.counter && now >= self.quiet_until && self.calls.is_empty() {
+                self.ask(name, out);
+            }
+            return if fits { self.admitted(id, out) } else { self.over_quota(id, units - store, rate, out) };
+        }
+        let left = customer.store + customer.lease;
+        if customer.known && left < units {
+            let (short, rate) = (units - left, plan.rate);
+            return self.over_quota(id, short, rate, out);
+        }
+        customer.waiting.push_back(id);
+        let until = self.now + self.settings.classes[self.requests[&id].class].aim * BLOCK_WAIT;
+        self.hold(id, Stage::Block, until, out);
+        self.ask(name, out);
+    }
+
+    fn over_quota(&mut self, id: RequestId, short: f64, rate: f64, out: &mut Vec<Action>) {
+        let wait = short / rate.max(1e-9) * 1000.0 * (1.0 + 0.5 * self.chance());
+        self.refuse(id, wait, out);
+    }
+
+    fn hold(&mut self, id: RequestId, stage: Stage, until: Millis, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.stage = stage;
+        request.hold_until = until.min(request.deadline - LAST_TICKS * self.settings.tick);
+        let after = (request.hold_until - self.now).max(0.0);
+        out.push(Action::SetTimer { after, token: id * 2 });
+    }
+
+    fn admitted(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.paid = true;
+            if !self.dispatch(id, out) {
+                self.enqueue(id, out);
+            }
+        }
+    }
+
+    fn enqueue(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let aim = self.settings.classes[request.class].aim;
+        let until = (request.arrived + aim * HOLD_SHARE).max(self.now);
+        if until <= self.now {
+            return self.give_up(id, out);
+        }
+        self.queue.push_back(id);
+        self.hold(id, Stage::Queue, until, out);
+    }
+
+    fn drain_queue(&mut self, out: &mut Vec<Action>) {
+        for _ in 0..self.queue.len() {
+            let Some(id) = self.queue.pop_front() else { return };
+            if self.requests.get(&id).is_some_and(|r| r.stage == Stage::Queue) && !self.dispatch(id, out) {
+                self.queue.push_back(id);
+            }
+        }
+    }
+
+    fn on_hold_over(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if self.now + 1e-6 < request.hold_until {
+            return;
+        }
+        match request.stage {
+            Stage::Queue => self.give_up(id, out),
+            Stage::Block => {
+                // The counter took too long: the silence rule decides.
+                let (name, units) = (request.customer.clone(), request.units);
+                let Some(customer) = self.customers.get_mut(&name) else { return };
+                customer.waiting.retain(|w| *w != id);
+                let plan = &self.settings.plans[customer.plan];
+                customer.roll(self.now, plan);
+                if customer.spend_slice(units, self.now, plan) {
+                    self.admitted(id, out);
+                } else {
+                    let rate = plan.rate / customer.spread;
+                    self.over_quota(id, units, rate, out);
+                }
+            }
+            Stage::Out | Stage::Streaming => {}
+        }
+    }
+
+    /// The one final answer of a request that gets no further attempt: refused where that is true and allowed.
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let class = &self.settings.classes[request.class];
+        let harmless = request.may_have_run.is_none()
+            || class.effect == Effect::Safe
+            || (class.effect == Effect::Keyed && class.group == Group::All);
+        if harmless && self.now < request.deadline {
+            let wait = self.settings.longest_advice * (0.3 + 0.4 * self.chance());
+            self.refuse(id, wait, out);
+        } else {
+            self.forget(id);
+            out.push(Action::Fail { id });
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, wait: Millis, out: &mut Vec<Action>) {
+        self.forget(id);
+        out.push(Action::Refuse { id, retry_after: wait.clamp(0.0, self.settings.longest_advice) });
+    }
+
+    /// Drops a request; units of one that was never sent go back to its customer's block.
+    fn forget(&mut self, id: RequestId) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        if request.stage == Stage::Block {
+            customer.waiting.retain(|w| *w != id);
+        }
+        if request.paid && request.attempts == 0 {
+            customer.lease += request.units;
+        }
+    }
+
+    fn on_left(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if matches!(request.stage, Stage::Out | Stage::Streaming) {
+            let name = request.customer.clone();
+            if let Some(customer) = self.customers.get_mut(&name) {
+                customer.open = customer.open.saturating_sub(1);
+            }
+        }
+        self.forget(id);
+    }
+
+    // ---- Attempts ----
+
+    fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        if !self.open_allowed(id) {
+            return false;
+        }
+        let Some(name) = self.pick(id) else { return false };
+        self.send(id, name, out);
+        true
+    }
+
+    /// The open cap, shared evenly: each gateway keeps out its part of the customer's attempts, rounded up.
+    fn open_allowed(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let cap = self.settings.plans[request.plan].open;
+        let Some(customer) = self.customers.get(&request.customer) else { return true };
+        cap == 0 || f64::from(customer.open) < (f64::from(cap) / customer.spread).ceil()
+    }
+
+    /// The backend that should answer first: few requests there, quick answers, not silent for long.
+    fn pick(&mut self, id: RequestId) -> Option<Name> {
+        let request = self.requests.get(&id)?;
+        let class = &self.settings.classes[request.class];
+        let bound = match &request.may_have_run {
+            Some((_, home)) if class.effect == Effect::Keyed => {
+                self.backends.get(home).map(|b| (b, class.group))
+            }
+            _ => None,
+        };
+        let usual = self.class_latency[request.class].max(1.0);
+        let last = request.last_backend.clone();
+        let mean_out = self.backends.values().map(|b| f64::from(b.out)).sum::<f64>()
+            / self.backends.values().filter(|b| b.ready).count().max(1) as f64;
+        let peers = f64::from(self.settings.gateways) - 1.0;
+        let mut seed = self.random;
+        let mut best: Option<(f64, &Name)> = None;
+        for (name, backend) in &self.backends {
+            seed = mix(seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
+            let in_group = bound.is_none_or(|(home, group)| match group {
+                Group::All => true,
+                Group::Zone => home.zone == backend.zone,
+                Group::Cell => home.cell == backend.cell,
+            });
+            let full = f64::from(backend.out) >= backend.room.floor().max(1.0);
+            if !backend.ready || !in_group || full || backend.ejected(self.now) {
+                continue;
+            }
+            let warmth = backend.warmth(self.now, &self.settings);
+            if warmth < 1.0 && backend.cold_tokens < 1.0 {
+                continue;
+            }
+            let fresh = self.now - backend.others_at < REPORT_AGE;
+            let others = if fresh { backend.others } else { mean_out * peers };
+            let silence = if backend.out > 0 { (self.now - backend.heard) / usual } else { 0.0 };
+            let away = if backend.zone == self.settings.zone { 0.0 } else { self.settings.price_cross_zone };
+            let again = if last.as_ref() == Some(name) { 4.0 } else { 1.0 };
+            let jitter = 1.0 + 0.1 * (seed >> 11) as f64 / (1u64 << 53) as f64;
+            let load = 1.0 + f64::from(backend.out) + others;
+            let score = backend.slow.max(silence) * load * (1.0 + away * ZONE_BIAS) * again * jitter;
+            if best.is_none_or(|(s, _)| score < s) {
+                best = Some((score, name));
+            }
+        }
+        let chosen = best.map(|(_, name)| name.clone());
+        self.random = seed;
+        chosen
+    }
+
+    fn send(&mut self, id: RequestId, name: Name, out: &mut Vec<Action>) {
+        let now = self.now;
+        self.share_with_cold(&name);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(backend) = self.backends.get_mut(&name) else { return };
+        if backend.out == 0 {
+            backend.heard = now;
+        }
+        backend.out += 1;
+        if let Some(customer) = self.customers.get_mut(&request.customer) {
+            customer.open += 1;
+        }
+        let class = &self.settings.classes[request.class];
+        request.stage = Stage::Out;
+        request.attempts += 1;
+        request.sent_at = now;
+        request.last_backend = Some(name.clone());
+        let usual = self.class_latency[request.class];
+        let limit = (class.aim * TRY_SHARE).max(usual * TRY_LATENCIES);
+        let again = class.effect != Effect::Unsafe && request.attempts < self.settings.most_attempts.min(2);
+        let timeout = (again && now + limit * 1.5 < request.deadline).then_some(limit);
+        out.push(Action::Send { id, backend: name, timeout });
+    }
+
+    /// The cold budget: for each send to a warm backend, each cold one earns its share of a warm one's work.
+    /// Needs no agreement: every gateway keeps to it on its own, in every window, from the first ms.
+    fn share_with_cold(&mut self, name: &Name) {
+        let (now, settings) = (self.now, &self.settings);
+        let warm = |b: &Backend| b.ready && !b.ejected(now) && b.warmth(now, settings) >= 1.0;
+        let warm_count = self.backends.values().filter(|b| warm(b)).count();
+        let is_warm = self.backends.get(name).is_some_and(|b| b.warmth(now, settings) >= 1.0);
+        for (other, backend) in &mut self.backends {
+            let warmth = backend.warmth(now, settings);
+            if warmth < 1.0 && is_warm && warm_count > 0 {
+                let earned = warmth * COLD_MULTIPLE / warm_count as f64;
+                backend.cold_tokens = (backend.cold_tokens + earned).min(2.0);
+            } else if other == name {
+                backend.cold_tokens -= 1.0;
+            }
+        }
+    }
+
+    /// What an outcome tells of the backend.
+    fn on_backend(
+        &mut self,
+        id: RequestId,
+        name: &Name,
+        outcome: Outcome,
+        latency: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let class = self.requests.get(&id).map(|r| r.class);
+        let Some(backend) = self.backends.get_mut(name) else { return };
+        if outcome != Outcome::NeverSent {
+            backend.out = backend.out.saturating_sub(1);
+        }
+        match outcome {
+            Outcome::Served => {
+                if backend.failures >= EJECT_AFTER {
+                    out.push(Action::Log(format!("backend {name} back: it answers again")));
+                }
+                (backend.failures, backend.eject_for, backend.heard) = (0, 0.0, now);
+                let Some(class) = class else { return };
+                let usual = &mut self.class_latency[class];
+                if *usual == 0.0 {
+                    *usual = latency;
+                }
+                *usual += 0.02 * (latency - *usual);
+                backend.slow += SLOW_WEIGHT * ((latency / usual.max(1.0)).min(10.0) - backend.slow);
+                let aim = self.settings.classes[class].aim * ROOM_SHARE;
+                if latency > aim && now - backend.shrunk_at > latency {
+                    (backend.room, backend.shrunk_at) = ((backend.room * ROOM_SHRINK).max(1.0), now);
+                } else if latency < aim && f64::from(backend.out) + 2.0 > backend.room {
+                    backend.room = (backend.room + ROOM_GROW).min(ROOM_MOST);
+                }
+            }
+            Outcome::Error => backend.heard = now,
+            Outcome::Full => {
+                backend.room = (f64::from(backend.out) * ROOM_SHRINK).clamp(1.0, ROOM_MOST);
+                backend.shrunk_at = now;
+            }
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Broken => {
+                if backend.failed(now, &self.settings) {
+                    out.push(Action::Log(format!("backend {name} ejected: {EJECT_AFTER} failures in a row")));
+                }
+            }
+            Outcome::CalledOff | Outcome::NeverSent => {}
+        }
+    }
+
+    /// What an outcome means for the request: the next attempt, or its one final answer.
+    fn on_attempt(
+        &mut self,
+        id: RequestId,
+        backend: Name,
+        outcome: Outcome,
+        true_units: Option<f64>,
+        finished: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let (units, name) = (request.units, request.customer.clone());
+        if let Some(customer) = self.customers.get_mut(&name) {
+            customer.open = customer.open.saturating_sub(1);
+            if let Some(true_units) = true_units.filter(|_| outcome == Outcome::Served) {
+                customer.owed += true_units - units;
+                customer.store -= true_units - units;
+            }
+        }
+        if finished || outcome == Outcome::Served {
+            request.stage = Stage::Out;
+            self.forget(id);
+            return;
+        }
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
+        if !never_ran && request.may_have_run.is_none() {
+            request.may_have_run = Some((request.sent_at, backend));
+        }
+        if self.may_try_again(id) {
+            if !self.dispatch(id, out) {
+                self.enqueue(id, out);
+            }
+        } else {
+            self.give_up(id, out);
+        }
+    }
+
+    /// Whether the class allows another attempt, and time and count leave room for it.
+    fn may_try_again(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let class = &self.settings.classes[request.class];
+        let allowed = match (&request.may_have_run, class.effect) {
+            (None, _) | (_, Effect::Safe) => true,
+            (Some((sent, _)), Effect::Keyed) => {
+                self.now - sent < class.memory - LAST_TICKS * self.settings.tick
+            }
+            (Some(_), Effect::Unsafe) => false,
+        };
+        let time = request.deadline - self.now > LAST_TICKS * self.settings.tick;
+        allowed && time && request.attempts < self.settings.most_attempts
+    }
+
+    // ---- The counter ----
+
+    /// Adds a block to the customer's count: one call out for each name, and a bound on all.
+    fn ask(&mut self, name: &Name, out: &mut Vec<Action>) {
+        let Some(customer) = self.customers.get_mut(name) else { return };
+        if customer.call.is_some() || !self.settings.counter {
+            return;
+        }
+        if self.calls.len() as f64 >= self.calls_most {
+            if !self.call_line.contains(name) {
+                self.call_line.push_back(name.clone());
+            }
+            return;
+        }
+        let plan = &self.settings.plans[customer.plan];
+        customer.roll(self.now, plan);
+        let need: f64 = customer.waiting.iter().filter_map(|id| self.requests.get(id)).map(|r| r.units).sum();
+        let need = need.min(customer.store.max(1.0));
+        let block = (customer.block(need, plan) - customer.lease).max(0.0);
+        let owed = std::mem::take(&mut customer.owed);
+        let count = mix(customer.salt ^ customer.window.wrapping_mul(0x9e37_79b9_7f4a_7c15)) >> 1;
+        customer.call = Some(Call { window: customer.window, block, owed });
+        self.calls.insert(count, name.clone());
+        let keep = Customer::turn(plan) * WINDOW_SPAN * 1.5;
+        out.push(Action::Count { name: count, amount: block + owed, keep: keep.min(60_000.0) });
+    }
+
+    fn on_counted(&mut self, count: u64, outcome: CountOutcome, out: &mut Vec<Action>) {
+        let Some(name) = self.calls.remove(&count) else { return };
+        match outcome {
+            CountOutcome::Total(total) => {
+                if std::mem::take(&mut self.silences) > 1 {
+                    out.push(Action::Log("counter back".into()));
+                }
+                self.calls_most = (self.calls_most + 0.2).min(CALLS_MOST);
+                self.granted(&name, total, out);
+            }
+            CountOutcome::NotAdded | CountOutcome::Unknown => {
+                self.silent(&name, outcome == CountOutcome::Unknown, out);
+            }
+        }
+        if let Some(next) = self.call_line.pop_front() {
+            self.ask(&next, out);
+        }
+    }
+
+    /// A total came: learn the store from it, keep what fits, give the rest back, serve who waits.
+    fn granted(&mut self, name: &Name, total: f64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(customer) = self.customers.get_mut(name) else { return };
+        let Some(call) = customer.call.take() else { return };
+        let plan = &self.settings.plans[customer.plan];
+        customer.slice = None;
+        customer.roll(now, plan);
+        if call.window == customer.window {
+            customer.added += call.block + call.owed;
+            let (_, began) = customer.window_at(now, plan);
+            if !customer.known {
+                let since = Customer::start_of(plan) + plan.rate * (now - began) / 1000.0;
+                customer.store = since.min(plan.burst) - total;
+                customer.known = true;
+            } else if total + 1e-6 < customer.added {
+                // Guards against an emptied count: what this gateway holds is told again, so that new blocks do
+                // not stack on those still held.
+                customer.owed += customer.added - total;
+                customer.store -= call.block;
+            } else {
+                customer.store = (customer.store - (total - customer.seen - call.owed)).min(plan.burst);
+            }
+            customer.seen = total;
+            customer.lease += call.block;
+            if customer.store < 0.0 {
+                let back = customer.lease.min((-customer.store).ceil()).min(call.block);
+                customer.lease -= back;
+                customer.owed -= back;
+                customer.store += back;
+            }
+        }
+        self.serve_waiting(name, out);
+    }
+
+    /// Serves as many waiting requests as the block holds, refuses those beyond block and count, asks for the rest.
+    fn serve_waiting(&mut self, name: &Name, out: &mut Vec<Action>) {
+        loop {
+            let Some(customer) = self.customers.get_mut(name) else { return };
+            let plan = &self.settings.plans[customer.plan];
+            let Some(id) = customer.waiting.front().copied() else { break };
+            let units = self.requests.get(&id).map_or(0.0, |r| r.units);
+            if customer.lease >= units {
+                customer.lease -= units;
+                customer.waiting.pop_front();
+                self.admitted(id, out);
+            } else if customer.store + customer.lease < units {
+                let (short, rate) = (units - customer.store - customer.lease, plan.rate);
+                customer.waiting.pop_front();
+                self.over_quota(id, short, rate, out);
+            } else {
+                break;
+            }
+        }
+        let Some(customer) = self.customers.get(name) else { return };
+        if !customer.waiting.is_empty() || customer.owed <= -1.0 {
+            self.ask(name, out);
+        }
+    }
+
+    /// No answer: back off, and let the silence rule decide for who waits. An add that may have counted is not
+    /// used; the next total shows it as others' use, so nothing is granted twice.
+    fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
+        self.silences += 1;
+        if self.silences == 2 {
+            out.push(Action::Log("counter silent: spending blocks and even slices".into()));
+        }
+        self.calls_most = (self.calls_most / 2.0).max(1.0);
+        let doubled = QUIET_FIRST * f64::from(1u32 << (self.silences - 1).min(10));
+        self.quiet_until = self.now + self.settings.counter_timeout * doubled.min(QUIET_MOST);
+        let Some(customer) = self.customers.get_mut(name) else { return };
+        if let Some(call) = customer.call.take() {
+            if !may_have_counted || call.owed > 0.0 {
+                customer.owed += call.owed;
+            }
+        }
+        let plan = &self.settings.plans[customer.plan];
+        customer.roll(self.now, plan);
+        let waiting = std::mem::take(&mut customer.waiting);
+        for id in waiting {
+            let Some(units) = self.requests.get(&id).map(|r| r.units) else { continue };
+            let Some(customer) = self.customers.get_mut(name) else { return };
+            let plan = &self.settings.plans[customer.plan];
+            let rate = plan.rate / customer.spread;
+            if customer.spend_slice(units, self.now, plan) {
+                self.admitted(id, out);
+            } else {
+                self.over_quota(id, units, rate, out);
+            }
+        }
+    }
+
+    // ---- Housekeeping ----
+
+    fn on_sweep(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
+        let now = self.now;
+        let mut give_back = Vec::new();
+        let plans = &self.settings.plans;
+        let crowded = self.customers.len() > CUSTOMERS_MOST;
+        self.customers.retain(|name, customer| {
+            let plan = &plans[customer.plan];
+            if plan.rate <= 0.0 {
+                return customer.open > 0;
+            }
+            let idle = now - customer.used_at;
+            let turn = Customer::turn(plan);
+            customer.roll(now, plan);
+            if idle > turn * IDLE_SHARE && customer.lease >= 1.0 && customer.store < plan.burst * 0.5 {
+                customer.owed -= customer.lease;
+                customer.store += customer.lease;
+                customer.lease = 0.0;
+            }
+            if customer.call.is_none() && customer.owed.abs() >= 1.0 {
+                give_back.push(name.clone());
+            }
+            // A customer idle for two turns has a full store again: forgetting it loses nothing.
+            let busy = customer.call.is_some() || customer.open > 0 || !customer.waiting.is_empty();
+            busy || (idle < turn * 2.0 && !(crowded && idle > turn * 0.25))
+        });
+        if self.silences == 0 {
+            for name in give_back {
+                self.ask(&name, out);
+            }
+        }
+        self.drain_queue(out);
+    }
+}
+
+fn check(settings: &Settings) -> Result<(), SettingsError> {
+    if settings.classes.is_empty() {
+        return Err(SettingsError::NoClasses);
+    }
+    if settings.number >= settings.gateways {
+        return Err(SettingsError::NumberTooHigh);
+    }
+    let figure = |value: f64, what| {
+        if value.is_finite() && value >= 0.0 { Ok(()) } else { Err(SettingsError::BadFigure(what)) }
+    };
+    for class in &settings.classes {
+        figure(class.aim, "a class's aim")?;
+        figure(class.memory, "a class's memory")?;
+        figure(class.worth, "a class's worth")?;
+        figure(class.late_worth, "a class's late worth")?;
+    }
+    for plan in &settings.plans {
+        figure(plan.rate, "a plan's rate")?;
+        figure(plan.burst, "a plan's burst")?;
+        figure(plan.ceiling_rate, "a plan's ceiling rate")?;
+        figure(plan.ceiling_burst, "a plan's ceiling burst")?;
+        figure(plan.ceiling_slack, "a plan's ceiling slack")?;
+        figure(plan.price, "a plan's price")?;
+        if plan.rate > 0.0 && plan.burst <= 0.0 {
+            return Err(SettingsError::BadFigure("a plan's burst"));
+        }
+    }
+    figure(settings.tick, "tick")?;
+    figure(settings.counter_timeout, "counter time-out")?;
+    figure(settings.most_units, "most units")?;
+    figure(settings.longest_advice, "longest advice")?;
+    figure(settings.cold_share, "cold share")?;
+    figure(settings.cold_time, "cold time")?;
+    figure(settings.fall_multiple, "fall multiple")?;
+    figure(settings.fall_time, "fall time")?;
+    figure(settings.price_cross_zone, "price of crossing zones")
+}
