Room follows late answers; call off only at silent backends; larger blocks while there is plenty

Cause of the first incidents: each gateway kept 6 out at each backend, too many for small backends behind many gateways. Still wrong: up to 2.5 calls a try (renewal follows plenty, settled units cause calls), a retry that finds no room fails at once.

--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -251,11 +251,11 @@
                 let patience = fields.millis("patience-left-ms")?;
                 let class = fields.name("band")?;
                 fields.flag("again-by-client")?;
-                fields.optional::<u32>("base")?;
+                let first = fields.optional("base")?.unwrap_or(0);
                 let spread = fields.optional("spread")?.unwrap_or(0);
                 let units = fields.optional("units")?.unwrap_or(1.0);
                 let plan = fields.name("package")?;
-                Event::Request { id, customer, plan, class, units, patience, spread }
+                Event::Request { id, customer, plan, class, units, patience, first, spread }
             }
             "UNDER_WAY" => Event::StreamStarted { id: fields.number("id")? },
             "ATTEMPT_END" => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -248,6 +248,8 @@
         units: f64,
         /// How long until the client gives up.
         patience: Millis,
+        /// The number of the first gateway of the customer's set; the others follow in a row, counted round.
+        first: u32,
         /// How many gateways the customer's requests come in through.
         spread: u32,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,8 +11,10 @@
 const WINDOW_SPAN: f64 = 2.0;
 /// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to move.
 const BLOCK_SHARE: f64 = 0.15;
-/// A block takes at most this share of what is left, split over the customer's gateways.
+/// A block takes at most this share of what is left, split over the customer's gateways ...
 const NEAR_SHARE: f64 = 0.5;
+/// ... or an even part of all that is left above this share of the burst: while there is plenty, blocks are large.
+const PLENTY_SHARE: f64 = 0.25;
 /// A block is renewed when less than this share of it is left.
 const RENEW_SHARE: f64 = 0.4;
 /// Demand is smoothed over this share of burst over rate.
@@ -35,26 +37,29 @@
 
 // ---- Requests ----
 /// A request is held (for a block, for its open cap, for a backend with room) at most this share of its aim.
-const HOLD_SHARE: f64 = 0.45;
+const HOLD_SHARE: f64 = 0.3;
 /// An answer must leave this many ticks before the client's patience ends.
 const LAST_TICKS: f64 = 2.0;
-/// A repeatable attempt is given up after this share of its aim while another try can still make it ...
-const TRY_SHARE: f64 = 0.6;
-/// ... but never before this many times the usual latency: in overload a time-out only adds work.
-const TRY_LATENCIES: f64 = 5.0;
+/// A repeatable attempt is called off after this share of its aim if its backend has answered nothing since ...
+const TRY_SHARE: f64 = 0.4;
+/// ... but not before this many times the usual latency: work may just take long.
+const TRY_LATENCIES: f64 = 4.0;
 
 // ---- Backends ----
 /// Weight of the newest latency in a backend's smoothed slowness.
 const SLOW_WEIGHT: f64 = 0.1;
-/// What a gateway keeps out at one backend at first; it follows the latencies seen.
-const ROOM_FIRST: f64 = 6.0;
-/// Room grows by this at an answer within the aim's `ROOM_SHARE` while the backend is full ...
-const ROOM_GROW: f64 = 0.3;
-/// ... and shrinks to this share at an answer past it.
-const ROOM_SHRINK: f64 = 0.85;
-/// The share of the aim that an answer may take before the backend counts as crowded.
-const ROOM_SHARE: f64 = 0.6;
-/// The most kept out at one backend by one gateway.
+/// Weight of the newest latency in the usual latency of its class.
+const USUAL_WEIGHT: f64 = 0.02;
+/// What all gateways together keep out at one backend at first; it then follows the latencies seen.
+const ROOM_FIRST: f64 = 5.0;
+/// The share of the aim within which answers should come; the rest is for the way, for holding and for bad luck.
+const ROOM_SHARE: f64 = 0.5;
+/// The share of answers that may come later than that: fewer and room grows, more and it shrinks.
+const ROOM_LATE: f64 = 0.1;
+/// By how much one answer moves room: a late one by nine tenths of this, one in time by a tenth.
+const ROOM_STEP: f64 = 0.12;
+/// The least and the most room at one backend for one gateway; below 1 the sum over all backends still binds.
+const ROOM_LEAST: f64 = 0.2;
 const ROOM_MOST: f64 = 64.0;
 /// Failures in a row, with no answer between, that eject a backend.
 const EJECT_AFTER: u32 = 2;
@@ -92,8 +97,8 @@
     ready: bool,
     started: Option<Millis>,
     out: u32,
+    /// How many this gateway keeps out here at most.
     room: f64,
-    shrunk_at: Millis,
     /// Latency over the usual latency of its class, smoothed.
     slow: f64,
     /// When it last answered, or was first sent something after being idle.
@@ -104,28 +109,35 @@
     /// Sends that a cold backend may still be given.
     cold_tokens: f64,
     /// Requests of others there, by its last report, and when that came.
-    others: f64,
-    others_at: Millis,
+    others: Option<(f64, Millis)>,
 }
 
 impl Backend {
-    fn new(entry: &BackendEntry) -> Self {
+    fn new(entry: &BackendEntry, out: u32, settings: &Settings) -> Self {
         Self {
             zone: entry.zone.clone(),
             cell: entry.cell,
-            ready: true,
-            started: None,
-            out: 0,
-            room: ROOM_FIRST,
-            shrunk_at: 0.0,
+            ready: entry.state == BackendState::Ready,
+            started: entry.started,
+            out,
+            room: ROOM_FIRST / f64::from(settings.gateways),
             slow: 1.0,
             heard: 0.0,
             failures: 0,
             eject_until: 0.0,
             eject_for: 0.0,
             cold_tokens: 0.0,
-            others: 0.0,
-            others_at: f64::NEG_INFINITY,
+            others: None,
+        }
+    }
+
+    /// Bounds what is out so that most answers keep to their aim: room follows the share of late answers.
+    /// Guards against overload of any cause; it needs no figure of the backend's size.
+    fn note_latency(&mut self, late: bool) {
+        let used = f64::from(self.out) + 1.0 >= self.room.floor();
+        if late || used {
+            let step = ROOM_STEP * (ROOM_LATE - f64::from(u8::from(late)));
+            self.room = (self.room * (1.0 + step)).clamp(ROOM_LEAST, ROOM_MOST);
         }
     }
 
@@ -164,6 +176,8 @@
 struct Customer {
     plan: usize,
     spread: f64,
+    /// This gateway's place in the customer's set.
+    place: u32,
     salt: u64,
     window: u64,
     /// Units of the block in hand; they end with the window.
@@ -237,7 +251,8 @@
     fn block(&self, need: f64, plan: &Plan) -> f64 {
         let target = self.demand * Self::turn(plan) * BLOCK_SHARE;
         let room = self.store * NEAR_SHARE / self.spread;
-        let want = if self.known { target.min(room) } else { plan.burst / self.spread };
+        let plenty = (self.store - plan.burst * PLENTY_SHARE) / self.spread;
+        let want = if self.known { target.min(room).max(plenty.ceil()) } else { plan.burst / self.spread };
         need.max(want.floor()).max(0.0)
     }
 
@@ -341,8 +356,8 @@
             Event::BackendList(list) => self.on_list(list, true, out),
             Event::BackendChanges(list) => self.on_list(list, false, out),
             Event::BackendListFailed => out.push(Action::WatchBackends),
-            Event::Request { id, customer, plan, class, units, patience, spread } => {
-                self.on_request(id, customer, &plan, &class, units, patience, spread, out)
+            Event::Request { id, customer, plan, class, units, patience, first, spread } => {
+                self.on_request(id, customer, &plan, &class, units, patience, (first, spread), out)
             }
             Event::StreamStarted { id } => {
                 if let Some(request) = self.requests.get_mut(&id) {
@@ -376,13 +391,15 @@
             self.backends.values_mut().for_each(|b| b.ready = false);
         }
         for entry in list {
-            let backend = self.backends.entry(entry.name.clone()).or_insert_with(|| Backend::new(&entry));
-            backend.ready = entry.state == BackendState::Ready;
-            if backend.started != entry.started {
-                let out_now = backend.out;
-                *backend = Backend::new(&entry);
-                (backend.started, backend.out) = (entry.started, out_now);
-                backend.ready = entry.state == BackendState::Ready;
+            match self.backends.get_mut(&entry.name) {
+                Some(known) if known.started == entry.started => {
+                    known.ready = entry.state == BackendState::Ready
+                }
+                known => {
+                    let out_now = known.map_or(0, |b| b.out);
+                    let fresh = Backend::new(&entry, out_now, &self.settings);
+                    self.backends.insert(entry.name, fresh);
+                }
             }
         }
         self.drain_queue(out);
@@ -391,8 +408,7 @@
     fn on_load(&mut self, name: &Name, load: Option<LoadReport>) {
         let (Some(load), Some(backend)) = (load, self.backends.get_mut(name)) else { return };
         if let Some(held) = load.inflight.or(load.queue) {
-            backend.others = (held - f64::from(backend.out)).max(0.0);
-            backend.others_at = self.now;
+            backend.others = Some(((held - f64::from(backend.out)).max(0.0), self.now));
         }
     }
 
@@ -407,7 +423,7 @@
         class: &str,
         units: f64,
         patience: Millis,
-        spread: u32,
+        (first, spread): (u32, u32),
         out: &mut Vec<Action>,
     ) {
         let class = self.settings.classes.iter().position(|c| &*c.name == class);
@@ -435,17 +451,20 @@
         };
         let units = request.units;
         self.requests.insert(id, request);
-        self.know(&customer, plan, spread);
+        self.know(&customer, plan, first, spread);
         self.admit(id, &customer, units, out);
     }
 
-    fn know(&mut self, name: &Name, plan: usize, spread: u32) {
+    fn know(&mut self, name: &Name, plan: usize, first: u32, spread: u32) {
         let rules = &self.settings.plans[plan];
         let now = self.now;
+        let place = (self.settings.number + self.settings.gateways - first % self.settings.gateways)
+            % self.settings.gateways;
         let spread = f64::from(spread.clamp(1, self.settings.gateways.max(1)));
         let customer = self.customers.entry(name.clone()).or_insert_with(|| Customer {
             plan,
             spread,
+            place,
             salt: hash(name, 0),
             window: 0,
             lease: 0.0,
@@ -463,7 +482,7 @@
             slice: None,
             open: 0,
         });
-        customer.spread = spread;
+        (customer.spread, customer.place) = (spread, place);
     }
 
     /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are spent,
@@ -531,17 +550,20 @@
     fn enqueue(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let aim = self.settings.classes[request.class].aim;
-        let until = (request.arrived + aim * HOLD_SHARE).max(self.now);
-        if until <= self.now {
+        let until = request.arrived + aim * HOLD_SHARE;
+        // Refuses early in overload: a line longer than what is out would not be served in time.
+        if until <= self.now || self.queue.len() as f64 >= self.room().max(1.0) {
             return self.give_up(id, out);
         }
-        self.queue.push_back(id);
+        let worth = |r: &Request| self.settings.classes[r.class].worth;
+        let mine = worth(request);
+        let at = self.queue.iter().position(|q| self.requests.get(q).is_some_and(|r| worth(r) < mine));
+        self.queue.insert(at.unwrap_or(self.queue.len()), id);
         self.hold(id, Stage::Queue, until, out);
     }
 
     fn drain_queue(&mut self, out: &mut Vec<Action>) {
-        for _ in 0..self.queue.len() {
-            let Some(id) = self.queue.pop_front() else { return };
+        for id in std::mem::take(&mut self.queue) {
             if self.requests.get(&id).is_some_and(|r| r.stage == Stage::Queue) && !self.dispatch(id, out) {
                 self.queue.push_back(id);
             }
@@ -569,7 +591,18 @@
                     self.over_quota(id, units, rate, out);
                 }
             }
-            Stage::Out | Stage::Streaming => {}
+            Stage::Out => self.call_off_if_silent(id, out),
+            Stage::Streaming => {}
+        }
+    }
+
+    /// Guards against stalled and dead backends: an attempt is called off when its backend has answered nothing
+    /// at all since it was sent. A backend that answers others is only busy, and calling off would add work.
+    fn call_off_if_silent(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let backend = request.last_backend.as_ref().and_then(|name| self.backends.get(name));
+        if backend.is_some_and(|b| b.heard <= request.sent_at) && self.may_try_again(id) {
+            out.push(Action::CallOff { id, attempt: request.attempts - 1 });
         }
     }
 
@@ -628,12 +661,18 @@
         true
     }
 
-    /// The open cap, shared evenly: each gateway keeps out its part of the customer's attempts, rounded up.
+    /// The open cap, shared evenly: the gateways first in the customer's set take what does not divide.
     fn open_allowed(&self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let cap = self.settings.plans[request.plan].open;
         let Some(customer) = self.customers.get(&request.customer) else { return true };
-        cap == 0 || f64::from(customer.open) < (f64::from(cap) / customer.spread).ceil()
+        let (spread, place) = (customer.spread as u32, customer.place);
+        cap == 0 || customer.open < (cap / spread + u32::from(place < cap % spread)).max(1)
+    }
+
+    /// What this gateway keeps out at all backends together.
+    fn room(&self) -> f64 {
+        self.backends.values().filter(|b| b.ready).map(|b| b.room).sum()
     }
 
     /// The backend that should answer first: few requests there, quick answers, not silent for long.
@@ -648,8 +687,11 @@
         };
         let usual = self.class_latency[request.class].max(1.0);
         let last = request.last_backend.clone();
-        let mean_out = self.backends.values().map(|b| f64::from(b.out)).sum::<f64>()
-            / self.backends.values().filter(|b| b.ready).count().max(1) as f64;
+        let out: f64 = self.backends.values().map(|b| f64::from(b.out)).sum();
+        if out >= self.room().max(1.0) {
+            return None;
+        }
+        let mean_out = out / self.backends.values().filter(|b| b.ready).count().max(1) as f64;
         let peers = f64::from(self.settings.gateways) - 1.0;
         let mut seed = self.random;
         let mut best: Option<(f64, &Name)> = None;
@@ -660,7 +702,7 @@
                 Group::Zone => home.zone == backend.zone,
                 Group::Cell => home.cell == backend.cell,
             });
-            let full = f64::from(backend.out) >= backend.room.floor().max(1.0);
+            let full = f64::from(backend.out) >= backend.room.ceil();
             if !backend.ready || !in_group || full || backend.ejected(self.now) {
                 continue;
             }
@@ -668,8 +710,8 @@
             if warmth < 1.0 && backend.cold_tokens < 1.0 {
                 continue;
             }
-            let fresh = self.now - backend.others_at < REPORT_AGE;
-            let others = if fresh { backend.others } else { mean_out * peers };
+            let told = backend.others.filter(|(_, at)| self.now - at < REPORT_AGE);
+            let others = told.map_or(mean_out * peers, |(others, _)| others);
             let silence = if backend.out > 0 { (self.now - backend.heard) / usual } else { 0.0 };
             let away = if backend.zone == self.settings.zone { 0.0 } else { self.settings.price_cross_zone };
             let again = if last.as_ref() == Some(name) { 4.0 } else { 1.0 };
@@ -702,11 +744,15 @@
         request.attempts += 1;
         request.sent_at = now;
         request.last_backend = Some(name.clone());
-        let usual = self.class_latency[request.class];
-        let limit = (class.aim * TRY_SHARE).max(usual * TRY_LATENCIES);
-        let again = class.effect != Effect::Unsafe && request.attempts < self.settings.most_attempts.min(2);
-        let timeout = (again && now + limit * 1.5 < request.deadline).then_some(limit);
-        out.push(Action::Send { id, backend: name, timeout });
+        let limit = (class.aim * TRY_SHARE).max(self.class_latency[request.class] * TRY_LATENCIES);
+        if class.effect != Effect::Unsafe
+            && request.attempts < self.settings.most_attempts
+            && self.settings.cancel
+        {
+            request.hold_until = now + limit;
+            out.push(Action::SetTimer { after: limit, token: id * 2 });
+        }
+        out.push(Action::Send { id, backend: name, timeout: None });
     }
 
     /// The cold budget: for each send to a warm backend, each cold one earns its share of a warm one's work.
@@ -739,9 +785,11 @@
         let now = self.now;
         let class = self.requests.get(&id).map(|r| r.class);
         let Some(backend) = self.backends.get_mut(name) else { return };
-        if outcome != Outcome::NeverSent {
-            backend.out = backend.out.saturating_sub(1);
+        if outcome == Outcome::NeverSent {
+            return;
         }
+        backend.out = backend.out.saturating_sub(1);
+        let silent = backend.heard <= now - latency;
         match outcome {
             Outcome::Served => {
                 if backend.failures >= EJECT_AFTER {
@@ -750,29 +798,18 @@
                 (backend.failures, backend.eject_for, backend.heard) = (0, 0.0, now);
                 let Some(class) = class else { return };
                 let usual = &mut self.class_latency[class];
-                if *usual == 0.0 {
-                    *usual = latency;
-                }
-                *usual += 0.02 * (latency - *usual);
+                *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
                 backend.slow += SLOW_WEIGHT * ((latency / usual.max(1.0)).min(10.0) - backend.slow);
-                let aim = self.settings.classes[class].aim * ROOM_SHARE;
-                if latency > aim && now - backend.shrunk_at > latency {
-                    (backend.room, backend.shrunk_at) = ((backend.room * ROOM_SHRINK).max(1.0), now);
-                } else if latency < aim && f64::from(backend.out) + 2.0 > backend.room {
-                    backend.room = (backend.room + ROOM_GROW).min(ROOM_MOST);
-                }
+                backend.note_latency(latency > self.settings.classes[class].aim * ROOM_SHARE);
             }
             Outcome::Error => backend.heard = now,
-            Outcome::Full => {
-                backend.room = (f64::from(backend.out) * ROOM_SHRINK).clamp(1.0, ROOM_MOST);
-                backend.shrunk_at = now;
-            }
-            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Broken => {
+            Outcome::Full => backend.note_latency(true),
+            Outcome::TimedOut | Outcome::CalledOff if !silent => backend.note_latency(true),
+            _ => {
                 if backend.failed(now, &self.settings) {
                     out.push(Action::Log(format!("backend {name} ejected: {EJECT_AFTER} failures in a row")));
                 }
             }
-            Outcome::CalledOff | Outcome::NeverSent => {}
         }
     }
 
