Renew by demand only, settle rarely, hold retries

Cause: renewal measured the block against the plenty block, and each settled difference cost a call.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,8 @@
 const DEMAND_SHARE: f64 = 0.5;
 /// A block unused for this share of burst over rate goes back to the count, so that others can use it.
 const IDLE_SHARE: f64 = 0.15;
+/// What is owed to the count or back from it is told without a block once it is this share of the burst.
+const OWED_SHARE: f64 = 0.15;
 /// A request waits for its block at most this share of its aim.
 const BLOCK_WAIT: f64 = 0.12;
 /// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the ceiling
@@ -41,7 +43,7 @@
 /// An answer must leave this many ticks before the client's patience ends.
 const LAST_TICKS: f64 = 2.0;
 /// A repeatable attempt is called off after this share of its aim if its backend has answered nothing since ...
-const TRY_SHARE: f64 = 0.4;
+const TRY_SHARE: f64 = 0.5;
 /// ... but not before this many times the usual latency: work may just take long.
 const TRY_LATENCIES: f64 = 4.0;
 
@@ -246,13 +248,18 @@
         self.demand_at = now;
     }
 
-    /// The block wanted now: smoothed demand of a short while; the first is burst over gateways; near the total
-    /// it falls to what waits.
-    fn block(&self, need: f64, plan: &Plan) -> f64 {
+    /// The smoothed demand of a short while, as far as an even part of what is left allows.
+    fn demand_block(&self, plan: &Plan) -> f64 {
         let target = self.demand * Self::turn(plan) * BLOCK_SHARE;
-        let room = self.store * NEAR_SHARE / self.spread;
+        target.min(self.store * NEAR_SHARE / self.spread).floor()
+    }
+
+    /// The block wanted now: an even part while there is plenty (so the first is burst over gateways), else
+    /// smoothed demand; near the total it falls to what waits.
+    fn block(&self, need: f64, plan: &Plan) -> f64 {
         let plenty = (self.store - plan.burst * PLENTY_SHARE) / self.spread;
-        let want = if self.known { target.min(room).max(plenty.ceil()) } else { plan.burst / self.spread };
+        let want =
+            if self.known { self.demand_block(plan).max(plenty.ceil()) } else { plan.burst / self.spread };
         need.max(want.floor()).max(0.0)
     }
 
@@ -500,8 +507,8 @@
         customer.used_at = now;
         if customer.waiting.is_empty() && customer.lease >= units {
             customer.lease -= units;
-            let target = customer.block(0.0, plan);
-            if !silent && customer.lease < target * RENEW_SHARE && target >= 1.0 {
+            let target = customer.demand_block(plan);
+            if !silent && target >= 1.0 && customer.lease < target * RENEW_SHARE {
                 self.ask(name, out);
             }
             return self.admitted(id, out);
@@ -550,9 +557,10 @@
     fn enqueue(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let aim = self.settings.classes[request.class].aim;
-        let until = request.arrived + aim * HOLD_SHARE;
+        let from = if request.attempts == 0 { request.arrived } else { self.now };
+        let until = from + aim * HOLD_SHARE;
         // Refuses early in overload: a line longer than what is out would not be served in time.
-        if until <= self.now || self.queue.len() as f64 >= self.room().max(1.0) {
+        if until <= self.now || request.attempts == 0 && self.queue.len() as f64 >= self.room().max(1.0) {
             return self.give_up(id, out);
         }
         let worth = |r: &Request| self.settings.classes[r.class].worth;
@@ -1024,7 +1032,7 @@
                 customer.store += customer.lease;
                 customer.lease = 0.0;
             }
-            if customer.call.is_none() && customer.owed.abs() >= 1.0 {
+            if customer.call.is_none() && customer.owed.abs() >= (plan.burst * OWED_SHARE).max(1.0) {
                 give_back.push(name.clone());
             }
             // A customer idle for two turns has a full store again: forgetting it loses nothing.
