An unsafe attempt is never called off; capped requests do not fill the line

Cause: the timer of a request's hold outlived the hold and called off attempts, unsafe ones too; these then failed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod check;
 mod interface;
 mod logic;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,7 @@
 //! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count), its
 //! customer's open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
 
+use crate::check::check;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -93,6 +94,7 @@
     x ^ (x >> 31)
 }
 
+#[derive(Default)]
 struct Backend {
     zone: Name,
     cell: u64,
@@ -124,12 +126,7 @@
             out,
             room: ROOM_FIRST / f64::from(settings.gateways),
             slow: 1.0,
-            heard: 0.0,
-            failures: 0,
-            eject_until: 0.0,
-            eject_for: 0.0,
-            cold_tokens: 0.0,
-            others: None,
+            ..Self::default()
         }
     }
 
@@ -175,6 +172,7 @@
 }
 
 /// One customer as this gateway knows it.
+#[derive(Default)]
 struct Customer {
     plan: usize,
     spread: f64,
@@ -278,14 +276,16 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Stage {
+    #[default]
     Block,
     Queue,
     Out,
     Streaming,
 }
 
+#[derive(Default)]
 struct Request {
     customer: Name,
     plan: usize,
@@ -449,12 +449,7 @@
             arrived: self.now,
             deadline,
             hold_until: (self.now + aim * HOLD_SHARE).min(latest),
-            stage: Stage::Block,
-            attempts: 0,
-            paid: false,
-            may_have_run: None,
-            sent_at: 0.0,
-            last_backend: None,
+            ..Request::default()
         };
         let units = request.units;
         self.requests.insert(id, request);
@@ -473,21 +468,11 @@
             spread,
             place,
             salt: hash(name, 0),
-            window: 0,
-            lease: 0.0,
-            added: 0.0,
-            seen: 0.0,
             store: Customer::start_of(rules),
             store_at: now,
-            known: false,
-            owed: 0.0,
-            call: None,
-            waiting: VecDeque::new(),
-            demand: 0.0,
             demand_at: now,
             used_at: now,
-            slice: None,
-            open: 0,
+            ..Customer::default()
         });
         (customer.spread, customer.place) = (spread, place);
     }
@@ -514,12 +499,11 @@
             return self.admitted(id, out);
         }
         if silent {
-            let fits = customer.spend_slice(units, now, plan);
-            let (store, rate) = (customer.slice.map_or(0.0, |s| s.0), plan.rate / customer.spread);
+            self.by_slice(id, out);
             if self.settings.counter && now >= self.quiet_until && self.calls.is_empty() {
                 self.ask(name, out);
             }
-            return if fits { self.admitted(id, out) } else { self.over_quota(id, units - store, rate, out) };
+            return;
         }
         let left = customer.store + customer.lease;
         if customer.known && left < units {
@@ -560,7 +544,8 @@
         let from = if request.attempts == 0 { request.arrived } else { self.now };
         let until = from + aim * HOLD_SHARE;
         // Refuses early in overload: a line longer than what is out would not be served in time.
-        if until <= self.now || request.attempts == 0 && self.queue.len() as f64 >= self.room().max(1.0) {
+        let line = self.queue.iter().filter(|q| self.open_allowed(**q)).count();
+        if until <= self.now || request.attempts == 0 && line as f64 >= self.room().max(1.0) {
             return self.give_up(id, out);
         }
         let worth = |r: &Request| self.settings.classes[r.class].worth;
@@ -584,20 +569,18 @@
             return;
         }
         match request.stage {
-            Stage::Queue => self.give_up(id, out),
+            Stage::Queue => {
+                if !self.dispatch(id, out) {
+                    self.give_up(id, out);
+                }
+            }
             Stage::Block => {
                 // The counter took too long: the silence rule decides.
-                let (name, units) = (request.customer.clone(), request.units);
-                let Some(customer) = self.customers.get_mut(&name) else { return };
-                customer.waiting.retain(|w| *w != id);
-                let plan = &self.settings.plans[customer.plan];
-                customer.roll(self.now, plan);
-                if customer.spend_slice(units, self.now, plan) {
-                    self.admitted(id, out);
-                } else {
-                    let rate = plan.rate / customer.spread;
-                    self.over_quota(id, units, rate, out);
+                let name = request.customer.clone();
+                if let Some(customer) = self.customers.get_mut(&name) {
+                    customer.waiting.retain(|w| *w != id);
                 }
+                self.by_slice(id, out);
             }
             Stage::Out => self.call_off_if_silent(id, out),
             Stage::Streaming => {}
@@ -672,10 +655,13 @@
     /// The open cap, shared evenly: the gateways first in the customer's set take what does not divide.
     fn open_allowed(&self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let cap = self.settings.plans[request.plan].open;
+        let plan = &self.settings.plans[request.plan];
+        let cap = plan.open;
         let Some(customer) = self.customers.get(&request.customer) else { return true };
         let (spread, place) = (customer.spread as u32, customer.place);
-        cap == 0 || customer.open < (cap / spread + u32::from(place < cap % spread)).max(1)
+        // Exception: where use beyond the quota earns more than it costs, a request held to its end goes all the same.
+        let pays = plan.over_worth > plan.over_cost && self.now >= request.hold_until;
+        cap == 0 || pays || customer.open < (cap / spread + u32::from(place < cap % spread)).max(1)
     }
 
     /// What this gateway keeps out at all backends together.
@@ -752,11 +738,12 @@
         request.attempts += 1;
         request.sent_at = now;
         request.last_backend = Some(name.clone());
-        let limit = (class.aim * TRY_SHARE).max(self.class_latency[request.class] * TRY_LATENCIES);
+        request.hold_until = f64::INFINITY;
         if class.effect != Effect::Unsafe
             && request.attempts < self.settings.most_attempts
             && self.settings.cancel
         {
+            let limit = (class.aim * TRY_SHARE).max(self.class_latency[request.class] * TRY_LATENCIES);
             request.hold_until = now + limit;
             out.push(Action::SetTimer { after: limit, token: id * 2 });
         }
@@ -995,20 +982,23 @@
                 customer.owed += call.owed;
             }
         }
-        let plan = &self.settings.plans[customer.plan];
+        for id in std::mem::take(&mut customer.waiting) {
+            self.by_slice(id, out);
+        }
+    }
+
+    /// The silence rule for one request: the even slice or refusal.
+    fn by_slice(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        let plan = &self.settings.plans[request.plan];
         customer.roll(self.now, plan);
-        let waiting = std::mem::take(&mut customer.waiting);
-        for id in waiting {
-            let Some(units) = self.requests.get(&id).map(|r| r.units) else { continue };
-            let Some(customer) = self.customers.get_mut(name) else { return };
-            let plan = &self.settings.plans[customer.plan];
-            let rate = plan.rate / customer.spread;
-            if customer.spend_slice(units, self.now, plan) {
-                self.admitted(id, out);
-            } else {
-                self.over_quota(id, units, rate, out);
-            }
+        if customer.spend_slice(request.units, self.now, plan) {
+            return self.admitted(id, out);
         }
+        let short = request.units - customer.slice.map_or(0.0, |s| s.0);
+        let rate = plan.rate / customer.spread;
+        self.over_quota(id, short, rate, out);
     }
 
     // ---- Housekeeping ----
@@ -1047,41 +1037,3 @@
         self.drain_queue(out);
     }
 }
-
-fn check(settings: &Settings) -> Result<(), SettingsError> {
-    if settings.classes.is_empty() {
-        return Err(SettingsError::NoClasses);
-    }
-    if settings.number >= settings.gateways {
-        return Err(SettingsError::NumberTooHigh);
-    }
-    let figure = |value: f64, what| {
-        if value.is_finite() && value >= 0.0 { Ok(()) } else { Err(SettingsError::BadFigure(what)) }
-    };
-    for class in &settings.classes {
-        figure(class.aim, "a class's aim")?;
-        figure(class.memory, "a class's memory")?;
-        figure(class.worth, "a class's worth")?;
-        figure(class.late_worth, "a class's late worth")?;
-    }
-    for plan in &settings.plans {
-        figure(plan.rate, "a plan's rate")?;
-        figure(plan.burst, "a plan's burst")?;
-        figure(plan.ceiling_rate, "a plan's ceiling rate")?;
-        figure(plan.ceiling_burst, "a plan's ceiling burst")?;
-        figure(plan.ceiling_slack, "a plan's ceiling slack")?;
-        figure(plan.price, "a plan's price")?;
-        if plan.rate > 0.0 && plan.burst <= 0.0 {
-            return Err(SettingsError::BadFigure("a plan's burst"));
-        }
-    }
-    figure(settings.tick, "tick")?;
-    figure(settings.counter_timeout, "counter time-out")?;
-    figure(settings.most_units, "most units")?;
-    figure(settings.longest_advice, "longest advice")?;
-    figure(settings.cold_share, "cold share")?;
-    figure(settings.cold_time, "cold time")?;
-    figure(settings.fall_multiple, "fall multiple")?;
-    figure(settings.fall_time, "fall time")?;
-    figure(settings.price_cross_zone, "price of crossing zones")
-}
