--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -6,7 +6,8 @@
 mod settings;
 
 use doorcourse::{
-    Action, BackendEntry, BackendState, CountOutcome, Event, Gateway, LoadReport, Millis, Name, Outcome,
+    Action, Arrival, AttemptEnd, BackendEntry, BackendState, CountOutcome, Event, Gateway, LoadReport,
+    Millis, Name, Outcome,
 };
 use std::collections::BTreeMap;
 use std::fmt::{self, Write as _};
@@ -255,7 +256,7 @@
                 let spread = fields.optional("spread")?.unwrap_or(0);
                 let units = fields.optional("units")?.unwrap_or(1.0);
                 let plan = fields.name("package")?;
-                Event::Request { id, customer, plan, class, units, patience, first, spread }
+                Event::Request(Arrival { id, customer, plan, class, units, patience, first, spread })
             }
             "UNDER_WAY" => Event::StreamStarted { id: fields.number("id")? },
             "ATTEMPT_END" => {
@@ -268,7 +269,16 @@
                 let true_units = fields.optional::<f64>("true-units")?.filter(|units| *units > 0.0);
                 let finished = fields.flag("finished")?;
                 let load = load(fields.text("metrics")?)?;
-                Event::AttemptEnded { id, attempt, backend, outcome, latency, true_units, finished, load }
+                Event::AttemptEnded(AttemptEnd {
+                    id,
+                    attempt,
+                    backend,
+                    outcome,
+                    latency,
+                    true_units,
+                    finished,
+                    load,
+                })
             }
             "GONE" => Event::ClientLeft { id: fields.number("id")? },
             "DUE" => Event::Timer { token: fields.number("tag")? },
--- a/simhost/src/settings.rs
+++ b/simhost/src/settings.rs
@@ -16,11 +16,7 @@
     }
 
     fn typed<T>(
-        &self,
-        key: &str,
-        what: &str,
-        zero: T,
-        get: impl Fn(&'a Value) -> Option<T>,
+        &self, key: &str, what: &str, zero: T, get: impl Fn(&'a Value) -> Option<T>,
     ) -> Result<T, String> {
         match self.0.get(key) {
             None | Some(Value::Null) => Ok(zero),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -76,9 +76,10 @@
 }
 
 /// Where load reports come from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reports {
     /// There are none.
+    #[default]
     None,
     /// With the answers.
     Answers,
@@ -86,8 +87,8 @@
     Probes,
 }
 
-/// All that a gateway is told at its start.
-#[derive(Clone, Debug)]
+/// All that a gateway is told at its start. The default is all zeros and no classes: a start to fill in.
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// How many gateways there are.
     pub gateways: u32,
@@ -225,6 +226,48 @@
     Unknown,
 }
 
+/// A request that came in.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its number.
+    pub id: RequestId,
+    /// Whose it is.
+    pub customer: Name,
+    /// The customer's plan.
+    pub plan: Name,
+    /// Its class.
+    pub class: Name,
+    /// The units it draws, or a guess of them.
+    pub units: f64,
+    /// How long until the client gives up.
+    pub patience: Millis,
+    /// The number of the first gateway of the customer's set; the others follow in a row, counted round.
+    pub first: u32,
+    /// How many gateways the customer's requests come in through.
+    pub spread: u32,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct AttemptEnd {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt's number.
+    pub attempt: u32,
+    /// Where it was sent.
+    pub backend: Name,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it was out.
+    pub latency: Millis,
+    /// The true units, where they come with the answer.
+    pub true_units: Option<f64>,
+    /// Whether the request has had its final answer.
+    pub finished: bool,
+    /// A load report, where one came along.
+    pub load: Option<LoadReport>,
+}
+
 /// Something that a gateway is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -235,48 +278,14 @@
     /// A call for the list failed.
     BackendListFailed,
     /// A request came in.
-    Request {
-        /// Its number.
-        id: RequestId,
-        /// Whose it is.
-        customer: Name,
-        /// The customer's plan.
-        plan: Name,
-        /// Its class.
-        class: Name,
-        /// The units it draws, or a guess of them.
-        units: f64,
-        /// How long until the client gives up.
-        patience: Millis,
-        /// The number of the first gateway of the customer's set; the others follow in a row, counted round.
-        first: u32,
-        /// How many gateways the customer's requests come in through.
-        spread: u32,
-    },
+    Request(Arrival),
     /// A stream began on an attempt; it belongs to the client from now on.
     StreamStarted {
         /// The request.
         id: RequestId,
     },
     /// An attempt ended.
-    AttemptEnded {
-        /// The request.
-        id: RequestId,
-        /// The attempt's number.
-        attempt: u32,
-        /// Where it was sent.
-        backend: Name,
-        /// How it ended.
-        outcome: Outcome,
-        /// How long it was out.
-        latency: Millis,
-        /// The true units, where they come with the answer.
-        true_units: Option<f64>,
-        /// Whether the request has had its final answer.
-        finished: bool,
-        /// A load report, where one came along.
-        load: Option<LoadReport>,
-    },
+    AttemptEnded(AttemptEnd),
     /// A probe ended.
     ProbeEnded {
         /// The backend.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! and when, and carries out the actions it gives back.
 //!
 //! ```
-//! use doorcourse::{Action, BackendEntry, BackendState, Class, Effect, Event, Gateway, Group, Plan, Reports};
+//! use doorcourse::{Action, Arrival, BackendEntry, BackendState, Class, Effect, Event, Gateway, Group, Plan};
 //!
 //! let settings = doorcourse::Settings {
 //!     gateways: 1, number: 0, zone: "a".into(), tick: 1.0,
@@ -11,17 +11,15 @@
 //!         memory: 0.0, worth: 1.0, late_worth: 0.0 }],
 //!     plans: vec![Plan { name: "basic".into(), rate: 5.0, burst: 10.0, open: 0, ceiling_rate: 0.0,
 //!         ceiling_burst: 0.0, ceiling_slack: 0.0, price: 1.0, over_worth: 0.0, over_cost: 1.0 }],
-//!     counter: false, counter_timeout: 50.0, settles: false, most_units: 1.0, reports: Reports::None,
-//!     probes: false, cancel: true, list_on_request: false, most_attempts: 3, longest_advice: 1000.0,
-//!     cold_share: 0.2, cold_time: 10_000.0, fall_multiple: 2.0, fall_time: 1000.0, price_cross_zone: 0.0,
+//!     most_attempts: 3, longest_advice: 1000.0, ..Default::default()
 //! };
 //! let mut gateway = Gateway::new(settings, 7)?;
 //! let mut actions = Vec::new();
 //! let backend = BackendEntry { name: "b1".into(), zone: "a".into(), cell: 0, state: BackendState::Ready,
 //!     started: None };
 //! gateway.handle(0.0, Event::BackendList(vec![backend]), &mut actions);
-//! gateway.handle(1.0, Event::Request { id: 1, customer: "c".into(), plan: "basic".into(),
-//!     class: "read".into(), units: 1.0, patience: 900.0, first: 0, spread: 1 }, &mut actions);
+//! gateway.handle(1.0, Event::Request(Arrival { id: 1, customer: "c".into(), plan: "basic".into(),
+//!     class: "read".into(), units: 1.0, patience: 900.0, first: 0, spread: 1 }), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
 //! # Ok::<(), doorcourse::SettingsError>(())
 //! ```
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,9 +29,7 @@
 /// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the ceiling
 /// arithmetic is at `Customer::start_of`).
 const CEILING_START: f64 = 0.5;
-/// After a silent call the counter is left alone for this many time-outs, doubled at each further silence ...
-const QUIET_FIRST: f64 = 1.0;
-/// ... up to this many.
+/// After a silent call the counter is left alone for a time-out, doubled at each further one up to this many.
 const QUIET_MOST: f64 = 16.0;
 /// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
 const CALLS_MOST: f64 = 12.0;
@@ -82,10 +80,8 @@
 
 const SWEEP_TOKEN: u64 = 1;
 
-fn hash(text: &str, salt: u64) -> u64 {
-    let start = 0xcbf2_9ce4_8422_2325 ^ salt.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let folded = text.bytes().fold(start, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
-    mix(folded)
+fn hash(text: &str) -> u64 {
+    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
 }
 
 fn mix(mut x: u64) -> u64 {
@@ -224,14 +220,10 @@
         (number as u64, number * length - shift)
     }
 
-    fn refill(&mut self, now: Millis, plan: &Plan) {
+    /// Fills the store and moves to the present window: blocks end with theirs. What was left of the own block was never used.
+    fn roll(&mut self, now: Millis, plan: &Plan) {
         self.store = (self.store + plan.rate * (now - self.store_at) / 1000.0).min(plan.burst);
         self.store_at = now;
-    }
-
-    /// Moves to the present window: blocks end with theirs. What was left of the own block was never used.
-    fn roll(&mut self, now: Millis, plan: &Plan) {
-        self.refill(now, plan);
         let (window, _) = self.window_at(now, plan);
         if window != self.window {
             self.store = (self.store + self.lease).min(plan.burst);
@@ -282,7 +274,6 @@
     Block,
     Queue,
     Out,
-    Streaming,
 }
 
 #[derive(Default)]
@@ -305,6 +296,7 @@
 }
 
 /// One gateway: build it from settings and a seed, then feed it events.
+#[derive(Default)]
 pub struct Gateway {
     settings: Settings,
     random: u64,
@@ -314,8 +306,6 @@
     requests: BTreeMap<RequestId, Request>,
     queue: VecDeque<RequestId>,
     calls: BTreeMap<u64, Name>,
-    /// Customers that want a call while too many are out.
-    call_line: VecDeque<Name>,
     calls_most: f64,
     silences: u32,
     quiet_until: Millis,
@@ -331,22 +321,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
         let class_latency = settings.classes.iter().map(|_| 0.0).collect();
-        Ok(Self {
-            settings,
-            random: mix(seed | 1),
-            now: 0.0,
-            backends: BTreeMap::new(),
-            customers: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            queue: VecDeque::new(),
-            calls: BTreeMap::new(),
-            call_line: VecDeque::new(),
-            calls_most: CALLS_MOST,
-            silences: 0,
-            quiet_until: 0.0,
-            class_latency,
-            sweeping: false,
-        })
+        Ok(Self { settings, random: mix(seed | 1), calls_most: CALLS_MOST, class_latency, ..Self::default() })
     }
 
     /// Takes one event at a time and appends what the host is to do.
@@ -363,22 +338,20 @@
             Event::BackendList(list) => self.on_list(list, true, out),
             Event::BackendChanges(list) => self.on_list(list, false, out),
             Event::BackendListFailed => out.push(Action::WatchBackends),
-            Event::Request { id, customer, plan, class, units, patience, first, spread } => {
-                self.on_request(id, customer, &plan, &class, units, patience, (first, spread), out)
-            }
+            Event::Request(arrival) => self.on_request(arrival, out),
             Event::StreamStarted { id } => {
                 if let Some(request) = self.requests.get_mut(&id) {
-                    request.stage = Stage::Streaming;
+                    request.hold_until = f64::INFINITY;
                 }
             }
-            Event::AttemptEnded { id, backend, outcome, latency, true_units, finished, load, .. } => {
-                self.on_load(&backend, load);
-                self.on_backend(id, &backend, outcome, latency, out);
-                self.on_attempt(id, backend, outcome, true_units, finished, out);
+            Event::AttemptEnded(end) => {
+                self.on_load(&end.backend, end.load);
+                self.on_backend(&end, out);
+                self.on_attempt(end, out);
                 self.drain_queue(out);
             }
             Event::ProbeEnded { backend, load, .. } => self.on_load(&backend, load),
-            Event::ClientLeft { id } => self.on_left(id),
+            Event::ClientLeft { id } => self.forget(id),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
             Event::Counted { name, outcome, .. } => self.on_counted(name, outcome, out),
@@ -421,99 +394,73 @@
 
     // ---- Requests ----
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_request(
-        &mut self,
-        id: RequestId,
-        customer: Name,
-        plan: &str,
-        class: &str,
-        units: f64,
-        patience: Millis,
-        (first, spread): (u32, u32),
-        out: &mut Vec<Action>,
-    ) {
-        let class = self.settings.classes.iter().position(|c| &*c.name == class);
-        let plan = self.settings.plans.iter().position(|p| &*p.name == plan);
+    fn on_request(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
+        let Arrival { id, customer: name, .. } = arrival;
+        let class = self.settings.classes.iter().position(|c| c.name == arrival.class);
+        let plan = self.settings.plans.iter().position(|p| p.name == arrival.plan);
         let (Some(class), Some(plan)) = (class, plan) else {
             return out.push(Action::Refuse { id, retry_after: 0.0 });
         };
-        let aim = self.settings.classes[class].aim;
-        let deadline = self.now + patience;
-        let latest = deadline - LAST_TICKS * self.settings.tick;
-        let request = Request {
-            customer: customer.clone(),
-            plan,
-            class,
-            units: if units.is_finite() { units.max(0.0) } else { 1.0 },
-            arrived: self.now,
-            deadline,
-            hold_until: (self.now + aim * HOLD_SHARE).min(latest),
-            ..Request::default()
-        };
-        let units = request.units;
-        self.requests.insert(id, request);
-        self.know(&customer, plan, first, spread);
-        self.admit(id, &customer, units, out);
-    }
-
-    fn know(&mut self, name: &Name, plan: usize, first: u32, spread: u32) {
-        let rules = &self.settings.plans[plan];
         let now = self.now;
-        let place = (self.settings.number + self.settings.gateways - first % self.settings.gateways)
-            % self.settings.gateways;
-        let spread = f64::from(spread.clamp(1, self.settings.gateways.max(1)));
+        let units = if arrival.units.is_finite() { arrival.units.max(0.0) } else { 1.0 };
+        let (arrived, deadline) = (now, now + arrival.patience);
+        let request =
+            Request { customer: name.clone(), plan, class, units, arrived, deadline, ..Request::default() };
+        self.requests.insert(id, request);
         let customer = self.customers.entry(name.clone()).or_insert_with(|| Customer {
             plan,
-            spread,
-            place,
-            salt: hash(name, 0),
-            store: Customer::start_of(rules),
+            salt: hash(&name),
+            store: Customer::start_of(&self.settings.plans[plan]),
             store_at: now,
             demand_at: now,
-            used_at: now,
             ..Customer::default()
         });
-        (customer.spread, customer.place) = (spread, place);
+        let gateways = self.settings.gateways;
+        customer.spread = f64::from(arrival.spread.clamp(1, gateways));
+        customer.place = (self.settings.number + gateways - arrival.first % gateways) % gateways;
+        customer.used_at = now;
+        if self.settings.plans[plan].rate > 0.0 {
+            customer.note_demand(units, now, &self.settings.plans[plan]);
+        }
+        if self.admit(id, out) {
+            self.ask(&name, out);
+        }
     }
 
-    /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are spent,
-    /// else a short wait for a block.
-    fn admit(&mut self, id: RequestId, name: &Name, units: f64, out: &mut Vec<Action>) {
-        let now = self.now;
-        let silent = self.silences > 0 || !self.settings.counter;
-        let Some(customer) = self.customers.get_mut(name) else { return };
+    /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are spent.
+    /// True when the request has to wait for a block.
+    fn admit(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let (now, silent) = (self.now, self.silences > 0 || !self.settings.counter);
+        let Some(request) = self.requests.get(&id) else { return false };
+        let (name, units) = (request.customer.clone(), request.units);
+        let Some(customer) = self.customers.get_mut(&name) else { return false };
         let plan = &self.settings.plans[customer.plan];
-        if plan.rate <= 0.0 {
-            return self.admitted(id, out);
-        }
         customer.roll(now, plan);
-        customer.note_demand(units, now, plan);
-        customer.used_at = now;
-        if customer.waiting.is_empty() && customer.lease >= units {
+        let left = customer.store + customer.lease;
+        if plan.rate <= 0.0 {
+            self.admitted(id, out);
+        } else if customer.waiting.is_empty() && customer.lease >= units {
             customer.lease -= units;
             let target = customer.demand_block(plan);
             if !silent && target >= 1.0 && customer.lease < target * RENEW_SHARE {
-                self.ask(name, out);
+                self.ask(&name, out);
             }
-            return self.admitted(id, out);
-        }
-        if silent {
+            self.admitted(id, out);
+        } else if silent {
             self.by_slice(id, out);
-            if self.settings.counter && now >= self.quiet_until && self.calls.is_empty() {
-                self.ask(name, out);
+            if now >= self.quiet_until && self.calls.is_empty() {
+                self.ask(&name, out);
             }
-            return;
-        }
-        let left = customer.store + customer.lease;
-        if customer.known && left < units {
-            let (short, rate) = (units - left, plan.rate);
-            return self.over_quota(id, short, rate, out);
+        } else if customer.known && left < units {
+            let rate = plan.rate;
+            self.over_quota(id, units - left, rate, out);
+        } else {
+            let until = request.arrived + self.settings.classes[request.class].aim * BLOCK_WAIT;
+            customer.waiting.push_back(id);
+            self.hold(id, Stage::Block, until, out);
+            return true;
         }
-        customer.waiting.push_back(id);
-        let until = self.now + self.settings.classes[self.requests[&id].class].aim * BLOCK_WAIT;
-        self.hold(id, Stage::Block, until, out);
-        self.ask(name, out);
+        false
     }
 
     fn over_quota(&mut self, id: RequestId, short: f64, rate: f64, out: &mut Vec<Action>) {
@@ -532,26 +479,28 @@
     fn admitted(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.paid = true;
-            if !self.dispatch(id, out) {
-                self.enqueue(id, out);
-            }
+            self.place(id, out);
         }
     }
 
-    fn enqueue(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    /// Sends a request on, or has it wait in line: those worth more first. Refuses early in overload: a line
+    /// longer than what is out would not be served in time.
+    fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if self.dispatch(id, out) {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else { return };
-        let aim = self.settings.classes[request.class].aim;
-        let from = if request.attempts == 0 { request.arrived } else { self.now };
-        let until = from + aim * HOLD_SHARE;
-        // Refuses early in overload: a line longer than what is out would not be served in time.
+        let fresh = request.attempts == 0;
+        let worth = |r: &Request| self.settings.classes[r.class].worth;
+        let hold = self.settings.classes[request.class].aim * HOLD_SHARE;
+        let until = if fresh { request.arrived } else { self.now } + hold;
         let line = self.queue.iter().filter(|q| self.open_allowed(**q)).count();
-        if until <= self.now || request.attempts == 0 && line as f64 >= self.room().max(1.0) {
+        if until <= self.now || fresh && line as f64 >= self.room().max(1.0) {
             return self.give_up(id, out);
         }
-        let worth = |r: &Request| self.settings.classes[r.class].worth;
-        let mine = worth(request);
-        let at = self.queue.iter().position(|q| self.requests.get(q).is_some_and(|r| worth(r) < mine));
-        self.queue.insert(at.unwrap_or(self.queue.len()), id);
+        let less = |q: &RequestId| self.requests.get(q).is_some_and(|r| worth(r) < worth(request));
+        let at = self.queue.iter().position(less).unwrap_or(self.queue.len());
+        self.queue.insert(at, id);
         self.hold(id, Stage::Queue, until, out);
     }
 
@@ -576,14 +525,12 @@
             }
             Stage::Block => {
                 // The counter took too long: the silence rule decides.
-                let name = request.customer.clone();
-                if let Some(customer) = self.customers.get_mut(&name) {
+                if let Some(customer) = self.customers.get_mut(&request.customer) {
                     customer.waiting.retain(|w| *w != id);
                 }
                 self.by_slice(id, out);
             }
             Stage::Out => self.call_off_if_silent(id, out),
-            Stage::Streaming => {}
         }
     }
 
@@ -622,25 +569,16 @@
     fn forget(&mut self, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else { return };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
-        if request.stage == Stage::Block {
-            customer.waiting.retain(|w| *w != id);
+        match request.stage {
+            Stage::Block => customer.waiting.retain(|w| *w != id),
+            Stage::Out => customer.open = customer.open.saturating_sub(1),
+            Stage::Queue => {}
         }
         if request.paid && request.attempts == 0 {
             customer.lease += request.units;
         }
     }
 
-    fn on_left(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get(&id) else { return };
-        if matches!(request.stage, Stage::Out | Stage::Streaming) {
-            let name = request.customer.clone();
-            if let Some(customer) = self.customers.get_mut(&name) {
-                customer.open = customer.open.saturating_sub(1);
-            }
-        }
-        self.forget(id);
-    }
-
     // ---- Attempts ----
 
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
@@ -769,29 +707,21 @@
     }
 
     /// What an outcome tells of the backend.
-    fn on_backend(
-        &mut self,
-        id: RequestId,
-        name: &Name,
-        outcome: Outcome,
-        latency: Millis,
-        out: &mut Vec<Action>,
-    ) {
-        let now = self.now;
-        let class = self.requests.get(&id).map(|r| r.class);
+    fn on_backend(&mut self, end: &AttemptEnd, out: &mut Vec<Action>) {
+        let (now, name, latency) = (self.now, &end.backend, end.latency);
         let Some(backend) = self.backends.get_mut(name) else { return };
-        if outcome == Outcome::NeverSent {
+        if end.outcome == Outcome::NeverSent {
             return;
         }
         backend.out = backend.out.saturating_sub(1);
         let silent = backend.heard <= now - latency;
-        match outcome {
+        match end.outcome {
             Outcome::Served => {
                 if backend.failures >= EJECT_AFTER {
                     out.push(Action::Log(format!("backend {name} back: it answers again")));
                 }
                 (backend.failures, backend.eject_for, backend.heard) = (0, 0.0, now);
-                let Some(class) = class else { return };
+                let Some(class) = self.requests.get(&end.id).map(|r| r.class) else { return };
                 let usual = &mut self.class_latency[class];
                 *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
                 backend.slow += SLOW_WEIGHT * ((latency / usual.max(1.0)).min(10.0) - backend.slow);
@@ -809,40 +739,24 @@
     }
 
     /// What an outcome means for the request: the next attempt, or its one final answer.
-    fn on_attempt(
-        &mut self,
-        id: RequestId,
-        backend: Name,
-        outcome: Outcome,
-        true_units: Option<f64>,
-        finished: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_attempt(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
+        let (id, outcome) = (end.id, end.outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let (units, name) = (request.units, request.customer.clone());
-        if let Some(customer) = self.customers.get_mut(&name) {
-            customer.open = customer.open.saturating_sub(1);
-            if let Some(true_units) = true_units.filter(|_| outcome == Outcome::Served) {
-                customer.owed += true_units - units;
-                customer.store -= true_units - units;
-            }
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        if let Some(true_units) = end.true_units.filter(|_| outcome == Outcome::Served) {
+            customer.owed += true_units - request.units;
+            customer.store -= true_units - request.units;
         }
-        if finished || outcome == Outcome::Served {
-            request.stage = Stage::Out;
-            self.forget(id);
-            return;
+        if end.finished || outcome == Outcome::Served {
+            return self.forget(id);
         }
+        customer.open = customer.open.saturating_sub(1);
+        request.stage = Stage::Queue;
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
         if !never_ran && request.may_have_run.is_none() {
-            request.may_have_run = Some((request.sent_at, backend));
-        }
-        if self.may_try_again(id) {
-            if !self.dispatch(id, out) {
-                self.enqueue(id, out);
-            }
-        } else {
-            self.give_up(id, out);
+            request.may_have_run = Some((request.sent_at, end.backend));
         }
+        if self.may_try_again(id) { self.place(id, out) } else { self.give_up(id, out) }
     }
 
     /// Whether the class allows another attempt, and time and count leave room for it.
@@ -862,16 +776,11 @@
 
     // ---- The counter ----
 
-    /// Adds a block to the customer's count: one call out for each name, and a bound on all.
+    /// Adds a block to the customer's count: one call out for each name, and a bound on all (housekeeping asks
+    /// again for who still waits).
     fn ask(&mut self, name: &Name, out: &mut Vec<Action>) {
         let Some(customer) = self.customers.get_mut(name) else { return };
-        if customer.call.is_some() || !self.settings.counter {
-            return;
-        }
-        if self.calls.len() as f64 >= self.calls_most {
-            if !self.call_line.contains(name) {
-                self.call_line.push_back(name.clone());
-            }
+        if customer.call.is_some() || !self.settings.counter || self.calls.len() as f64 >= self.calls_most {
             return;
         }
         let plan = &self.settings.plans[customer.plan];
@@ -901,9 +810,6 @@
                 self.silent(&name, outcome == CountOutcome::Unknown, out);
             }
         }
-        if let Some(next) = self.call_line.pop_front() {
-            self.ask(&next, out);
-        }
     }
 
     /// A total came: learn the store from it, keep what fits, give the rest back, serve who waits.
@@ -938,30 +844,10 @@
                 customer.store += back;
             }
         }
-        self.serve_waiting(name, out);
-    }
-
-    /// Serves as many waiting requests as the block holds, refuses those beyond block and count, asks for the rest.
-    fn serve_waiting(&mut self, name: &Name, out: &mut Vec<Action>) {
-        loop {
-            let Some(customer) = self.customers.get_mut(name) else { return };
-            let plan = &self.settings.plans[customer.plan];
-            let Some(id) = customer.waiting.front().copied() else { break };
-            let units = self.requests.get(&id).map_or(0.0, |r| r.units);
-            if customer.lease >= units {
-                customer.lease -= units;
-                customer.waiting.pop_front();
-                self.admitted(id, out);
-            } else if customer.store + customer.lease < units {
-                let (short, rate) = (units - customer.store - customer.lease, plan.rate);
-                customer.waiting.pop_front();
-                self.over_quota(id, short, rate, out);
-            } else {
-                break;
-            }
-        }
-        let Some(customer) = self.customers.get(name) else { return };
-        if !customer.waiting.is_empty() || customer.owed <= -1.0 {
+        let waiting = std::mem::take(&mut customer.waiting);
+        let give_back = customer.owed <= -1.0;
+        let wait = waiting.into_iter().filter(|id| self.admit(*id, out)).count();
+        if wait > 0 || give_back {
             self.ask(name, out);
         }
     }
@@ -974,7 +860,7 @@
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
         self.calls_most = (self.calls_most / 2.0).max(1.0);
-        let doubled = QUIET_FIRST * f64::from(1u32 << (self.silences - 1).min(10));
+        let doubled = f64::from(1u32 << (self.silences - 1).min(10));
         self.quiet_until = self.now + self.settings.counter_timeout * doubled.min(QUIET_MOST);
         let Some(customer) = self.customers.get_mut(name) else { return };
         if let Some(call) = customer.call.take() {
@@ -1006,7 +892,7 @@
     fn on_sweep(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
         let now = self.now;
-        let mut give_back = Vec::new();
+        let mut asking = Vec::new();
         let plans = &self.settings.plans;
         let crowded = self.customers.len() > CUSTOMERS_MOST;
         self.customers.retain(|name, customer| {
@@ -1022,15 +908,16 @@
                 customer.store += customer.lease;
                 customer.lease = 0.0;
             }
-            if customer.call.is_none() && customer.owed.abs() >= (plan.burst * OWED_SHARE).max(1.0) {
-                give_back.push(name.clone());
+            let owes = customer.owed.abs() >= (plan.burst * OWED_SHARE).max(1.0);
+            if customer.call.is_none() && (owes || !customer.waiting.is_empty()) {
+                asking.push(name.clone());
             }
             // A customer idle for two turns has a full store again: forgetting it loses nothing.
             let busy = customer.call.is_some() || customer.open > 0 || !customer.waiting.is_empty();
             busy || (idle < turn * 2.0 && !(crowded && idle > turn * 0.25))
         });
         if self.silences == 0 {
-            for name in give_back {
+            for name in asking {
                 self.ask(&name, out);
             }
         }
