--- a/src/logic.rs
+++ b/src/logic.rs
@@ -154,8 +154,8 @@
         if self.failures < EJECT_AFTER {
             return false;
         }
-        let first = settings.cold_time * EJECT_FIRST;
-        self.eject_for = (self.eject_for * 2.0).clamp(first, settings.cold_time * EJECT_MOST);
+        let (first, most) = (settings.cold_time * EJECT_FIRST, settings.cold_time * EJECT_MOST);
+        self.eject_for = (self.eject_for * 2.0).clamp(first, most);
         self.eject_until = now + self.eject_for;
         self.failures == EJECT_AFTER
     }
@@ -477,10 +477,9 @@
     }
 
     fn admitted(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.paid = true;
-            self.place(id, out);
-        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.paid = true;
+        self.place(id, out);
     }
 
     /// Sends a request on, or has it wait in line: those worth more first. Refuses early in overload: a line
@@ -582,10 +581,8 @@
     // ---- Attempts ----
 
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        if !self.open_allowed(id) {
-            return false;
-        }
-        let Some(name) = self.pick(id) else { return false };
+        let chosen = if self.open_allowed(id) { self.pick(id) } else { None };
+        let Some(name) = chosen else { return false };
         self.send(id, name, out);
         true
     }
@@ -611,14 +608,9 @@
     fn pick(&mut self, id: RequestId) -> Option<Name> {
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
-        let bound = match &request.may_have_run {
-            Some((_, home)) if class.effect == Effect::Keyed => {
-                self.backends.get(home).map(|b| (b, class.group))
-            }
-            _ => None,
-        };
+        let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
+        let home = tied.and_then(|(_, home)| self.backends.get(home));
         let usual = self.class_latency[request.class].max(1.0);
-        let last = request.last_backend.clone();
         let out: f64 = self.backends.values().map(|b| f64::from(b.out)).sum();
         if out >= self.room().max(1.0) {
             return None;
@@ -629,24 +621,21 @@
         let mut best: Option<(f64, &Name)> = None;
         for (name, backend) in &self.backends {
             seed = mix(seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
-            let in_group = bound.is_none_or(|(home, group)| match group {
+            let in_group = home.is_none_or(|home| match class.group {
                 Group::All => true,
                 Group::Zone => home.zone == backend.zone,
                 Group::Cell => home.cell == backend.cell,
             });
             let full = f64::from(backend.out) >= backend.room.ceil();
-            if !backend.ready || !in_group || full || backend.ejected(self.now) {
-                continue;
-            }
-            let warmth = backend.warmth(self.now, &self.settings);
-            if warmth < 1.0 && backend.cold_tokens < 1.0 {
+            let cold = backend.warmth(self.now, &self.settings) < 1.0 && backend.cold_tokens < 1.0;
+            if !backend.ready || !in_group || full || cold || backend.ejected(self.now) {
                 continue;
             }
             let told = backend.others.filter(|(_, at)| self.now - at < REPORT_AGE);
             let others = told.map_or(mean_out * peers, |(others, _)| others);
             let silence = if backend.out > 0 { (self.now - backend.heard) / usual } else { 0.0 };
             let away = if backend.zone == self.settings.zone { 0.0 } else { self.settings.price_cross_zone };
-            let again = if last.as_ref() == Some(name) { 4.0 } else { 1.0 };
+            let again = if request.last_backend.as_ref() == Some(name) { 4.0 } else { 1.0 };
             let jitter = 1.0 + 0.1 * (seed >> 11) as f64 / (1u64 << 53) as f64;
             let load = 1.0 + f64::from(backend.out) + others;
             let score = backend.slow.max(silence) * load * (1.0 + away * ZONE_BIAS) * again * jitter;
@@ -806,9 +795,7 @@
                 self.calls_most = (self.calls_most + 0.2).min(CALLS_MOST);
                 self.granted(&name, total, out);
             }
-            CountOutcome::NotAdded | CountOutcome::Unknown => {
-                self.silent(&name, outcome == CountOutcome::Unknown, out);
-            }
+            _ => self.silent(&name, outcome == CountOutcome::Unknown, out),
         }
     }
 
@@ -863,11 +850,8 @@
         let doubled = f64::from(1u32 << (self.silences - 1).min(10));
         self.quiet_until = self.now + self.settings.counter_timeout * doubled.min(QUIET_MOST);
         let Some(customer) = self.customers.get_mut(name) else { return };
-        if let Some(call) = customer.call.take() {
-            if !may_have_counted || call.owed > 0.0 {
-                customer.owed += call.owed;
-            }
-        }
+        let owed = customer.call.take().map_or(0.0, |call| call.owed);
+        customer.owed += if may_have_counted { owed.max(0.0) } else { owed };
         for id in std::mem::take(&mut customer.waiting) {
             self.by_slice(id, out);
         }
