--- /dev/null
+++ b/tests/backends.rs
@@ -0,0 +1,86 @@
+//! Drains, cold backends, ejection and room.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+
+#[test]
+fn a_drained_or_gone_backend_gets_nothing_new() {
+    for state in [BackendState::Draining, BackendState::Gone] {
+        let mut door = Door::new(settings(), &["a1", "a2"]);
+        door.tell(Event::BackendChanges(vec![backend("a1", state, None)]));
+        for id in 1..=4 {
+            assert_eq!(&*door.served(id, "c", "plain", "safe"), "a2");
+            door.end(id, 0, &"a2".into(), Outcome::Served);
+        }
+    }
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    door.tell(Event::BackendList(vec![backend("a2", BackendState::Ready, None)]));
+    assert_eq!(&*door.served(1, "c", "plain", "safe"), "a2", "missing from a full list is gone");
+}
+
+#[test]
+fn a_cold_backend_gets_less_than_its_present_share_of_what_a_warm_one_gets() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let born = Some(door.now);
+    door.tell(Event::BackendChanges(vec![backend("a3", BackendState::Ready, born)]));
+    let mut to_cold = 0;
+    for id in 1..=100 {
+        let at = door.served(id, &format!("c{id}"), "plain", "safe");
+        to_cold += usize::from(&*at == "a3");
+        door.now += 5.0;
+        door.end(id, 0, &at, Outcome::Served);
+    }
+    // Two warm ones share the rest: a tenth of it is a fifth of what one of them gets.
+    assert!((1..=10).contains(&to_cold), "{to_cold}");
+}
+
+#[test]
+fn failures_in_a_row_eject_a_backend_and_an_answer_takes_it_back() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (mut id, mut logs) = (0, Vec::new());
+    let mut broken = 0;
+    while broken < 2 {
+        id += 1;
+        let at = door.served(id, &format!("c{id}"), "plain", "unsafe");
+        let outcome = if &*at == "a1" { Outcome::Broken } else { Outcome::Served };
+        broken += usize::from(&*at == "a1");
+        logs = door.end(id, 0, &at, outcome);
+        assert!(id < 50);
+    }
+    assert!(logs.iter().any(|a| matches!(a, Action::Log(line) if line.contains("a1 ejected"))));
+    for id in 101..=105 {
+        assert_eq!(&*door.served(id, &format!("c{id}"), "plain", "safe"), "a2");
+        door.end(id, 0, &"a2".into(), Outcome::Served);
+    }
+    door.now += 1000.0;
+    let tried = (201..=210).any(|id| {
+        let at = door.served(id, &format!("c{id}"), "plain", "safe");
+        door.end(id, 0, &at, Outcome::Served);
+        &*at == "a1"
+    });
+    assert!(tried, "it is tried again after a while");
+}
+
+#[test]
+fn what_is_out_is_bounded_and_the_line_is_refused_early() {
+    let mut door = Door::new(settings(), &["a1"]);
+    let (mut out, mut turned_away) = (0, 0);
+    for id in 1..=40 {
+        let mut did = door.ask(id, &format!("c{id}"), "plain", "safe");
+        let (name, amount) = count(&did).expect("call");
+        did.extend(door.total(name, amount));
+        out += sends(&did);
+        turned_away += usize::from(refused(&did, id));
+    }
+    assert!((1..=3).contains(&out), "five for two gateways: {out}");
+    assert!(turned_away > 30, "{turned_away}");
+}
+
+#[test]
+fn an_open_cap_is_shared_by_the_customer_s_gateways() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    let at = door.served(1, "c", "capped", "safe");
+    assert_eq!(sends(&door.ask(2, "c", "capped", "safe")), 0, "two at once for two gateways: one each");
+    assert_eq!(sent(&door.end(1, 0, &at, Outcome::Served)).map(|(id, _)| id), Some(2));
+}
--- /dev/null
+++ b/tests/counter_silence.rs
@@ -0,0 +1,115 @@
+//! The counter silent, slow or emptied; the ceiling through all of it.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+
+fn silence(door: &mut Door, name: u64) -> Vec<Action> {
+    door.now += 50.0;
+    door.tell(Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 })
+}
+
+/// Offers a request every 20 ms while the counter says nothing; gives how many went on.
+fn spent_in_silence(door: &mut Door, plan: &str, span: Millis) -> usize {
+    let (mut gone_on, mut id, end) = (0, 1_000_000, door.now + span);
+    while door.now < end {
+        id += 1;
+        let mut did = door.ask(id, "c", plan, "safe");
+        if let Some((name, _)) = count(&did) {
+            did.extend(silence(door, name));
+        }
+        if let Some((id, at)) = sent(&did) {
+            gone_on += 1;
+            door.end(id, 0, &at, Outcome::Served);
+        }
+        door.now += 20.0;
+    }
+    gone_on
+}
+
+#[test]
+fn in_silence_a_gateway_spends_its_even_slice_and_no_more() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    // Burst 10 and rate 5 for two gateways: at most 5 at once and 2.5 a second, 30 in ten seconds.
+    let gone_on = spent_in_silence(&mut door, "plain", 10_000.0);
+    assert!((26..=30).contains(&gone_on), "{gone_on}");
+}
+
+#[test]
+fn the_ceiling_holds_through_a_spent_burst_an_emptied_count_a_restart_and_silence() {
+    // The other gateway's view: the whole burst of 10 was just granted. This one comes back with nothing, finds
+    // the count emptied, takes what it is given, and then the counter falls silent.
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    let start = door.now;
+    let (mut gone_on, mut total, mut id) = (0.0, 0.0, 0);
+    while door.now < start + 2000.0 {
+        id += 1;
+        let mut did = door.ask(id, "c", "ceiling", "safe");
+        while let Some((name, amount)) = count(&did) {
+            total += amount;
+            let more = door.total(name, total);
+            gone_on += sends(&did) as f64;
+            did = more;
+        }
+        gone_on += sends(&did) as f64;
+        for (id, at) in did.iter().filter_map(|a| sent(std::slice::from_ref(a))) {
+            door.end(id, 0, &at, Outcome::Served);
+        }
+        door.now += 20.0;
+    }
+    // Two gateways in silence: what each may spend is the same slice.
+    gone_on += 2.0 * spent_in_silence(&mut door, "ceiling", 4000.0) as f64;
+    let ceiling = 16.0 + 8.0 * 6.0 + 1.6;
+    assert!(10.0 + gone_on <= ceiling, "10 + {gone_on} against {ceiling}");
+}
+
+#[test]
+fn an_emptied_count_is_told_again_what_is_held() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    door.total(name, amount);
+    let mut asked = None;
+    for id in 2..=12 {
+        asked = count(&door.ask(id, "c", "plain", "safe"));
+        if asked.is_some() {
+            break;
+        }
+    }
+    let (name, added) = asked.expect("a further block");
+    door.total(name, added);
+    let told = count(&door.pass(60.0, &[])).expect("the count hears what it forgot");
+    assert!(told.1 >= amount, "{told:?}");
+}
+
+#[test]
+fn silence_is_told_once_and_the_counter_is_left_alone_for_longer_each_time() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    let (mut calls, mut lines, mut id) = (0, 0, 0);
+    let end = door.now + 5000.0;
+    while door.now < end {
+        id += 1;
+        let mut did = door.ask(id, &format!("c{id}"), "plain", "safe");
+        if let Some((name, _)) = count(&did) {
+            calls += 1;
+            did.extend(silence(&mut door, name));
+        }
+        lines += did.iter().filter(|a| matches!(a, Action::Log(line) if line.contains("silent"))).count();
+        if let Some((id, at)) = sent(&did) {
+            door.end(id, 0, &at, Outcome::Served);
+        }
+        door.now += 10.0;
+    }
+    assert_eq!(lines, 1);
+    assert!((3..=15).contains(&calls), "{calls}");
+}
+
+#[test]
+fn a_late_total_of_an_ended_window_grants_nothing() {
+    let mut door = Door::new(settings(), &["a1"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    door.pass(100.0, &[1]);
+    door.now += 5000.0;
+    let did = door.total(name, amount);
+    assert_eq!(sends(&did), 0);
+    assert_eq!(sends(&door.ask(2, "c", "plain", "safe")), 0, "no block in hand");
+}
--- /dev/null
+++ b/tests/effects.rs
@@ -0,0 +1,120 @@
+//! One answer, in time; repeats only as the class allows; never two attempts out.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+
+#[test]
+fn proof_that_nothing_ran_leads_elsewhere_at_once_for_every_class() {
+    for class in ["safe", "keyed", "unsafe"] {
+        for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::NeverSent] {
+            let mut door = Door::new(settings(), &["a1", "a2"]);
+            let at = door.served(1, "c", "plain", class);
+            let did = door.end(1, 0, &at, outcome);
+            assert!(sent(&did).is_some_and(|(_, next)| next != at), "{class} {outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_never_called_off() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Broken, Outcome::CalledOff] {
+        let mut door = Door::new(settings(), &["a1", "a2"]);
+        let at = door.served(1, "c", "plain", "unsafe");
+        let did = door.pass(900.0, &[1]);
+        assert!(
+            !did.iter().any(|a| matches!(a, Action::CallOff { .. })),
+            "its hold's timer has outlived the hold"
+        );
+        let did = door.end(1, 0, &at, outcome);
+        assert!(failed(&did, 1) && sends(&did) == 0, "{outcome:?}: {did:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_group_and_its_time() {
+    let mut door = Door::new(settings(), &["a1", "a2", "b1", "b2", "b3"]);
+    let at = door.served(1, "c", "plain", "keyed");
+    let mates = if at.starts_with('a') { 'a' } else { 'b' };
+    let (_, next) = sent(&door.end(1, 0, &at, Outcome::Broken)).expect("sent again");
+    assert!(next.starts_with(mates));
+    door.now += 4000.0;
+    let did = door.end(1, 1, &next, Outcome::Broken);
+    assert!(sends(&did) == 0 && failed(&did, 1), "no longer dropped as a repeat: {did:?}");
+}
+
+#[test]
+fn a_silent_backend_s_attempt_is_called_off_and_sent_elsewhere_only_then() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let at = door.served(1, "c", "plain", "safe");
+    let did = door.pass(450.0, &[1]);
+    assert!(did.contains(&Action::CallOff { id: 1, attempt: 0 }));
+    assert_eq!(sends(&did), 0, "one attempt out at most");
+    let did = door.end(1, 0, &at, Outcome::CalledOff);
+    assert!(sent(&did).is_some_and(|(_, next)| next != at));
+}
+
+#[test]
+fn a_busy_backend_that_answers_others_keeps_its_attempts() {
+    let mut door = Door::new(settings(), &["a1"]);
+    let at = door.served(1, "c", "plain", "safe");
+    door.served(2, "c", "plain", "safe");
+    door.now += 200.0;
+    door.end(2, 0, &at, Outcome::Served);
+    let did = door.pass(300.0, &[1]);
+    assert!(!did.iter().any(|a| matches!(a, Action::CallOff { .. })));
+}
+
+#[test]
+fn the_last_answer_comes_at_the_deadline_whatever_the_outcome() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let at = door.served(1, "c", "plain", "safe");
+    door.now += 2000.0;
+    let did = door.end(1, 0, &at, Outcome::TimedOut);
+    assert!(failed(&did, 1) && sends(&did) == 0);
+    assert!(door.end(1, 0, &at, Outcome::TimedOut).iter().all(|a| !matches!(a, Action::Fail { .. })));
+}
+
+#[test]
+fn with_no_backend_a_request_waits_its_hold_and_is_refused_once() {
+    let mut door = Door::new(settings(), &[]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "unsafe")).expect("call");
+    let did = door.total(name, amount);
+    assert!(!refused(&did, 1));
+    assert!(refused(&door.pass(300.0, &[1]), 1));
+    assert!(!refused(&door.pass(300.0, &[1]), 1));
+}
+
+#[test]
+fn a_client_that_leaves_gets_no_answer() {
+    let mut door = Door::new(settings(), &["a1"]);
+    let (name, amount) = count(&door.ask(1, "c", "plain", "safe")).expect("call");
+    door.tell(Event::ClientLeft { id: 1 });
+    let did = door.total(name, amount);
+    assert!(sends(&did) == 0 && !refused(&did, 1) && !failed(&did, 1));
+    let at = door.served(2, "c", "plain", "safe");
+    door.tell(Event::ClientLeft { id: 2 });
+    assert_eq!(sends(&door.end(2, 0, &at, Outcome::Broken)), 0);
+}
+
+#[test]
+fn events_about_unknown_things_are_harmless() {
+    let mut door = Door::new(settings(), &["a1"]);
+    door.end(9, 3, &"nowhere".into(), Outcome::Served);
+    door.total(77, 5.0);
+    door.tell(Event::Timer { token: 999 });
+    door.tell(Event::ClientLeft { id: 8 });
+    assert!(refused(&door.ask(5, "c", "no such plan", "safe"), 5));
+    assert!(refused(&door.ask(6, "c", "plain", "no such class"), 6));
+    let did = door.tell(Event::Request(Arrival {
+        id: 7,
+        customer: "c".into(),
+        plan: "plain".into(),
+        class: "safe".into(),
+        units: f64::NAN,
+        patience: -5.0,
+        first: 99,
+        spread: 0,
+    }));
+    assert!(count(&did).is_some());
+}
