After a silence a store is not taken for full

Cause: each gateway's view of the store filled at the whole rate in the silence, so on return the customer got a full burst on top of the slices just spent. Change: the first total after a silence keeps the store at the own slice under a ceiling, at the even slice times gateways elsewhere.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 /// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the ceiling
 /// arithmetic is at `Customer::start_of`).
 const CEILING_START: f64 = 0.5;
+/// The counter counts as silent after so many calls in a row without an answer: one may just be late.
+const SILENT_AFTER: u32 = 2;
 /// After a silent call the counter is left alone for a time-out, doubled at each further one up to this many.
 const QUIET_MOST: f64 = 16.0;
 /// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
@@ -186,6 +188,7 @@
     store: f64,
     store_at: Millis,
     known: bool,
+    heard: Millis,
     /// Used but not yet added (settled units, use in silence), or to be given back (negative).
     owed: f64,
     call: Option<Call>,
@@ -309,6 +312,7 @@
     calls_most: f64,
     silences: u32,
     quiet_until: Millis,
+    back_at: Millis,
     class_latency: Vec<f64>,
     sweeping: bool,
 }
@@ -430,7 +434,7 @@
     /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are spent.
     /// True when the request has to wait for a block.
     fn admit(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let (now, silent) = (self.now, self.silences > 0 || !self.settings.counter);
+        let (now, silent) = (self.now, self.silences >= SILENT_AFTER || !self.settings.counter);
         let Some(request) = self.requests.get(&id) else { return false };
         let (name, units) = (request.customer.clone(), request.units);
         let Some(customer) = self.customers.get_mut(&name) else { return false };
@@ -789,7 +793,8 @@
         let Some(name) = self.calls.remove(&count) else { return };
         match outcome {
             CountOutcome::Total(total) => {
-                if std::mem::take(&mut self.silences) > 1 {
+                if std::mem::take(&mut self.silences) >= SILENT_AFTER {
+                    self.back_at = self.now;
                     out.push(Action::Log("counter back".into()));
                 }
                 self.calls_most = (self.calls_most + 0.2).min(CALLS_MOST);
@@ -805,8 +810,16 @@
         let Some(customer) = self.customers.get_mut(name) else { return };
         let Some(call) = customer.call.take() else { return };
         let plan = &self.settings.plans[customer.plan];
-        customer.slice = None;
         customer.roll(now, plan);
+        let slice = customer.slice.take();
+        if customer.known && customer.heard < self.back_at {
+            // Guards against a counter that comes back empty: what others spent in the silence is told nowhere.
+            // Under a ceiling only the own slice (or an unknown customer's start) is sure to be left.
+            let share = if plan.ceiling_rate > 0.0 { 1.0 } else { customer.spread };
+            let left = slice.map_or(Customer::start_of(plan), |(held, _)| held * share);
+            customer.store = customer.store.min(left);
+        }
+        customer.heard = now;
         if call.window == customer.window {
             customer.added += call.block + call.owed;
             let (_, began) = customer.window_at(now, plan);
@@ -843,7 +856,7 @@
     /// used; the next total shows it as others' use, so nothing is granted twice.
     fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
-        if self.silences == 2 {
+        if self.silences == SILENT_AFTER {
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
         self.calls_most = (self.calls_most / 2.0).max(1.0);
--- a/tests/counter_silence.rs
+++ b/tests/counter_silence.rs
@@ -113,3 +113,32 @@
     assert_eq!(sends(&did), 0);
     assert_eq!(sends(&door.ask(2, "c", "plain", "safe")), 0, "no block in hand");
 }
+
+#[test]
+fn after_a_silence_an_idle_gateway_does_not_take_a_ceiling_s_store_for_full() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    let at = door.served(1, "c", "ceiling", "safe");
+    door.end(1, 0, &at, Outcome::Served);
+    door.now += 100.0;
+    for id in 2..=3 {
+        let (name, _) = count(&door.ask(id, &format!("other{id}"), "plain", "safe")).expect("call");
+        silence(&mut door, name);
+    }
+    // Three seconds in which the other gateway may spend all; then the counter is back, empty.
+    door.now += 3000.0;
+    let (mut gone_on, mut total, mut id) = (0, 0.0, 100);
+    for _ in 0..40 {
+        id += 1;
+        let mut did = door.ask(id, "c", "ceiling", "safe");
+        while let Some((name, amount)) = count(&did) {
+            gone_on += sends(&did);
+            total += amount;
+            did = door.total(name, total);
+        }
+        gone_on += sends(&did);
+        for (id, at) in did.iter().filter_map(|a| sent(std::slice::from_ref(a))) {
+            door.end(id, 0, &at, Outcome::Served);
+        }
+    }
+    assert!(gone_on <= 7, "half a burst, and a slice of the silence: {gone_on}");
+}
