--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,8 +29,10 @@
 /// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the ceiling
 /// arithmetic is at `Customer::start_of`).
 const CEILING_START: f64 = 0.5;
-/// The counter counts as silent after so many calls in a row without an answer: one may just be late.
-const SILENT_AFTER: u32 = 2;
+/// The counter counts as silent when it has answered nothing for this many time-outs: one call may just be late.
+const SILENT_AFTER: f64 = 3.0;
+/// A counter answer slower than this share of the time-out tells of a crowd: fewer calls are kept out.
+const CALL_LATE: f64 = 0.5;
 /// After a silent call the counter is left alone for a time-out, doubled at each further one up to this many.
 const QUIET_MOST: f64 = 16.0;
 /// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
@@ -189,9 +191,13 @@
     store_at: Millis,
     known: bool,
     heard: Millis,
+    /// The last block did not fit: others ask for this customer too.
+    contended: bool,
     /// Used but not yet added (settled units, use in silence), or to be given back (negative).
     owed: f64,
     call: Option<Call>,
+    /// Blocks of calls without an answer: they may have counted.
+    lost: f64,
     waiting: VecDeque<RequestId>,
     demand: f64,
     demand_at: Millis,
@@ -230,7 +236,7 @@
         let (window, _) = self.window_at(now, plan);
         if window != self.window {
             self.store = (self.store + self.lease).min(plan.burst);
-            (self.window, self.lease, self.added, self.seen) = (window, 0.0, 0.0, 0.0);
+            (self.window, self.lease, self.added, self.seen, self.lost) = (window, 0.0, 0.0, 0.0, 0.0);
         }
     }
 
@@ -241,6 +247,13 @@
         self.demand_at = now;
     }
 
+    /// What the store must hold before it is asked again: one request; one for each gateway while others ask too,
+    /// since only one of them can win the next unit. Guards the counter against polling at a spent quota.
+    fn least_ask(&self, units: f64, plan: &Plan) -> f64 {
+        let each = (units * self.spread).min(plan.burst * NEAR_SHARE);
+        if self.contended { each.max(units) } else { units }
+    }
+
     /// The smoothed demand of a short while, as far as an even part of what is left allows.
     fn demand_block(&self, plan: &Plan) -> f64 {
         let target = self.demand * Self::turn(plan) * BLOCK_SHARE;
@@ -313,6 +326,8 @@
     silences: u32,
     quiet_until: Millis,
     back_at: Millis,
+    counter_heard: Millis,
+    told_silent: bool,
     class_latency: Vec<f64>,
     sweeping: bool,
 }
@@ -358,7 +373,7 @@
             Event::ClientLeft { id } => self.forget(id),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
-            Event::Counted { name, outcome, .. } => self.on_counted(name, outcome, out),
+            Event::Counted { name, outcome, latency } => self.on_counted(name, outcome, latency, out),
             Event::PeerMessage { .. } => {}
         }
     }
@@ -431,10 +446,15 @@
         }
     }
 
+    fn counter_silent(&self) -> bool {
+        let gap = self.now - self.counter_heard;
+        !self.settings.counter || self.silences > 1 && gap > self.settings.counter_timeout * SILENT_AFTER
+    }
+
     /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are spent.
     /// True when the request has to wait for a block.
     fn admit(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let (now, silent) = (self.now, self.silences >= SILENT_AFTER || !self.settings.counter);
+        let (now, silent) = (self.now, self.counter_silent());
         let Some(request) = self.requests.get(&id) else { return false };
         let (name, units) = (request.customer.clone(), request.units);
         let Some(customer) = self.customers.get_mut(&name) else { return false };
@@ -455,9 +475,9 @@
             if now >= self.quiet_until && self.calls.is_empty() {
                 self.ask(&name, out);
             }
-        } else if customer.known && left < units {
-            let rate = plan.rate;
-            self.over_quota(id, units - left, rate, out);
+        } else if customer.known && left < customer.least_ask(units, plan) {
+            let (short, rate) = (customer.least_ask(units, plan) - left, plan.rate);
+            self.over_quota(id, short, rate, out);
         } else {
             let until = request.arrived + self.settings.classes[request.class].aim * BLOCK_WAIT;
             customer.waiting.push_back(id);
@@ -789,15 +809,18 @@
         out.push(Action::Count { name: count, amount: block + owed, keep: keep.min(60_000.0) });
     }
 
-    fn on_counted(&mut self, count: u64, outcome: CountOutcome, out: &mut Vec<Action>) {
+    fn on_counted(&mut self, count: u64, outcome: CountOutcome, latency: Millis, out: &mut Vec<Action>) {
         let Some(name) = self.calls.remove(&count) else { return };
         match outcome {
             CountOutcome::Total(total) => {
-                if std::mem::take(&mut self.silences) >= SILENT_AFTER {
+                if std::mem::take(&mut self.told_silent) {
                     self.back_at = self.now;
                     out.push(Action::Log("counter back".into()));
                 }
-                self.calls_most = (self.calls_most + 0.2).min(CALLS_MOST);
+                (self.silences, self.counter_heard) = (0, self.now);
+                let late = latency > self.settings.counter_timeout * CALL_LATE;
+                let most = if late { self.calls_most * 0.9 } else { self.calls_most + 0.1 };
+                self.calls_most = most.clamp(1.0, CALLS_MOST);
                 self.granted(&name, total, out);
             }
             _ => self.silent(&name, outcome == CountOutcome::Unknown, out),
@@ -835,9 +858,18 @@
             } else {
                 customer.store = (customer.store - (total - customer.seen - call.owed)).min(plan.burst);
             }
+            // A late add counted if the total has risen by as much: its block is then ours. Not under a ceiling,
+            // where the rise may be others' use and a block granted twice would count against the ceiling.
+            let lost = std::mem::take(&mut customer.lost);
+            let rise = total - customer.seen - call.block - call.owed;
+            if lost > 0.0 && rise + 1e-6 >= lost && plan.ceiling_rate <= 0.0 {
+                customer.lease += lost;
+                customer.added += lost;
+            }
             customer.seen = total;
             customer.lease += call.block;
-            if customer.store < 0.0 {
+            customer.contended = customer.store < 0.0;
+            if customer.contended {
                 let back = customer.lease.min((-customer.store).ceil()).min(call.block);
                 customer.lease -= back;
                 customer.owed -= back;
@@ -856,15 +888,16 @@
     /// used; the next total shows it as others' use, so nothing is granted twice.
     fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
-        if self.silences == SILENT_AFTER {
+        if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
         self.calls_most = (self.calls_most / 2.0).max(1.0);
         let doubled = f64::from(1u32 << (self.silences - 1).min(10));
         self.quiet_until = self.now + self.settings.counter_timeout * doubled.min(QUIET_MOST);
         let Some(customer) = self.customers.get_mut(name) else { return };
-        let owed = customer.call.take().map_or(0.0, |call| call.owed);
+        let (block, owed) = customer.call.take().map_or((0.0, 0.0), |call| (call.block, call.owed));
         customer.owed += if may_have_counted { owed.max(0.0) } else { owed };
+        customer.lost += if may_have_counted { block } else { 0.0 };
         for id in std::mem::take(&mut customer.waiting) {
             self.by_slice(id, out);
         }
@@ -913,7 +946,7 @@
             let busy = customer.call.is_some() || customer.open > 0 || !customer.waiting.is_empty();
             busy || (idle < turn * 2.0 && !(crowded && idle > turn * 0.25))
         });
-        if self.silences == 0 {
+        if !self.counter_silent() {
             for name in asking {
                 self.ask(&name, out);
             }
