--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,7 +33,7 @@
 const SILENT_AFTER: f64 = 3.0;
 /// A counter answer slower than this share of the time-out tells of a crowd: fewer calls are kept out.
 const CALL_LATE: f64 = 0.5;
-/// After a silent call the counter is left alone for a time-out, doubled at each further one up to this many.
+/// After a silent call the counter is left alone for as many time-outs as it was silent, up to this many.
 const QUIET_MOST: f64 = 16.0;
 /// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
 const CALLS_MOST: f64 = 12.0;
@@ -68,8 +68,8 @@
 const ROOM_MOST: f64 = 64.0;
 /// Failures in a row, with no answer between, that eject a backend.
 const EJECT_AFTER: u32 = 2;
-/// An ejected backend is tried again after this share of the cold time, doubled at each further failure ...
-const EJECT_FIRST: f64 = 0.04;
+/// An ejected backend is tried again after this share of the cold time for each failure in a row ...
+const EJECT_FIRST: f64 = 0.02;
 /// ... up to this share.
 const EJECT_MOST: f64 = 0.3;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
@@ -109,7 +109,6 @@
     heard: Millis,
     failures: u32,
     eject_until: Millis,
-    eject_for: Millis,
     /// Sends that a cold backend may still be given.
     cold_tokens: f64,
     /// Requests of others there, by its last report, and when that came.
@@ -155,22 +154,12 @@
 
     fn failed(&mut self, now: Millis, settings: &Settings) -> bool {
         self.failures += 1;
-        if self.failures < EJECT_AFTER {
-            return false;
-        }
         let (first, most) = (settings.cold_time * EJECT_FIRST, settings.cold_time * EJECT_MOST);
-        self.eject_for = (self.eject_for * 2.0).clamp(first, most);
-        self.eject_until = now + self.eject_for;
+        self.eject_until = now + (first * f64::from(self.failures)).min(most);
         self.failures == EJECT_AFTER
     }
 }
 
-struct Call {
-    window: u64,
-    block: f64,
-    owed: f64,
-}
-
 /// One customer as this gateway knows it.
 #[derive(Default)]
 struct Customer {
@@ -191,11 +180,10 @@
     store_at: Millis,
     known: bool,
     heard: Millis,
-    /// The last block did not fit: others ask for this customer too.
-    contended: bool,
     /// Used but not yet added (settled units, use in silence), or to be given back (negative).
     owed: f64,
-    call: Option<Call>,
+    /// The call that is out: its window, block, and what was owed.
+    call: Option<(u64, f64, f64)>,
     /// Blocks of calls without an answer: they may have counted.
     lost: f64,
     waiting: VecDeque<RequestId>,
@@ -247,13 +235,6 @@
         self.demand_at = now;
     }
 
-    /// What the store must hold before it is asked again: one request; one for each gateway while others ask too,
-    /// since only one of them can win the next unit. Guards the counter against polling at a spent quota.
-    fn least_ask(&self, units: f64, plan: &Plan) -> f64 {
-        let each = (units * self.spread).min(plan.burst * NEAR_SHARE);
-        if self.contended { each.max(units) } else { units }
-    }
-
     /// The smoothed demand of a short while, as far as an even part of what is left allows.
     fn demand_block(&self, plan: &Plan) -> f64 {
         let target = self.demand * Self::turn(plan) * BLOCK_SHARE;
@@ -475,9 +456,9 @@
             if now >= self.quiet_until && self.calls.is_empty() {
                 self.ask(&name, out);
             }
-        } else if customer.known && left < customer.least_ask(units, plan) {
-            let (short, rate) = (customer.least_ask(units, plan) - left, plan.rate);
-            self.over_quota(id, short, rate, out);
+        } else if customer.known && left < units {
+            let rate = plan.rate;
+            self.over_quota(id, units - left, rate, out);
         } else {
             let until = request.arrived + self.settings.classes[request.class].aim * BLOCK_WAIT;
             customer.waiting.push_back(id);
@@ -675,8 +656,8 @@
     fn send(&mut self, id: RequestId, name: Name, out: &mut Vec<Action>) {
         let now = self.now;
         self.share_with_cold(&name);
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(backend) = self.backends.get_mut(&name) else { return };
+        let (request, backend) = (self.requests.get_mut(&id), self.backends.get_mut(&name));
+        let (Some(request), Some(backend)) = (request, backend) else { return };
         if backend.out == 0 {
             backend.heard = now;
         }
@@ -685,15 +666,11 @@
             customer.open += 1;
         }
         let class = &self.settings.classes[request.class];
-        request.stage = Stage::Out;
+        (request.stage, request.sent_at, request.hold_until) = (Stage::Out, now, f64::INFINITY);
         request.attempts += 1;
-        request.sent_at = now;
         request.last_backend = Some(name.clone());
-        request.hold_until = f64::INFINITY;
-        if class.effect != Effect::Unsafe
-            && request.attempts < self.settings.most_attempts
-            && self.settings.cancel
-        {
+        let again = class.effect != Effect::Unsafe && request.attempts < self.settings.most_attempts;
+        if again && self.settings.cancel {
             let limit = (class.aim * TRY_SHARE).max(self.class_latency[request.class] * TRY_LATENCIES);
             request.hold_until = now + limit;
             out.push(Action::SetTimer { after: limit, token: id * 2 });
@@ -733,7 +710,7 @@
                 if backend.failures >= EJECT_AFTER {
                     out.push(Action::Log(format!("backend {name} back: it answers again")));
                 }
-                (backend.failures, backend.eject_for, backend.heard) = (0, 0.0, now);
+                (backend.failures, backend.heard) = (0, now);
                 let Some(class) = self.requests.get(&end.id).map(|r| r.class) else { return };
                 let usual = &mut self.class_latency[class];
                 *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
@@ -803,7 +780,7 @@
         let block = (customer.block(need, plan) - customer.lease).max(0.0);
         let owed = std::mem::take(&mut customer.owed);
         let count = mix(customer.salt ^ customer.window.wrapping_mul(0x9e37_79b9_7f4a_7c15)) >> 1;
-        customer.call = Some(Call { window: customer.window, block, owed });
+        customer.call = Some((customer.window, block, owed));
         self.calls.insert(count, name.clone());
         let keep = Customer::turn(plan) * WINDOW_SPAN * 1.5;
         out.push(Action::Count { name: count, amount: block + owed, keep: keep.min(60_000.0) });
@@ -831,20 +808,18 @@
     fn granted(&mut self, name: &Name, total: f64, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(customer) = self.customers.get_mut(name) else { return };
-        let Some(call) = customer.call.take() else { return };
+        let Some((window, block, owed)) = customer.call.take() else { return };
         let plan = &self.settings.plans[customer.plan];
         customer.roll(now, plan);
         let slice = customer.slice.take();
-        if customer.known && customer.heard < self.back_at {
+        if plan.ceiling_rate > 0.0 && customer.known && customer.heard < self.back_at {
             // Guards against a counter that comes back empty: what others spent in the silence is told nowhere.
-            // Under a ceiling only the own slice (or an unknown customer's start) is sure to be left.
-            let share = if plan.ceiling_rate > 0.0 { 1.0 } else { customer.spread };
-            let left = slice.map_or(Customer::start_of(plan), |(held, _)| held * share);
-            customer.store = customer.store.min(left);
+            // Only the own slice (or an unknown customer's start) is sure to be left.
+            customer.store = customer.store.min(slice.map_or(Customer::start_of(plan), |(held, _)| held));
         }
         customer.heard = now;
-        if call.window == customer.window {
-            customer.added += call.block + call.owed;
+        if window == customer.window {
+            customer.added += block + owed;
             let (_, began) = customer.window_at(now, plan);
             if !customer.known {
                 let since = Customer::start_of(plan) + plan.rate * (now - began) / 1000.0;
@@ -854,23 +829,22 @@
                 // Guards against an emptied count: what this gateway holds is told again, so that new blocks do
                 // not stack on those still held.
                 customer.owed += customer.added - total;
-                customer.store -= call.block;
+                customer.store -= block;
             } else {
-                customer.store = (customer.store - (total - customer.seen - call.owed)).min(plan.burst);
+                customer.store = (customer.store - (total - customer.seen - owed)).min(plan.burst);
             }
             // A late add counted if the total has risen by as much: its block is then ours. Not under a ceiling,
             // where the rise may be others' use and a block granted twice would count against the ceiling.
             let lost = std::mem::take(&mut customer.lost);
-            let rise = total - customer.seen - call.block - call.owed;
+            let rise = total - customer.seen - block - owed;
             if lost > 0.0 && rise + 1e-6 >= lost && plan.ceiling_rate <= 0.0 {
                 customer.lease += lost;
                 customer.added += lost;
             }
             customer.seen = total;
-            customer.lease += call.block;
-            customer.contended = customer.store < 0.0;
-            if customer.contended {
-                let back = customer.lease.min((-customer.store).ceil()).min(call.block);
+            customer.lease += block;
+            if customer.store < 0.0 {
+                let back = customer.lease.min((-customer.store).ceil()).min(block);
                 customer.lease -= back;
                 customer.owed -= back;
                 customer.store += back;
@@ -892,10 +866,10 @@
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
         self.calls_most = (self.calls_most / 2.0).max(1.0);
-        let doubled = f64::from(1u32 << (self.silences - 1).min(10));
-        self.quiet_until = self.now + self.settings.counter_timeout * doubled.min(QUIET_MOST);
+        self.quiet_until =
+            self.now + self.settings.counter_timeout * f64::from(self.silences).min(QUIET_MOST);
         let Some(customer) = self.customers.get_mut(name) else { return };
-        let (block, owed) = customer.call.take().map_or((0.0, 0.0), |call| (call.block, call.owed));
+        let (_, block, owed) = customer.call.take().unwrap_or_default();
         customer.owed += if may_have_counted { owed.max(0.0) } else { owed };
         customer.lost += if may_have_counted { block } else { 0.0 };
         for id in std::mem::take(&mut customer.waiting) {
