--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,6 +24,8 @@
 const IDLE_SHARE: f64 = 0.15;
 /// What is owed to the count or back from it is told without a block once it is this share of the burst.
 const OWED_SHARE: f64 = 0.15;
+/// A plan without a rate is remembered as if its quota turned over in this many ms.
+const RATELESS_TURN: Millis = 1000.0;
 /// A request waits for its block at most this share of its aim.
 const BLOCK_WAIT: f64 = 0.12;
 /// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the ceiling
@@ -37,7 +39,10 @@
 const QUIET_MOST: f64 = 16.0;
 /// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
 const CALLS_MOST: f64 = 12.0;
-/// The most customers remembered; beyond it the customers longest idle are forgotten.
+/// A customer idle for this many turns has a full store again: forgetting it loses nothing ...
+const IDLE_TURNS: f64 = 2.0;
+/// ... and for this many once there are too many: guards the memory against scans.
+const CROWDED_TURNS: f64 = 0.25;
 const CUSTOMERS_MOST: usize = 20_000;
 
 // ---- Requests ----
@@ -79,8 +84,6 @@
 const COLD_MULTIPLE: f64 = 0.8;
 /// Time between housekeeping rounds, in ms: short beside any aim.
 const SWEEP: Millis = 25.0;
-/// Load reports older than this many ms say nothing.
-const REPORT_AGE: Millis = 1000.0;
 
 const SWEEP_TOKEN: u64 = 1;
 
@@ -111,8 +114,6 @@
     eject_until: Millis,
     /// Sends that a cold backend may still be given.
     cold_tokens: f64,
-    /// Requests of others there, by its last report, and when that came.
-    others: Option<(f64, Millis)>,
 }
 
 impl Backend {
@@ -205,7 +206,7 @@
 
     /// Burst over rate: the time in which the quota turns over once.
     fn turn(plan: &Plan) -> Millis {
-        plan.burst / plan.rate * 1000.0
+        if plan.rate > 0.0 { plan.burst / plan.rate * 1000.0 } else { RATELESS_TURN }
     }
 
     /// The number of the window at a time, and when it began. Edges are staggered by the customer's hash, so that
@@ -345,17 +346,15 @@
                 }
             }
             Event::AttemptEnded(end) => {
-                self.on_load(&end.backend, end.load);
                 self.on_backend(&end, out);
                 self.on_attempt(end, out);
                 self.drain_queue(out);
             }
-            Event::ProbeEnded { backend, load, .. } => self.on_load(&backend, load),
             Event::ClientLeft { id } => self.forget(id),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
             Event::Counted { name, outcome, latency } => self.on_counted(name, outcome, latency, out),
-            Event::PeerMessage { .. } => {}
+            Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
 
@@ -385,13 +384,6 @@
         self.drain_queue(out);
     }
 
-    fn on_load(&mut self, name: &Name, load: Option<LoadReport>) {
-        let (Some(load), Some(backend)) = (load, self.backends.get_mut(name)) else { return };
-        if let Some(held) = load.inflight.or(load.queue) {
-            backend.others = Some(((held - f64::from(backend.out)).max(0.0), self.now));
-        }
-    }
-
     // ---- Requests ----
 
     fn on_request(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
@@ -419,9 +411,7 @@
         customer.spread = f64::from(arrival.spread.clamp(1, gateways));
         customer.place = (self.settings.number + gateways - arrival.first % gateways) % gateways;
         customer.used_at = now;
-        if self.settings.plans[plan].rate > 0.0 {
-            customer.note_demand(units, now, &self.settings.plans[plan]);
-        }
+        customer.note_demand(units, now, &self.settings.plans[plan]);
         if self.admit(id, out) {
             self.ask(&name, out);
         }
@@ -636,13 +626,11 @@
             if !backend.ready || !in_group || full || cold || backend.ejected(self.now) {
                 continue;
             }
-            let told = backend.others.filter(|(_, at)| self.now - at < REPORT_AGE);
-            let others = told.map_or(mean_out * peers, |(others, _)| others);
             let silence = if backend.out > 0 { (self.now - backend.heard) / usual } else { 0.0 };
             let away = if backend.zone == self.settings.zone { 0.0 } else { self.settings.price_cross_zone };
             let again = if request.last_backend.as_ref() == Some(name) { 4.0 } else { 1.0 };
             let jitter = 1.0 + 0.1 * (seed >> 11) as f64 / (1u64 << 53) as f64;
-            let load = 1.0 + f64::from(backend.out) + others;
+            let load = 1.0 + f64::from(backend.out) + mean_out * peers;
             let score = backend.slow.max(silence) * load * (1.0 + away * ZONE_BIAS) * again * jitter;
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, name));
@@ -901,24 +889,18 @@
         let crowded = self.customers.len() > CUSTOMERS_MOST;
         self.customers.retain(|name, customer| {
             let plan = &plans[customer.plan];
-            if plan.rate <= 0.0 {
-                return customer.open > 0;
-            }
-            let idle = now - customer.used_at;
-            let turn = Customer::turn(plan);
+            let (idle, turn) = (now - customer.used_at, Customer::turn(plan));
             customer.roll(now, plan);
             if idle > turn * IDLE_SHARE && customer.lease >= 1.0 && customer.store < plan.burst * 0.5 {
-                customer.owed -= customer.lease;
-                customer.store += customer.lease;
-                customer.lease = 0.0;
+                let lease = std::mem::take(&mut customer.lease);
+                (customer.owed, customer.store) = (customer.owed - lease, customer.store + lease);
             }
             let owes = customer.owed.abs() >= (plan.burst * OWED_SHARE).max(1.0);
             if customer.call.is_none() && (owes || !customer.waiting.is_empty()) {
                 asking.push(name.clone());
             }
-            // A customer idle for two turns has a full store again: forgetting it loses nothing.
             let busy = customer.call.is_some() || customer.open > 0 || !customer.waiting.is_empty();
-            busy || (idle < turn * 2.0 && !(crowded && idle > turn * 0.25))
+            busy || idle < turn * if crowded { CROWDED_TURNS } else { IDLE_TURNS }
         });
         if !self.counter_silent() {
             for name in asking {
