After one failure nothing is sent for as long again as it took

Cause: with one out at a time a full backend looks dead; the attempt was called off, its work went on, and the room it left was filled at once. Room now shrinks at silent failures too. It may hurt where one lost answer is common.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,20 +1,24 @@
 //! All decisions of a gateway. Its interface (settings, events, actions) is in `src/interface.rs`.
 //!
-//! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count), its
-//! customer's open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
+//! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count),
+//! its customer's open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its
+//! aim.
 
 use crate::check::check;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Quotas ----
-/// Windows last this many times burst over rate: an edge forgets little, and an emptied count heals at the next.
+/// Windows last this many times burst over rate: an edge forgets little, and an emptied count heals at the
+/// next.
 const WINDOW_SPAN: f64 = 2.0;
-/// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to move.
+/// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to
+/// move.
 const BLOCK_SHARE: f64 = 0.15;
 /// A block takes at most this share of what is left, split over the customer's gateways ...
 const NEAR_SHARE: f64 = 0.5;
-/// ... or an even part of all that is left above this share of the burst: while there is plenty, blocks are large.
+/// ... or an even part of all that is left above this share of the burst: while there is plenty, blocks are
+/// large.
 const PLENTY_SHARE: f64 = 0.25;
 /// A block is renewed when less than this share of it is left.
 const RENEW_SHARE: f64 = 0.4;
@@ -28,10 +32,11 @@
 const RATELESS_TURN: Millis = 1000.0;
 /// A request waits for its block at most this share of its aim.
 const BLOCK_WAIT: f64 = 0.12;
-/// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the ceiling
-/// arithmetic is at `Customer::start_of`).
+/// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the
+/// ceiling arithmetic is at `Customer::start_of`).
 const CEILING_START: f64 = 0.5;
-/// The counter counts as silent when it has answered nothing for this many time-outs: one call may just be late.
+/// The counter counts as silent when it has answered nothing for this many time-outs: one call may just be
+/// late.
 const SILENT_AFTER: f64 = 3.0;
 /// A counter answer slower than this share of the time-out tells of a crowd: fewer calls are kept out.
 const CALL_LATE: f64 = 0.5;
@@ -50,7 +55,8 @@
 const HOLD_SHARE: f64 = 0.3;
 /// An answer must leave this many ticks before the client's patience ends.
 const LAST_TICKS: f64 = 2.0;
-/// A repeatable attempt is called off after this share of its aim if its backend has answered nothing since ...
+/// A repeatable attempt is called off after this share of its aim if its backend has answered nothing since
+/// ...
 const TRY_SHARE: f64 = 0.5;
 /// ... but not before this many times the usual latency: work may just take long.
 const TRY_LATENCIES: f64 = 4.0;
@@ -62,7 +68,8 @@
 const USUAL_WEIGHT: f64 = 0.02;
 /// What all gateways together keep out at one backend at first; it then follows the latencies seen.
 const ROOM_FIRST: f64 = 5.0;
-/// The share of the aim within which answers should come; the rest is for the way, for holding and for bad luck.
+/// The share of the aim within which answers should come; the rest is for the way, for holding and for bad
+/// luck.
 const ROOM_SHARE: f64 = 0.5;
 /// The share of answers that may come later than that: fewer and room grows, more and it shrinks.
 const ROOM_LATE: f64 = 0.1;
@@ -91,6 +98,11 @@
     mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
 }
 
+/// A number from 0 to 1 made of another.
+fn unit(x: u64) -> f64 {
+    (mix(x) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -147,16 +159,19 @@
         settings.cold_share + (1.0 - settings.cold_share) * age
     }
 
-    /// Passive ejection: guards against dead and stalled backends, which show in outcomes long before the list.
-    /// One that comes back is tried with one request at a time until it answers.
+    /// Passive ejection: guards against dead and stalled backends, which show in outcomes long before the
+    /// list. One that comes back is tried with one request at a time until it answers.
     fn ejected(&self, now: Millis) -> bool {
-        self.failures >= EJECT_AFTER && (now < self.eject_until || self.out > 0)
+        now < self.eject_until || self.failures >= EJECT_AFTER && self.out > 0
     }
 
-    fn failed(&mut self, now: Millis, settings: &Settings) -> bool {
+    /// After one failure nothing is sent for as long again as it took: where calling off stops no work, what
+    /// was given up still has to be worked through.
+    fn failed(&mut self, now: Millis, latency: Millis, settings: &Settings) -> bool {
         self.failures += 1;
-        let (first, most) = (settings.cold_time * EJECT_FIRST, settings.cold_time * EJECT_MOST);
-        self.eject_until = now + (first * f64::from(self.failures)).min(most);
+        let longer = settings.cold_time * (EJECT_FIRST * f64::from(self.failures)).min(EJECT_MOST);
+        let pause = if self.failures < EJECT_AFTER { latency } else { latency.max(longer) };
+        self.eject_until = now + pause;
         self.failures == EJECT_AFTER
     }
 }
@@ -197,9 +212,9 @@
 }
 
 impl Customer {
-    /// What an unknown customer's store is taken to hold. Under a ceiling (at least 1.6 times rate and burst by its
-    /// plan) only half the burst: a gateway may come back to an emptied count while the others have just granted
-    /// a full burst, and burst + half a burst + rate x time stays within the ceiling.
+    /// What an unknown customer's store is taken to hold. Under a ceiling (at least 1.6 times rate and burst
+    /// by its plan) only half the burst: a gateway may come back to an emptied count while the others have
+    /// just granted a full burst, and burst + half a burst + rate x time stays within the ceiling.
     fn start_of(plan: &Plan) -> f64 {
         if plan.ceiling_rate > 0.0 { plan.burst * CEILING_START } else { plan.burst }
     }
@@ -209,8 +224,8 @@
         if plan.rate > 0.0 { plan.burst / plan.rate * 1000.0 } else { RATELESS_TURN }
     }
 
-    /// The number of the window at a time, and when it began. Edges are staggered by the customer's hash, so that
-    /// the customers do not all renew at once.
+    /// The number of the window at a time, and when it began. Edges are staggered by the customer's hash, so
+    /// that the customers do not all renew at once.
     fn window_at(&self, now: Millis, plan: &Plan) -> (u64, Millis) {
         let length = Self::turn(plan) * WINDOW_SPAN;
         let shift = (self.salt % 1024) as f64 / 1024.0 * length;
@@ -218,7 +233,8 @@
         (number as u64, number * length - shift)
     }
 
-    /// Fills the store and moves to the present window: blocks end with theirs. What was left of the own block was never used.
+    /// Fills the store and moves to the present window: blocks end with theirs. What was left of the own
+    /// block was never used.
     fn roll(&mut self, now: Millis, plan: &Plan) {
         self.store = (self.store + plan.rate * (now - self.store_at) / 1000.0).min(plan.burst);
         self.store_at = now;
@@ -251,7 +267,8 @@
         need.max(want.floor()).max(0.0)
     }
 
-    /// Spends from the even slice: the silence rule. The slice starts from the customer's store as last known.
+    /// Spends from the even slice: the silence rule. The slice starts from the customer's store as last
+    /// known.
     fn spend_slice(&mut self, units: f64, now: Millis, plan: &Plan) -> bool {
         let (held, at) = self.slice.unwrap_or((self.store.max(0.0) / self.spread, now));
         let filled = held + plan.rate * (now - at) / 1000.0 / self.spread;
@@ -360,7 +377,7 @@
 
     fn chance(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
+        unit(self.random)
     }
 
     // ---- The list of backends ----
@@ -422,8 +439,8 @@
         !self.settings.counter || self.silences > 1 && gap > self.settings.counter_timeout * SILENT_AFTER
     }
 
-    /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are spent.
-    /// True when the request has to wait for a block.
+    /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are
+    /// spent. True when the request has to wait for a block.
     fn admit(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let (now, silent) = (self.now, self.counter_silent());
         let Some(request) = self.requests.get(&id) else { return false };
@@ -528,8 +545,9 @@
         }
     }
 
-    /// Guards against stalled and dead backends: an attempt is called off when its backend has answered nothing
-    /// at all since it was sent. A backend that answers others is only busy, and calling off would add work.
+    /// Guards against stalled and dead backends: an attempt is called off when its backend has answered
+    /// nothing at all since it was sent. A backend that answers others is only busy, and calling off would
+    /// add work.
     fn call_off_if_silent(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let backend = request.last_backend.as_ref().and_then(|name| self.backends.get(name));
@@ -538,7 +556,8 @@
         }
     }
 
-    /// The one final answer of a request that gets no further attempt: refused where that is true and allowed.
+    /// The one final answer of a request that gets no further attempt: refused where that is true and
+    /// allowed.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.settings.classes[request.class];
@@ -589,7 +608,8 @@
         let cap = plan.open;
         let Some(customer) = self.customers.get(&request.customer) else { return true };
         let (spread, place) = (customer.spread as u32, customer.place);
-        // Exception: where use beyond the quota earns more than it costs, a request held to its end goes all the same.
+        // Exception: where use beyond the quota earns more than it costs, a request held to its end goes all
+        // the same.
         let pays = plan.over_worth > plan.over_cost && self.now >= request.hold_until;
         cap == 0 || pays || customer.open < (cap / spread + u32::from(place < cap % spread)).max(1)
     }
@@ -612,10 +632,9 @@
         }
         let mean_out = out / self.backends.values().filter(|b| b.ready).count().max(1) as f64;
         let peers = f64::from(self.settings.gateways) - 1.0;
-        let mut seed = self.random;
+        let salt = self.random;
         let mut best: Option<(f64, &Name)> = None;
         for (name, backend) in &self.backends {
-            seed = mix(seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
             let in_group = home.is_none_or(|home| match class.group {
                 Group::All => true,
                 Group::Zone => home.zone == backend.zone,
@@ -629,7 +648,7 @@
             let silence = if backend.out > 0 { (self.now - backend.heard) / usual } else { 0.0 };
             let away = if backend.zone == self.settings.zone { 0.0 } else { self.settings.price_cross_zone };
             let again = if request.last_backend.as_ref() == Some(name) { 4.0 } else { 1.0 };
-            let jitter = 1.0 + 0.1 * (seed >> 11) as f64 / (1u64 << 53) as f64;
+            let jitter = 1.0 + 0.1 * unit(salt ^ hash(name));
             let load = 1.0 + f64::from(backend.out) + mean_out * peers;
             let score = backend.slow.max(silence) * load * (1.0 + away * ZONE_BIAS) * again * jitter;
             if best.is_none_or(|(s, _)| score < s) {
@@ -637,7 +656,7 @@
             }
         }
         let chosen = best.map(|(_, name)| name.clone());
-        self.random = seed;
+        self.chance();
         chosen
     }
 
@@ -709,7 +728,9 @@
             Outcome::Full => backend.note_latency(true),
             Outcome::TimedOut | Outcome::CalledOff if !silent => backend.note_latency(true),
             _ => {
-                if backend.failed(now, &self.settings) {
+                // It may be dead or only full: room shrinks too, in case it is full.
+                backend.note_latency(true);
+                if backend.failed(now, latency, &self.settings) {
                     out.push(Action::Log(format!("backend {name} ejected: {EJECT_AFTER} failures in a row")));
                 }
             }
@@ -754,8 +775,8 @@
 
     // ---- The counter ----
 
-    /// Adds a block to the customer's count: one call out for each name, and a bound on all (housekeeping asks
-    /// again for who still waits).
+    /// Adds a block to the customer's count: one call out for each name, and a bound on all (housekeeping
+    /// asks again for who still waits).
     fn ask(&mut self, name: &Name, out: &mut Vec<Action>) {
         let Some(customer) = self.customers.get_mut(name) else { return };
         if customer.call.is_some() || !self.settings.counter || self.calls.len() as f64 >= self.calls_most {
@@ -801,8 +822,8 @@
         customer.roll(now, plan);
         let slice = customer.slice.take();
         if plan.ceiling_rate > 0.0 && customer.known && customer.heard < self.back_at {
-            // Guards against a counter that comes back empty: what others spent in the silence is told nowhere.
-            // Only the own slice (or an unknown customer's start) is sure to be left.
+            // Guards against a counter that comes back empty: what others spent in the silence is told
+            // nowhere. Only the own slice (or an unknown customer's start) is sure to be left.
             customer.store = customer.store.min(slice.map_or(Customer::start_of(plan), |(held, _)| held));
         }
         customer.heard = now;
@@ -814,15 +835,16 @@
                 customer.store = since.min(plan.burst) - total;
                 customer.known = true;
             } else if total + 1e-6 < customer.added {
-                // Guards against an emptied count: what this gateway holds is told again, so that new blocks do
-                // not stack on those still held.
+                // Guards against an emptied count: what this gateway holds is told again, so that new blocks
+                // do not stack on those still held.
                 customer.owed += customer.added - total;
                 customer.store -= block;
             } else {
                 customer.store = (customer.store - (total - customer.seen - owed)).min(plan.burst);
             }
-            // A late add counted if the total has risen by as much: its block is then ours. Not under a ceiling,
-            // where the rise may be others' use and a block granted twice would count against the ceiling.
+            // A late add counted if the total has risen by as much: its block is ours then. Not under a
+            // ceiling, where the rise may be others' use and a block granted twice would count against the
+            // ceiling.
             let lost = std::mem::take(&mut customer.lost);
             let rise = total - customer.seen - block - owed;
             if lost > 0.0 && rise + 1e-6 >= lost && plan.ceiling_rate <= 0.0 {
@@ -846,8 +868,8 @@
         }
     }
 
-    /// No answer: back off, and let the silence rule decide for who waits. An add that may have counted is not
-    /// used; the next total shows it as others' use, so nothing is granted twice.
+    /// No answer: back off, and let the silence rule decide for who waits. An add that may have counted is
+    /// not used; the next total shows it as others' use, so nothing is granted twice.
     fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
         if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
