--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,12 +38,12 @@
 /// The counter counts as silent when it has answered nothing for this many time-outs: one call may just be
 /// late.
 const SILENT_AFTER: f64 = 3.0;
-/// A counter answer slower than this share of the time-out tells of a crowd: fewer calls are kept out.
-const CALL_LATE: f64 = 0.5;
 /// After a silent call the counter is left alone for as many time-outs as it was silent, up to this many.
 const QUIET_MOST: f64 = 16.0;
 /// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
 const CALLS_MOST: f64 = 12.0;
+/// An answer lets this many more out again after a silent call has halved them.
+const CALLS_GROW: f64 = 0.1;
 /// A customer idle for this many turns has a full store again: forgetting it loses nothing ...
 const IDLE_TURNS: f64 = 2.0;
 /// ... and for this many once there are too many: guards the memory against scans.
@@ -205,7 +205,6 @@
     waiting: VecDeque<RequestId>,
     demand: f64,
     demand_at: Millis,
-    used_at: Millis,
     /// This gateway's even slice of the store, spent while the counter is silent.
     slice: Option<(f64, Millis)>,
     open: u32,
@@ -245,13 +244,6 @@
         }
     }
 
-    fn note_demand(&mut self, units: f64, now: Millis, plan: &Plan) {
-        let span = Self::turn(plan) * DEMAND_SHARE;
-        self.demand *= (-(now - self.demand_at) / span).exp();
-        self.demand += units / span;
-        self.demand_at = now;
-    }
-
     /// The smoothed demand of a short while, as far as an even part of what is left allows.
     fn demand_block(&self, plan: &Plan) -> f64 {
         let target = self.demand * Self::turn(plan) * BLOCK_SHARE;
@@ -358,9 +350,7 @@
             Event::BackendListFailed => out.push(Action::WatchBackends),
             Event::Request(arrival) => self.on_request(arrival, out),
             Event::StreamStarted { id } => {
-                if let Some(request) = self.requests.get_mut(&id) {
-                    request.hold_until = f64::INFINITY;
-                }
+                self.requests.entry(id).and_modify(|r| r.hold_until = f64::INFINITY);
             }
             Event::AttemptEnded(end) => {
                 self.on_backend(&end, out);
@@ -370,7 +360,7 @@
             Event::ClientLeft { id } => self.forget(id),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
-            Event::Counted { name, outcome, latency } => self.on_counted(name, outcome, latency, out),
+            Event::Counted { name, outcome, .. } => self.on_counted(name, outcome, out),
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
@@ -427,8 +417,9 @@
         let gateways = self.settings.gateways;
         customer.spread = f64::from(arrival.spread.clamp(1, gateways));
         customer.place = (self.settings.number + gateways - arrival.first % gateways) % gateways;
-        customer.used_at = now;
-        customer.note_demand(units, now, &self.settings.plans[plan]);
+        let span = Customer::turn(&self.settings.plans[plan]) * DEMAND_SHARE;
+        customer.demand = customer.demand * (-(now - customer.demand_at) / span).exp() + units / span;
+        customer.demand_at = now;
         if self.admit(id, out) {
             self.ask(&name, out);
         }
@@ -529,18 +520,8 @@
             return;
         }
         match request.stage {
-            Stage::Queue => {
-                if !self.dispatch(id, out) {
-                    self.give_up(id, out);
-                }
-            }
-            Stage::Block => {
-                // The counter took too long: the silence rule decides.
-                if let Some(customer) = self.customers.get_mut(&request.customer) {
-                    customer.waiting.retain(|w| *w != id);
-                }
-                self.by_slice(id, out);
-            }
+            Stage::Queue => self.give_up(id, out),
+            Stage::Block => self.by_slice(id, out),
             Stage::Out => self.call_off_if_silent(id, out),
         }
     }
@@ -604,14 +585,10 @@
     /// The open cap, shared evenly: the gateways first in the customer's set take what does not divide.
     fn open_allowed(&self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let plan = &self.settings.plans[request.plan];
-        let cap = plan.open;
+        let cap = self.settings.plans[request.plan].open;
         let Some(customer) = self.customers.get(&request.customer) else { return true };
         let (spread, place) = (customer.spread as u32, customer.place);
-        // Exception: where use beyond the quota earns more than it costs, a request held to its end goes all
-        // the same.
-        let pays = plan.over_worth > plan.over_cost && self.now >= request.hold_until;
-        cap == 0 || pays || customer.open < (cap / spread + u32::from(place < cap % spread)).max(1)
+        cap == 0 || customer.open < (cap / spread + u32::from(place < cap % spread)).max(1)
     }
 
     /// What this gateway keeps out at all backends together.
@@ -689,8 +666,7 @@
     /// Needs no agreement: every gateway keeps to it on its own, in every window, from the first ms.
     fn share_with_cold(&mut self, name: &Name) {
         let (now, settings) = (self.now, &self.settings);
-        let warm = |b: &Backend| b.ready && !b.ejected(now) && b.warmth(now, settings) >= 1.0;
-        let warm_count = self.backends.values().filter(|b| warm(b)).count();
+        let warm_count = self.backends.values().filter(|b| b.ready && b.warmth(now, settings) >= 1.0).count();
         let is_warm = self.backends.get(name).is_some_and(|b| b.warmth(now, settings) >= 1.0);
         for (other, backend) in &mut self.backends {
             let warmth = backend.warmth(now, settings);
@@ -795,7 +771,7 @@
         out.push(Action::Count { name: count, amount: block + owed, keep: keep.min(60_000.0) });
     }
 
-    fn on_counted(&mut self, count: u64, outcome: CountOutcome, latency: Millis, out: &mut Vec<Action>) {
+    fn on_counted(&mut self, count: u64, outcome: CountOutcome, out: &mut Vec<Action>) {
         let Some(name) = self.calls.remove(&count) else { return };
         match outcome {
             CountOutcome::Total(total) => {
@@ -804,9 +780,7 @@
                     out.push(Action::Log("counter back".into()));
                 }
                 (self.silences, self.counter_heard) = (0, self.now);
-                let late = latency > self.settings.counter_timeout * CALL_LATE;
-                let most = if late { self.calls_most * 0.9 } else { self.calls_most + 0.1 };
-                self.calls_most = most.clamp(1.0, CALLS_MOST);
+                self.calls_most = (self.calls_most + CALLS_GROW).min(CALLS_MOST);
                 self.granted(&name, total, out);
             }
             _ => self.silent(&name, outcome == CountOutcome::Unknown, out),
@@ -892,6 +866,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
         let plan = &self.settings.plans[request.plan];
+        customer.waiting.retain(|w| *w != id);
         customer.roll(self.now, plan);
         if customer.spend_slice(request.units, self.now, plan) {
             return self.admitted(id, out);
@@ -911,7 +886,7 @@
         let crowded = self.customers.len() > CUSTOMERS_MOST;
         self.customers.retain(|name, customer| {
             let plan = &plans[customer.plan];
-            let (idle, turn) = (now - customer.used_at, Customer::turn(plan));
+            let (idle, turn) = (now - customer.demand_at, Customer::turn(plan));
             customer.roll(now, plan);
             if idle > turn * IDLE_SHARE && customer.lease >= 1.0 && customer.store < plan.burst * 0.5 {
                 let lease = std::mem::take(&mut customer.lease);
