--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -46,6 +46,12 @@
         let outcome = if &*at == "a1" { Outcome::Broken } else { Outcome::Served };
         broken += usize::from(&*at == "a1");
         logs = door.end(id, 0, &at, outcome);
+        if outcome == Outcome::Broken && broken == 1 {
+            let next = door.served(1000, "other", "plain", "unsafe");
+            assert_eq!(&*next, "a2", "after one failure it is left alone for as long as that took");
+            door.end(1000, 0, &next, Outcome::Served);
+        }
+        door.now += 150.0;
         assert!(id < 50);
     }
     assert!(logs.iter().any(|a| matches!(a, Action::Log(line) if line.contains("a1 ejected"))));
