Only safe attempts are called off

Cause: a keyed request that may have run is tied to its group, and failed there while its attempt would have come back. It may hurt where a backend stalls for good without breaking its connections: the keyed request then waits for its end.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -653,7 +653,7 @@
         (request.stage, request.sent_at, request.hold_until) = (Stage::Out, now, f64::INFINITY);
         request.attempts += 1;
         request.last_backend = Some(name.clone());
-        let again = class.effect != Effect::Unsafe && request.attempts < self.settings.most_attempts;
+        let again = class.effect == Effect::Safe && request.attempts < self.settings.most_attempts;
         if again && self.settings.cancel {
             let limit = (class.aim * TRY_SHARE).max(self.class_latency[request.class] * TRY_LATENCIES);
             request.hold_until = now + limit;
