--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,7 +19,7 @@
 const NEAR_SHARE: f64 = 0.5;
 /// ... or an even part of all that is left above this share of the burst: while there is plenty, blocks are
 /// large.
-const PLENTY_SHARE: f64 = 0.25;
+const PLENTY_SHARE: f64 = 0.5;
 /// A block is renewed when less than this share of it is left.
 const RENEW_SHARE: f64 = 0.4;
 /// Demand is smoothed over this share of burst over rate.
