--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,9 +9,9 @@
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Quotas ----
-/// Windows last this many times burst over rate: an edge forgets little, and an emptied count heals at the
+/// Windows last this many times burst over rate: longer ones tell a newly come gateway less of what is left now,
 /// next.
-const WINDOW_SPAN: f64 = 2.0;
+const WINDOW_SPAN: f64 = 1.0;
 /// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to
 /// move.
 const BLOCK_SHARE: f64 = 0.15;
