--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,7 +10,7 @@
 
 // ---- Quotas ----
 /// Windows last this many times burst over rate: longer ones tell a newly come gateway less of what is left now,
-/// next.
+/// shorter ones end more blocks unspent.
 const WINDOW_SPAN: f64 = 1.0;
 /// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to
 /// move.
@@ -67,7 +67,7 @@
 /// Weight of the newest latency in the usual latency of its class.
 const USUAL_WEIGHT: f64 = 0.02;
 /// What all gateways together keep out at one backend at first; it then follows the latencies seen.
-const ROOM_FIRST: f64 = 5.0;
+const ROOM_FIRST: f64 = 3.5;
 /// The share of the aim within which answers should come; the rest is for the way, for holding and for bad
 /// luck.
 const ROOM_SHARE: f64 = 0.5;
