--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,7 +70,7 @@
 const ROOM_FIRST: f64 = 3.5;
 /// The share of the aim within which answers should come; the rest is for the way, for holding and for bad
 /// luck.
-const ROOM_SHARE: f64 = 0.5;
+const ROOM_SHARE: f64 = 0.6;
 /// The share of answers that may come later than that: fewer and room grows, more and it shrinks.
 const ROOM_LATE: f64 = 0.1;
 /// By how much one answer moves room: a late one by nine tenths of this, one in time by a tenth.
