--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Quotas ----
-/// Windows last this many times burst over rate: longer ones tell a newly come gateway less of what is left now,
+/// Windows last this many times burst over rate: longer ones tell a newly come gateway less of what is left,
 /// shorter ones end more blocks unspent.
 const WINDOW_SPAN: f64 = 1.0;
 /// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to
