--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,6 +55,8 @@
 const HOLD_SHARE: f64 = 0.3;
 /// An answer must leave this many ticks before the client's patience ends.
 const LAST_TICKS: f64 = 2.0;
+/// A safe request that may have run is tried this often at most: what two backends cannot do is costly itself.
+const REPEAT_MOST: u32 = 2;
 /// A repeatable attempt is called off after this share of its aim if its backend has answered nothing since
 /// ...
 const TRY_SHARE: f64 = 0.5;
@@ -653,7 +655,7 @@
         (request.stage, request.sent_at, request.hold_until) = (Stage::Out, now, f64::INFINITY);
         request.attempts += 1;
         request.last_backend = Some(name.clone());
-        let again = class.effect == Effect::Safe && request.attempts < self.settings.most_attempts;
+        let again = class.effect == Effect::Safe && request.attempts < REPEAT_MOST;
         if again && self.settings.cancel {
             let limit = (class.aim * TRY_SHARE).max(self.class_latency[request.class] * TRY_LATENCIES);
             request.hold_until = now + limit;
@@ -739,7 +741,8 @@
         let Some(request) = self.requests.get(&id) else { return false };
         let class = &self.settings.classes[request.class];
         let allowed = match (&request.may_have_run, class.effect) {
-            (None, _) | (_, Effect::Safe) => true,
+            (None, _) => true,
+            (_, Effect::Safe) => request.attempts < REPEAT_MOST,
             (Some((sent, _)), Effect::Keyed) => {
                 self.now - sent < class.memory - LAST_TICKS * self.settings.tick
             }
--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -118,3 +118,14 @@
     }));
     assert!(count(&did).is_some());
 }
+
+#[test]
+fn a_safe_request_that_two_backends_left_unanswered_is_not_sent_a_third_time() {
+    let mut door = Door::new(settings(), &["a1", "a2", "a3"]);
+    let at = door.served(1, "c", "plain", "safe");
+    let (_, next) = sent(&door.end(1, 0, &at, Outcome::CalledOff)).expect("one repeat");
+    let did = door.pass(900.0, &[1]);
+    assert!(!did.iter().any(|a| matches!(a, Action::CallOff { .. })), "the repeat is left to finish");
+    let did = door.end(1, 1, &next, Outcome::Broken);
+    assert!(sends(&did) == 0 && refused(&did, 1), "{did:?}");
+}
