--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,7 +55,7 @@
 const HOLD_SHARE: f64 = 0.3;
 /// An answer must leave this many ticks before the client's patience ends.
 const LAST_TICKS: f64 = 2.0;
-/// A safe request that may have run is tried this often at most: what two backends cannot do is costly itself.
+/// A safe request that may have run is tried this often at most: what two backends cannot do is costly.
 const REPEAT_MOST: u32 = 2;
 /// A repeatable attempt is called off after this share of its aim if its backend has answered nothing since
 /// ...
