--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,7 +57,7 @@
 const LAST_TICKS: f64 = 2.0;
 /// A safe request that may have run is tried this often at most: what two backends cannot do is costly.
 const REPEAT_MOST: u32 = 2;
-/// A repeatable attempt is called off after this share of its aim if its backend has answered nothing since
+/// A safe attempt is called off after this share of its aim if its backend has answered nothing since
 /// ...
 const TRY_SHARE: f64 = 0.5;
 /// ... but not before this many times the usual latency: work may just take long.
@@ -845,8 +845,8 @@
         }
     }
 
-    /// No answer: back off, and let the silence rule decide for who waits. An add that may have counted is
-    /// not used; the next total shows it as others' use, so nothing is granted twice.
+    /// No answer: back off, and let the silence rule decide for who waits. A block that may have counted is set
+    /// aside until the next total tells.
     fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
         if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
