--- a/src/logic.rs
+++ b/src/logic.rs
@@ -845,8 +845,8 @@
         }
     }
 
-    /// No answer: back off, and let the silence rule decide for who waits. A block that may have counted is set
-    /// aside until the next total tells.
+    /// No answer: back off, and let the silence rule decide for who waits. A block that may have counted is
+    /// set aside until the next total tells.
     fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
         if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
