Thin customers, many gateways: sampled counts, odds, shedding by late answers; the module simpler

Cause: at hundreds of gateways every try was a counter call, calls timed out, and silence refused all (half of the calls unanswered, 94 of 100 refused with room). Quotas under half a unit a gateway are now thin: their count sums what first tries ask, a try is added by chance as the counter's latency allows and weighs the more, without a total the odds last heard (own, or told by a peer where messages are allowed) decide. Among many gateways choice is a draw, and fresh requests are shed by the share of late answers, those without a total first. Cold backends get their share by chance from the first ms on fleets of any size, also with no warm one left, in place of tokens.

The ceiling's worst case broke in its test once window edges moved: the old start grew with the window's age up to a whole burst. It should also hold against any cause of a crowded or slow counter and of overload. It might hurt where customers of one plan differ most in their use: those never heard of are judged by the plan's odds.

--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -65,8 +65,17 @@
     plan(&mut agenda, 0.0, Event::BackendList(vec![backend.clone()]));
     for id in 1..=8 {
         let (customer, name, class) = ("customer".into(), "basic".into(), "read".into());
-        let arrival =
-            Arrival { id, customer, plan: name, class, units: 1.0, patience: 900.0, first: 0, spread: 1 };
+        let arrival = Arrival {
+            id,
+            customer,
+            plan: name,
+            class,
+            units: 1.0,
+            repeat: false,
+            patience: 900.0,
+            first: 0,
+            spread: 1,
+        };
         plan(&mut agenda, id as Millis * 10.0, Event::Request(arrival));
     }
     let (mut counts, mut attempts) = (BTreeMap::<u64, f64>::new(), BTreeMap::<u64, u32>::new());
@@ -115,7 +124,10 @@
                 }
                 Action::Fail { id } => println!("{now:>5} ms  {id} failed"),
                 Action::Log(line) => println!("{now:>5} ms  log: {line}"),
-                Action::CallOff { .. } | Action::Probe { .. } | Action::WatchBackends => {}
+                Action::CallOff { .. }
+                | Action::Probe { .. }
+                | Action::Tell { .. }
+                | Action::WatchBackends => {}
             }
         }
     }
--- a/simhost/src/settings.rs
+++ b/simhost/src/settings.rs
@@ -75,6 +75,7 @@
         most_units: extra.number("units-top")?,
         reports,
         probes: permissions.flag("probes")?,
+        peers: permissions.flag("peers")?,
         cancel: permissions.flag("may-cancel")?,
         list_on_request: top.text("discovery")? == "on_request",
         most_attempts: permissions.count("most-tries")?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,6 +114,8 @@
     pub reports: Reports,
     /// Whether probes are allowed.
     pub probes: bool,
+    /// Whether gateways may send each other messages.
+    pub peers: bool,
     /// Whether attempts may be called off.
     pub cancel: bool,
     /// Whether the list must be asked for.
@@ -239,6 +241,8 @@
     pub class: Name,
     /// The units it draws, or a guess of them.
     pub units: f64,
+    /// Whether the client marks it as a repeat of an earlier try.
+    pub repeat: bool,
     /// How long until the client gives up.
     pub patience: Millis,
     /// The number of the first gateway of the customer's set; the others follow in a row, counted round.
@@ -377,6 +381,11 @@
         /// How long a new name is kept.
         keep: Millis,
     },
+    /// Send a message to all other gateways.
+    Tell {
+        /// What it says.
+        bytes: Vec<u8>,
+    },
     /// Ask for changes to the list of backends from now on.
     WatchBackends,
     /// Write a line to the log.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //!     started: None };
 //! gateway.handle(0.0, Event::BackendList(vec![backend]), &mut actions);
 //! gateway.handle(1.0, Event::Request(Arrival { id: 1, customer: "c".into(), plan: "basic".into(),
-//!     class: "read".into(), units: 1.0, patience: 900.0, first: 0, spread: 1 }), &mut actions);
+//!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1 }), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
 //! # Ok::<(), doorcourse::SettingsError>(())
 //! ```
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,105 +1,105 @@
 //! All decisions of a gateway. Its interface (settings, events, actions) is in `src/interface.rs`.
 //!
 //! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count),
-//! its customer's open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its
-//! aim.
+//! its open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
 
 use crate::check::check;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
-// ---- Quotas ----
-/// Windows last this many times burst over rate: longer ones tell a newly come gateway less of what is left,
-/// shorter ones end more blocks unspent.
-const WINDOW_SPAN: f64 = 1.0;
-/// A block holds the demand of this share of burst over rate: long enough to save calls, short enough to
-/// move.
+// ---- Quotas (a turn is burst over rate: the time in which a quota turns over once) ----
+/// A block holds the demand of this share of a turn; one unused for as long goes back, so that others can use
+/// it, and what is owed is told without a block once it is this share of the burst.
 const BLOCK_SHARE: f64 = 0.15;
-/// A block takes at most this share of what is left, split over the customer's gateways ...
+/// A block takes at most this share of what is left, split over the customer's gateways, or an even part of
+/// all that is left above this share of the burst: while there is plenty, blocks are large.
 const NEAR_SHARE: f64 = 0.5;
-/// ... or an even part of all that is left above this share of the burst: while there is plenty, blocks are
-/// large.
-const PLENTY_SHARE: f64 = 0.5;
 /// A block is renewed when less than this share of it is left.
 const RENEW_SHARE: f64 = 0.4;
-/// Demand is smoothed over this share of burst over rate.
+/// Demand is smoothed over this share of a turn.
 const DEMAND_SHARE: f64 = 0.5;
-/// A block unused for this share of burst over rate goes back to the count, so that others can use it.
-const IDLE_SHARE: f64 = 0.15;
-/// What is owed to the count or back from it is told without a block once it is this share of the burst.
-const OWED_SHARE: f64 = 0.15;
 /// A plan without a rate is remembered as if its quota turned over in this many ms.
 const RATELESS_TURN: Millis = 1000.0;
 /// A request waits for its block at most this share of its aim.
 const BLOCK_WAIT: f64 = 0.12;
-/// Under a ceiling a gateway that knows nothing of a customer starts with this share of its burst (the
-/// ceiling arithmetic is at `Customer::start_of`).
+/// Under a ceiling an unknown customer starts with this share of its burst (see `Customer::start_of`).
 const CEILING_START: f64 = 0.5;
-/// The counter counts as silent when it has answered nothing for this many time-outs: one call may just be
-/// late.
+/// The counter counts as silent after this many time-outs without an answer: one call may just be late.
 const SILENT_AFTER: f64 = 3.0;
-/// After a silent call the counter is left alone for as many time-outs as it was silent, up to this many.
-const QUIET_MOST: f64 = 16.0;
-/// The most counter calls out at once from one gateway, so that a crowded counter is not crowded further.
+/// The most counter calls out at once from one gateway while the counter is at ease.
 const CALLS_MOST: f64 = 12.0;
-/// An answer lets this many more out again after a silent call has halved them.
-const CALLS_GROW: f64 = 0.1;
-/// A customer idle for this many turns has a full store again: forgetting it loses nothing ...
+/// Counter calls should be answered within this share of their time-out: slower, and fewer are made.
+const EASE_SHARE: f64 = 0.3;
+/// By how much an instant answer raises the share of calls made; a late one lowers it by up to twice that.
+const EASE_STEP: f64 = 0.2;
+/// The least share of calls still made: who never asks never learns that the counter is back.
+const EASE_LEAST: f64 = 0.1;
+/// All first tries of thin customers are asked about at 1, all repeats of clients at this.
+const EASE_MOST: f64 = 2.0;
+/// A customer is thin where its burst leaves each of its gateways less than this part of a unit: a block in
+/// hand everywhere would be its whole quota many times over.
+const THIN: f64 = 0.5;
+/// What a thin customer's window grants at once, as a share of the burst; the rest comes with the rate.
+const THIN_START: f64 = 0.75;
+/// How far a thin customer is beyond its quota is told by what the rate and this share of the burst grant ...
+const THIN_ODDS: f64 = 0.25;
+/// ... and fades over this many turns.
+const THIN_FADE: f64 = 4.0;
+/// Gateways that may talk tell of customers of whom less than this share fits, and again when it falls so.
+const THIN_NEWS: f64 = 0.7;
+/// A customer idle for this many turns has a full store again: it and its count are forgotten, which loses
+/// nothing and bounds the memory when many are seen once.
 const IDLE_TURNS: f64 = 2.0;
-/// ... and for this many once there are too many: guards the memory against scans.
-const CROWDED_TURNS: f64 = 0.25;
-const CUSTOMERS_MOST: usize = 20_000;
+/// No count and no word of a customer is kept for more than this many ms.
+const KEEP_MOST: Millis = 60_000.0;
 
 // ---- Requests ----
-/// A request is held (for a block, for its open cap, for a backend with room) at most this share of its aim.
+/// A request is held (for its open cap, for a backend with room) at most this share of its aim.
 const HOLD_SHARE: f64 = 0.3;
 /// An answer must leave this many ticks before the client's patience ends.
 const LAST_TICKS: f64 = 2.0;
 /// A safe request that may have run is tried this often at most: what two backends cannot do is costly.
 const REPEAT_MOST: u32 = 2;
-/// A safe attempt is called off after this share of its aim if its backend has answered nothing since ...
-const TRY_SHARE: f64 = 0.5;
-/// ... but not before this many times the usual latency: work may just take long.
-const TRY_LATENCIES: f64 = 4.0;
 
 // ---- Backends ----
-/// Weight of the newest latency in a backend's smoothed slowness.
-const SLOW_WEIGHT: f64 = 0.1;
+/// Weight of the newest answer in the share of late ones, and of the newest first total in a plan's odds.
+const NEWEST: f64 = 0.1;
 /// Weight of the newest latency in the usual latency of its class.
 const USUAL_WEIGHT: f64 = 0.02;
+/// A failure is a late answer if it took this many times the usual latency.
+const LATE_LATENCIES: f64 = 4.0;
 /// What all gateways together keep out at one backend at first; it then follows the latencies seen.
 const ROOM_FIRST: f64 = 3.5;
-/// The share of the aim within which answers should come; the rest is for the way, for holding and for bad
-/// luck.
+/// Answers should come within this share of the aim; the rest is for the way, for holding, for bad luck.
 const ROOM_SHARE: f64 = 0.6;
 /// The share of answers that may come later than that: fewer and room grows, more and it shrinks.
 const ROOM_LATE: f64 = 0.1;
 /// By how much one answer moves room: a late one by nine tenths of this, one in time by a tenth.
 const ROOM_STEP: f64 = 0.12;
-/// The least and the most room at one backend for one gateway; below 1 the sum over all backends still binds.
+/// The least room at one backend for one gateway: the sum over all backends still binds.
 const ROOM_LEAST: f64 = 0.2;
-const ROOM_MOST: f64 = 64.0;
-/// Failures in a row, with no answer between, that eject a backend.
-const EJECT_AFTER: u32 = 2;
-/// An ejected backend is tried again after this share of the cold time for each failure in a row ...
-const EJECT_FIRST: f64 = 0.02;
-/// ... up to this share.
-const EJECT_MOST: f64 = 0.3;
+/// Late answers beyond `ROOM_LATE` turn away this many times their share of the fresh requests, never all;
+/// those let in without a total as if they were worth `BLIND_RANK` times less.
+const TAKE_SLOPE: f64 = 5.0;
+const TAKE_LEAST: f64 = 0.05;
+const BLIND_RANK: f64 = 8.0;
+/// A backend that failed is tried again after this share of the cold time for each failure in a row ...
+const EJECT_SHARE: f64 = 0.02;
+/// ... and the log tells of it at this many.
+const EJECT_TOLD: u32 = 2;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 const ZONE_BIAS: f64 = 5.0;
-/// A cold backend gets this multiple of its present share of what a warm one gets. Warm backends are not sent
-/// more than they can do, so all gateways together send a cold one less than the multiple that fells it.
+/// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
+/// more than they can do, so all gateways together stay under the multiple that fells it.
 const COLD_MULTIPLE: f64 = 0.8;
 /// Time between housekeeping rounds, in ms: short beside any aim.
 const SWEEP: Millis = 25.0;
-
 const SWEEP_TOKEN: u64 = 1;
 
 fn hash(text: &str) -> u64 {
     mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
 }
 
-/// A number from 0 to 1 made of another.
 fn unit(x: u64) -> f64 {
     (mix(x) >> 11) as f64 / (1u64 << 53) as f64
 }
@@ -119,37 +119,18 @@
     out: u32,
     /// How many this gateway keeps out here at most.
     room: f64,
-    /// Latency over the usual latency of its class, smoothed.
-    slow: f64,
-    /// When it last answered, or was first sent something after being idle.
-    heard: Millis,
     failures: u32,
     eject_until: Millis,
-    /// Sends that a cold backend may still be given.
-    cold_tokens: f64,
 }
 
 impl Backend {
-    fn new(entry: &BackendEntry, out: u32, settings: &Settings) -> Self {
-        Self {
-            zone: entry.zone.clone(),
-            cell: entry.cell,
-            ready: entry.state == BackendState::Ready,
-            started: entry.started,
-            out,
-            room: ROOM_FIRST / f64::from(settings.gateways),
-            slow: 1.0,
-            ..Self::default()
-        }
-    }
-
     /// Bounds what is out so that most answers keep to their aim: room follows the share of late answers.
     /// Guards against overload of any cause; it needs no figure of the backend's size.
     fn note_latency(&mut self, late: bool) {
         let used = f64::from(self.out) + 1.0 >= self.room.floor();
         if late || used {
             let step = ROOM_STEP * (ROOM_LATE - f64::from(u8::from(late)));
-            self.room = (self.room * (1.0 + step)).clamp(ROOM_LEAST, ROOM_MOST);
+            self.room = (self.room * (1.0 + step)).max(ROOM_LEAST);
         }
     }
 
@@ -160,20 +141,14 @@
         settings.cold_share + (1.0 - settings.cold_share) * age
     }
 
-    /// Passive ejection: guards against dead and stalled backends, which show in outcomes long before the
-    /// list. One that comes back is tried with one request at a time until it answers.
-    fn ejected(&self, now: Millis) -> bool {
-        now < self.eject_until || self.failures >= EJECT_AFTER && self.out > 0
-    }
-
-    /// After one failure nothing is sent for as long again as it took: where calling off stops no work, what
-    /// was given up still has to be worked through.
+    /// Guards against dead and stalled backends, which show in outcomes long before the list does: nothing
+    /// is sent for as long again as the failure took, where calling off stops no work what was given
+    /// up still has to be worked through, and longer with each failure in a row.
     fn failed(&mut self, now: Millis, latency: Millis, settings: &Settings) -> bool {
         self.failures += 1;
-        let longer = settings.cold_time * (EJECT_FIRST * f64::from(self.failures)).min(EJECT_MOST);
-        let pause = if self.failures < EJECT_AFTER { latency } else { latency.max(longer) };
-        self.eject_until = now + pause;
-        self.failures == EJECT_AFTER
+        let share = EJECT_SHARE * f64::from(self.failures);
+        self.eject_until = now + latency.max(settings.cold_time * share);
+        self.failures == EJECT_TOLD
     }
 }
 
@@ -182,27 +157,23 @@
 struct Customer {
     plan: usize,
     spread: f64,
-    /// This gateway's place in the customer's set.
     place: u32,
     salt: u64,
     window: u64,
     /// Units of the block in hand; they end with the window.
     lease: f64,
-    /// What this gateway has added to the window's count, less what it gave back.
+    /// What this gateway has added to the window's count in all, and the last total heard of it.
     added: f64,
-    /// The count's last total heard in this window.
     seen: f64,
     /// What the customer's store holds by all totals heard; between them it fills at the rate.
     store: f64,
     store_at: Millis,
     known: bool,
     heard: Millis,
-    /// Used but not yet added (settled units, use in silence), or to be given back (negative).
+    /// Used but not yet added, or to be given back (negative).
     owed: f64,
-    /// The call that is out: its window, block, and what was owed.
+    /// The call out: its window, block, and what was owed.
     call: Option<(u64, f64, f64)>,
-    /// Blocks of calls without an answer: they may have counted.
-    lost: f64,
     waiting: VecDeque<RequestId>,
     demand: f64,
     demand_at: Millis,
@@ -219,29 +190,31 @@
         if plan.ceiling_rate > 0.0 { plan.burst * CEILING_START } else { plan.burst }
     }
 
-    /// Burst over rate: the time in which the quota turns over once.
     fn turn(plan: &Plan) -> Millis {
         if plan.rate > 0.0 { plan.burst / plan.rate * 1000.0 } else { RATELESS_TURN }
     }
 
-    /// The number of the window at a time, and when it began. Edges are staggered by the customer's hash, so
-    /// that the customers do not all renew at once.
+    /// Whether the quota is too small for blocks at each gateway; chance decides then, but under no ceiling.
+    fn thin(&self, plan: &Plan) -> bool {
+        plan.rate > 0.0 && plan.ceiling_rate <= 0.0 && plan.burst < THIN * self.spread
+    }
+
+    /// The number of a window and when it began, staggered by hash: customers do not all renew at once.
     fn window_at(&self, now: Millis, plan: &Plan) -> (u64, Millis) {
-        let length = Self::turn(plan) * WINDOW_SPAN;
+        let length = Self::turn(plan);
         let shift = (self.salt % 1024) as f64 / 1024.0 * length;
         let number = ((now + shift) / length).floor();
         (number as u64, number * length - shift)
     }
 
-    /// Fills the store and moves to the present window: blocks end with theirs. What was left of the own
-    /// block was never used.
+    /// Fills the store and moves to the present window: blocks end with theirs, unused.
     fn roll(&mut self, now: Millis, plan: &Plan) {
         self.store = (self.store + plan.rate * (now - self.store_at) / 1000.0).min(plan.burst);
         self.store_at = now;
         let (window, _) = self.window_at(now, plan);
         if window != self.window {
             self.store = (self.store + self.lease).min(plan.burst);
-            (self.window, self.lease, self.added, self.seen, self.lost) = (window, 0.0, 0.0, 0.0, 0.0);
+            (self.window, self.lease, self.added, self.seen) = (window, 0.0, 0.0, 0.0);
         }
     }
 
@@ -254,24 +227,21 @@
     /// The block wanted now: an even part while there is plenty (so the first is burst over gateways), else
     /// smoothed demand; near the total it falls to what waits.
     fn block(&self, need: f64, plan: &Plan) -> f64 {
-        let plenty = (self.store - plan.burst * PLENTY_SHARE) / self.spread;
+        let plenty = (self.store - plan.burst * NEAR_SHARE) / self.spread;
         let want =
             if self.known { self.demand_block(plan).max(plenty.ceil()) } else { plan.burst / self.spread };
         need.max(want.floor()).max(0.0)
     }
 
-    /// Spends from the even slice: the silence rule. The slice starts from the customer's store as last
-    /// known.
+    /// Spends from the even slice, which starts from the store as last known: the silence rule.
     fn spend_slice(&mut self, units: f64, now: Millis, plan: &Plan) -> bool {
         let (held, at) = self.slice.unwrap_or((self.store.max(0.0) / self.spread, now));
         let filled = held + plan.rate * (now - at) / 1000.0 / self.spread;
         let held = filled.min((plan.burst / self.spread).max(units));
         let fits = held >= units;
-        self.slice = Some((if fits { held - units } else { held }, now));
-        if fits {
-            self.owed += units;
-            self.store -= units;
-        }
+        let used = if fits { units } else { 0.0 };
+        self.slice = Some((held - used, now));
+        (self.owed, self.store) = (self.owed + used, self.store - used);
         fits
     }
 }
@@ -290,17 +260,16 @@
     plan: usize,
     class: usize,
     units: f64,
+    /// Let in without a total of its customer; the client has asked for the same before.
+    blind: bool,
+    repeat: bool,
     arrived: Millis,
     deadline: Millis,
     hold_until: Millis,
     stage: Stage,
     attempts: u32,
-    /// Units were taken from the customer's lease for it.
-    paid: bool,
-    /// When the first attempt that may have run was sent, and where.
     may_have_run: Option<(Millis, Name)>,
     sent_at: Millis,
-    last_backend: Option<Name>,
 }
 
 /// One gateway: build it from settings and a seed, then feed it events.
@@ -314,13 +283,18 @@
     requests: BTreeMap<RequestId, Request>,
     queue: VecDeque<RequestId>,
     calls: BTreeMap<u64, Name>,
-    calls_most: f64,
+    /// The share of the calls wanted that the counter can bear, by how fast it answers.
+    ease: f64,
+    /// The share of first totals with room left, for each plan: of first tries, and of clients' repeats.
+    plan_odds: Vec<[f64; 2]>,
+    /// Of thin customers: the share of tries that fits and when that was heard, here or by another gateway.
+    told: BTreeMap<u64, (f64, Millis)>,
     silences: u32,
-    quiet_until: Millis,
     back_at: Millis,
     counter_heard: Millis,
     told_silent: bool,
     class_latency: Vec<f64>,
+    late: f64,
     sweeping: bool,
 }
 
@@ -332,14 +306,14 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
         let class_latency = vec![0.0; settings.classes.len()];
-        Ok(Self { settings, random: mix(seed | 1), calls_most: CALLS_MOST, class_latency, ..Self::default() })
+        let plan_odds = vec![[1.0, 0.0]; settings.plans.len()];
+        Ok(Self { settings, random: mix(seed | 1), ease: 1.0, plan_odds, class_latency, ..Self::default() })
     }
 
     /// Takes one event at a time and appends what the host is to do.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if !self.sweeping {
-            self.sweeping = true;
+        if !std::mem::replace(&mut self.sweeping, true) {
             out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
             if self.settings.list_on_request {
                 out.push(Action::WatchBackends);
@@ -350,9 +324,6 @@
             Event::BackendChanges(list) => self.on_list(list, false, out),
             Event::BackendListFailed => out.push(Action::WatchBackends),
             Event::Request(arrival) => self.on_request(arrival, out),
-            Event::StreamStarted { id } => {
-                self.requests.entry(id).and_modify(|r| r.hold_until = f64::INFINITY);
-            }
             Event::AttemptEnded(end) => {
                 self.on_backend(&end, out);
                 self.on_attempt(end, out);
@@ -361,11 +332,33 @@
             Event::ClientLeft { id } => self.forget(id),
             Event::Timer { token: SWEEP_TOKEN } => self.on_sweep(out),
             Event::Timer { token } => self.on_hold_over(token / 2, out),
-            Event::Counted { name, outcome, .. } => self.on_counted(name, outcome, out),
-            Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
+            Event::Counted { name, outcome, latency } => self.on_counted(name, outcome, latency, out),
+            Event::PeerMessage { bytes, .. } => self.on_told(&bytes),
+            Event::StreamStarted { .. } | Event::ProbeEnded { .. } => {}
         }
     }
 
+    /// Whether each gateway sees too little of a backend: choice goes by chance then, and the fleet's state
+    /// shows in all answers together.
+    fn many(&self) -> bool {
+        ROOM_FIRST < ROOM_LEAST * f64::from(self.settings.gateways)
+    }
+
+    /// Guards a large fleet against overload of any cause: the more answers are late, the fewer fresh
+    /// requests are taken, those worth less first.
+    fn take(&self) -> f64 {
+        (1.0 - TAKE_SLOPE * (self.late - ROOM_LATE)).clamp(TAKE_LEAST, 1.0)
+    }
+
+    fn taken(&mut self, class: usize, blind: bool) -> bool {
+        self.late *= 1.0 - NEWEST * NEWEST;
+        let classes = &self.settings.classes;
+        let mean = classes.iter().map(|c| c.worth).sum::<f64>() / classes.len() as f64;
+        let rank = mean / classes[class].worth.max(1e-9) * if blind { BLIND_RANK } else { 1.0 };
+        let share = self.take().powf(rank);
+        !self.many() || self.chance() < share
+    }
+
     fn chance(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
         unit(self.random)
@@ -378,16 +371,16 @@
             self.backends.values_mut().for_each(|b| b.ready = false);
         }
         for entry in list {
-            match self.backends.get_mut(&entry.name) {
-                Some(known) if known.started == entry.started => {
-                    known.ready = entry.state == BackendState::Ready
-                }
-                known => {
-                    let out_now = known.map_or(0, |b| b.out);
-                    let fresh = Backend::new(&entry, out_now, &self.settings);
-                    self.backends.insert(entry.name, fresh);
-                }
+            let (ready, known) = (entry.state == BackendState::Ready, self.backends.get_mut(&entry.name));
+            let out = known.as_ref().map_or(0, |b| b.out);
+            if let Some(known) = known.filter(|b| b.started == entry.started) {
+                known.ready = ready;
+                continue;
             }
+            let room = ROOM_FIRST / f64::from(self.settings.gateways);
+            let BackendEntry { name, zone, cell, started, .. } = entry;
+            self.backends
+                .insert(name, Backend { zone, cell, ready, started, out, room, ..Default::default() });
         }
         self.drain_queue(out);
     }
@@ -404,16 +397,11 @@
         let now = self.now;
         let units = if arrival.units.is_finite() { arrival.units.max(0.0) } else { 1.0 };
         let (arrived, deadline) = (now, now + arrival.patience);
-        let request =
-            Request { customer: name.clone(), plan, class, units, arrived, deadline, ..Request::default() };
-        self.requests.insert(id, request);
-        let customer = self.customers.entry(name.clone()).or_insert_with(|| Customer {
-            plan,
-            salt: hash(&name),
-            store: Customer::start_of(&self.settings.plans[plan]),
-            store_at: now,
-            demand_at: now,
-            ..Customer::default()
+        let (customer, repeat, rest) = (name.clone(), arrival.repeat, Request::default());
+        self.requests.insert(id, Request { customer, plan, class, units, repeat, arrived, deadline, ..rest });
+        let customer = self.customers.entry(name.clone()).or_insert_with(|| {
+            let (salt, store) = (hash(&name) >> 8, Customer::start_of(&self.settings.plans[plan]));
+            Customer { plan, salt, store, store_at: now, demand_at: now, ..Customer::default() }
         });
         let gateways = self.settings.gateways;
         customer.spread = f64::from(arrival.spread.clamp(1, gateways));
@@ -432,7 +420,7 @@
     }
 
     /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are
-    /// spent. True when the request has to wait for a block.
+    /// spent. True when the request has to wait.
     fn admit(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let (now, silent) = (self.now, self.counter_silent());
         let Some(request) = self.requests.get(&id) else { return false };
@@ -442,31 +430,110 @@
         customer.roll(now, plan);
         let left = customer.store + customer.lease;
         if plan.rate <= 0.0 {
-            self.admitted(id, out);
+            self.place(id, out);
+        } else if customer.thin(plan) {
+            return self.admit_thin(id, out);
         } else if customer.waiting.is_empty() && customer.lease >= units {
             customer.lease -= units;
             let target = customer.demand_block(plan);
             if !silent && target >= 1.0 && customer.lease < target * RENEW_SHARE {
                 self.ask(&name, out);
             }
-            self.admitted(id, out);
+            self.place(id, out);
         } else if silent {
             self.by_slice(id, out);
-            if now >= self.quiet_until && self.calls.is_empty() {
+            if self.calls.is_empty() && self.chance() < self.ease {
                 self.ask(&name, out);
             }
         } else if customer.known && left < units {
-            let rate = plan.rate;
-            self.over_quota(id, units - left, rate, out);
+            self.over_quota(id, units - left, plan.rate, out);
         } else {
-            let until = request.arrived + self.settings.classes[request.class].aim * BLOCK_WAIT;
-            customer.waiting.push_back(id);
-            self.hold(id, Stage::Block, until, out);
-            return true;
+            return self.wait_for_total(id, out);
+        }
+        false
+    }
+
+    fn wait_for_total(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return false };
+        customer.waiting.push_back(id);
+        let until = request.arrived + self.settings.classes[request.class].aim * BLOCK_WAIT;
+        self.hold(id, Stage::Block, until, out);
+        true
+    }
+
+    /// The gate of a thin customer. Its count sums what is asked: a try is added by chance, as far as the
+    /// counter bears, and weighs the more; without an add the odds last heard decide.
+    fn admit_thin(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let chance = self.chance();
+        let Some(request) = self.requests.get(&id) else { return false };
+        let wanted = if request.repeat { self.ease - 1.0 } else { self.ease };
+        let calls = self.settings.counter && chance < wanted;
+        let Some(customer) = self.customers.get(&request.customer) else { return false };
+        if calls && customer.call.is_none() {
+            return self.wait_for_total(id, out);
         }
+        self.by_odds(id, out);
         false
     }
 
+    /// Decides for a thin customer's try without a total: by the odds last heard, fading to its plan's. Of
+    /// an unknown customer all is let in while that gains more than it costs.
+    fn by_odds(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let chance = self.chance();
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(customer) = self.customers.get(&request.customer) else { return };
+        let plan = &self.settings.plans[customer.plan];
+        let usual = self.plan_odds[customer.plan][usize::from(request.repeat)];
+        let pays = usual > (1.0 - usual) * (plan.over_cost - plan.over_worth);
+        let usual = if pays { 1.0 } else { usual };
+        let (odds, at) = self.told.get(&customer.salt).copied().unwrap_or_default();
+        let age = (self.now - at) / Customer::turn(plan);
+        if chance < usual + (-age / THIN_FADE).exp() * (odds - usual) {
+            self.requests.entry(id).and_modify(|r| r.blind = true);
+            return self.place(id, out);
+        }
+        self.over_quota(id, request.units, plan.rate, out);
+    }
+
+    /// A thin customer's total came: what is asked fits as far as the window has granted by now.
+    fn granted_thin(&mut self, name: &Name, mut asked: f64, block: f64, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(customer) = self.customers.get_mut(name) else { return };
+        let plan = &self.settings.plans[customer.plan];
+        let (rate, turn) = (plan.rate, Customer::turn(plan));
+        let since = rate * (now - customer.window_at(now, plan).1) / 1000.0;
+        // A try that weighs more than itself stands for others by chance: one such is let by.
+        let luck = (block - block * self.ease.min(1.0)).max(0.0);
+        let granted = (plan.burst * THIN_START + since).min(plan.burst) + luck;
+        let even = (plan.burst * THIN_ODDS + since + luck) / (asked + block);
+        let odds = if asked + block > granted { even.min(1.0) } else { 1.0 };
+        let (told, at) = self.told.insert(customer.salt, (odds, now)).unwrap_or((1.0, f64::NEG_INFINITY));
+        if self.settings.peers && odds < THIN_NEWS && (odds < told * THIN_NEWS || now > at + turn) {
+            let mut bytes = customer.salt.to_le_bytes();
+            bytes[7] = (odds * 255.0) as u8;
+            out.push(Action::Tell { bytes: bytes.to_vec() });
+        }
+        let waiting = std::mem::take(&mut customer.waiting);
+        if !std::mem::replace(&mut customer.known, true) {
+            let repeat = waiting.iter().any(|id| self.requests.get(id).is_some_and(|r| r.repeat));
+            let usual = &mut self.plan_odds[customer.plan][usize::from(repeat)];
+            *usual += NEWEST * (f64::from(u8::from(asked < granted)) - *usual);
+        }
+        for id in waiting {
+            asked += self.requests.get(&id).filter(|r| !r.repeat).map_or(0.0, |r| r.units);
+            let over = asked - granted;
+            if over <= 0.0 { self.place(id, out) } else { self.over_quota(id, over, rate, out) }
+        }
+    }
+
+    /// Another gateway found a customer beyond its quota.
+    fn on_told(&mut self, bytes: &[u8]) {
+        let Ok(mut bytes) = <[u8; 8]>::try_from(bytes) else { return };
+        let odds = f64::from(std::mem::take(&mut bytes[7])) / 255.0;
+        self.told.insert(u64::from_le_bytes(bytes), (odds, self.now));
+    }
+
     fn over_quota(&mut self, id: RequestId, short: f64, rate: f64, out: &mut Vec<Action>) {
         let wait = short / rate.max(1e-9) * 1000.0 * (1.0 + 0.5 * self.chance());
         self.refuse(id, wait, out);
@@ -480,27 +547,25 @@
         out.push(Action::SetTimer { after, token: id * 2 });
     }
 
-    fn admitted(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        request.paid = true;
-        self.place(id, out);
-    }
-
     /// Sends a request on, or has it wait in line: those worth more first. Refuses early in overload: a line
     /// longer than what is out would not be served in time.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.stage = Stage::Queue;
+        let (fresh, class, blind) = (request.attempts == 0, request.class, request.blind);
+        if fresh && !self.taken(class, blind) {
+            return self.give_up(id, out);
+        }
         if self.dispatch(id, out) {
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
-        let fresh = request.attempts == 0;
-        let worth = |r: &Request| self.settings.classes[r.class].worth;
         let hold = self.settings.classes[request.class].aim * HOLD_SHARE;
         let until = if fresh { request.arrived } else { self.now } + hold;
-        let line = self.queue.iter().filter(|q| self.open_allowed(**q)).count();
-        if until <= self.now || fresh && line as f64 >= self.room().max(1.0) {
+        if until <= self.now || fresh && self.queue.len() as f64 >= self.room().max(1.0) {
             return self.give_up(id, out);
         }
+        let worth = |r: &Request| self.settings.classes[r.class].worth;
         let less = |q: &RequestId| self.requests.get(q).is_some_and(|r| worth(r) < worth(request));
         let at = self.queue.iter().position(less).unwrap_or(self.queue.len());
         self.queue.insert(at, id);
@@ -517,29 +582,15 @@
 
     fn on_hold_over(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        if self.now + 1e-6 < request.hold_until {
-            return;
-        }
+        let over = self.now + 1e-6 >= request.hold_until;
         match request.stage {
-            Stage::Queue => self.give_up(id, out),
-            Stage::Block => self.by_slice(id, out),
-            Stage::Out => self.call_off_if_silent(id, out),
+            Stage::Queue if over => self.give_up(id, out),
+            Stage::Block if over => self.by_slice(id, out),
+            _ => {}
         }
     }
 
-    /// Guards against stalled and dead backends: an attempt is called off when its backend has answered
-    /// nothing at all since it was sent. A backend that answers others is only busy, and calling off would
-    /// add work.
-    fn call_off_if_silent(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let backend = request.last_backend.as_ref().and_then(|name| self.backends.get(name));
-        if backend.is_some_and(|b| b.heard <= request.sent_at) && self.may_try_again(id) {
-            out.push(Action::CallOff { id, attempt: request.attempts - 1 });
-        }
-    }
-
-    /// The one final answer of a request that gets no further attempt: refused where that is true and
-    /// allowed.
+    /// The one final answer of a request that gets no further attempt: refused where that is harmless.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let class = &self.settings.classes[request.class];
@@ -567,68 +618,68 @@
         match request.stage {
             Stage::Block => customer.waiting.retain(|w| *w != id),
             Stage::Out => customer.open = customer.open.saturating_sub(1),
+            Stage::Queue if request.attempts == 0 => customer.lease += request.units,
             Stage::Queue => {}
         }
-        if request.paid && request.attempts == 0 {
-            customer.lease += request.units;
-        }
     }
 
-    // ---- Attempts ----
-
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let chosen = if self.open_allowed(id) { self.pick(id) } else { None };
         let Some(name) = chosen else { return false };
-        self.send(id, name, out);
+        let (request, backend) = (self.requests.get_mut(&id), self.backends.get_mut(&name));
+        let (Some(request), Some(backend)) = (request, backend) else { return false };
+        backend.out += 1;
+        if let Some(customer) = self.customers.get_mut(&request.customer) {
+            customer.open += 1;
+        }
+        (request.stage, request.sent_at, request.attempts) = (Stage::Out, self.now, request.attempts + 1);
+        out.push(Action::Send { id, backend: name, timeout: None });
         true
     }
 
     /// The open cap, shared evenly: the gateways first in the customer's set take what does not divide.
     fn open_allowed(&self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let cap = self.settings.plans[request.plan].open;
         let Some(customer) = self.customers.get(&request.customer) else { return true };
+        let cap = self.settings.plans[request.plan].open;
         let (spread, place) = (customer.spread as u32, customer.place);
         cap == 0 || customer.open < (cap / spread + u32::from(place < cap % spread)).max(1)
     }
 
-    /// What this gateway keeps out at all backends together.
     fn room(&self) -> f64 {
         self.backends.values().filter(|b| b.ready).map(|b| b.room).sum()
     }
 
-    /// The backend that should answer first: few requests there, quick answers, not silent for long.
+    /// The backend that should answer first: the one with the fewest requests of this gateway, near if equal.
     fn pick(&mut self, id: RequestId) -> Option<Name> {
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
         let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
         let home = tied.and_then(|(_, home)| self.backends.get(home));
-        let usual = self.class_latency[request.class].max(1.0);
         let out: f64 = self.backends.values().map(|b| f64::from(b.out)).sum();
         if out >= self.room().max(1.0) {
             return None;
         }
-        let mean_out = out / self.backends.values().filter(|b| b.ready).count().max(1) as f64;
-        let peers = f64::from(self.settings.gateways) - 1.0;
-        let salt = self.random;
+        let ready = self.backends.values().filter(|b| b.ready).count().max(1) as f64;
+        let (salt, far) = (self.random, 1.0 + self.settings.price_cross_zone * ZONE_BIAS);
         let mut best: Option<(f64, &Name)> = None;
         for (name, backend) in &self.backends {
-            let in_group = home.is_none_or(|home| match class.group {
-                Group::All => true,
-                Group::Zone => home.zone == backend.zone,
-                Group::Cell => home.cell == backend.cell,
-            });
+            let (group, zone, cell) = (class.group, &backend.zone, backend.cell);
+            let same = |h: &Backend| if group == Group::Zone { h.zone == *zone } else { h.cell == cell };
+            let in_group = group == Group::All || home.is_none_or(same);
             let full = f64::from(backend.out) >= backend.room.ceil();
-            let cold = backend.warmth(self.now, &self.settings) < 1.0 && backend.cold_tokens < 1.0;
-            if !backend.ready || !in_group || full || cold || backend.ejected(self.now) {
+            let luck = unit(salt ^ hash(name));
+            let warmth = backend.warmth(self.now, &self.settings);
+            // The cold budget: by chance its share of an even part, from the first ms. Guards cold backends
+            // with no agreement and no warm backend.
+            let cold = warmth < 1.0 && luck * ready >= warmth * COLD_MULTIPLE * self.take();
+            if !backend.ready || !in_group || full || cold || self.now < backend.eject_until {
                 continue;
             }
-            let silence = if backend.out > 0 { (self.now - backend.heard) / usual } else { 0.0 };
-            let away = if backend.zone == self.settings.zone { 0.0 } else { self.settings.price_cross_zone };
-            let again = if request.last_backend.as_ref() == Some(name) { 4.0 } else { 1.0 };
-            let jitter = 1.0 + 0.1 * unit(salt ^ hash(name));
-            let load = 1.0 + f64::from(backend.out) + mean_out * peers;
-            let score = backend.slow.max(silence) * load * (1.0 + away * ZONE_BIAS) * again * jitter;
+            // Among many, a draw by weight: no two gateways follow the same order.
+            let draw = if self.many() { -luck.max(1e-12).ln() } else { 1.0 + 0.1 * luck };
+            let far = if *zone == self.settings.zone { 1.0 } else { far };
+            let score = if warmth < 1.0 { 0.0 } else { (1.0 + f64::from(backend.out)) * far * draw };
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, name));
             }
@@ -638,78 +689,31 @@
         chosen
     }
 
-    fn send(&mut self, id: RequestId, name: Name, out: &mut Vec<Action>) {
-        let now = self.now;
-        self.share_with_cold(&name);
-        let (request, backend) = (self.requests.get_mut(&id), self.backends.get_mut(&name));
-        let (Some(request), Some(backend)) = (request, backend) else { return };
-        if backend.out == 0 {
-            backend.heard = now;
-        }
-        backend.out += 1;
-        if let Some(customer) = self.customers.get_mut(&request.customer) {
-            customer.open += 1;
-        }
-        let class = &self.settings.classes[request.class];
-        (request.stage, request.sent_at, request.hold_until) = (Stage::Out, now, f64::INFINITY);
-        request.attempts += 1;
-        request.last_backend = Some(name.clone());
-        let again = class.effect == Effect::Safe && request.attempts < REPEAT_MOST;
-        if again && self.settings.cancel {
-            let limit = (class.aim * TRY_SHARE).max(self.class_latency[request.class] * TRY_LATENCIES);
-            self.hold(id, Stage::Out, now + limit, out);
-        }
-        out.push(Action::Send { id, backend: name, timeout: None });
-    }
-
-    /// The cold budget: for each send to a warm backend, each cold one earns its share of a warm one's work.
-    /// Needs no agreement: every gateway keeps to it on its own, in every window, from the first ms.
-    fn share_with_cold(&mut self, name: &Name) {
-        let (now, settings) = (self.now, &self.settings);
-        let warm_count = self.backends.values().filter(|b| b.ready && b.warmth(now, settings) >= 1.0).count();
-        let is_warm = self.backends.get(name).is_some_and(|b| b.warmth(now, settings) >= 1.0);
-        for (other, backend) in &mut self.backends {
-            let warmth = backend.warmth(now, settings);
-            if warmth < 1.0 && is_warm {
-                let earned = warmth * COLD_MULTIPLE / warm_count as f64;
-                backend.cold_tokens = (backend.cold_tokens + earned).min(2.0);
-            } else if other == name {
-                backend.cold_tokens -= 1.0;
-            }
-        }
-    }
-
-    /// What an outcome tells of the backend.
     fn on_backend(&mut self, end: &AttemptEnd, out: &mut Vec<Action>) {
         let (now, name, latency) = (self.now, &end.backend, end.latency);
         let Some(backend) = self.backends.get_mut(name) else { return };
-        if end.outcome == Outcome::NeverSent {
-            return;
-        }
         backend.out = backend.out.saturating_sub(1);
-        let silent = backend.heard <= now - latency;
-        match end.outcome {
+        let class = self.requests.get(&end.id).map_or(0, |r| r.class);
+        let usual = &mut self.class_latency[class];
+        let late = match end.outcome {
             Outcome::Served => {
-                if backend.failures >= EJECT_AFTER {
+                if backend.failures >= EJECT_TOLD {
                     out.push(Action::Log(format!("backend {name} back: it answers again")));
                 }
-                (backend.failures, backend.heard) = (0, now);
-                let Some(class) = self.requests.get(&end.id).map(|r| r.class) else { return };
-                let usual = &mut self.class_latency[class];
+                backend.failures = 0;
                 *usual = if *usual == 0.0 { latency } else { *usual + USUAL_WEIGHT * (latency - *usual) };
-                backend.slow += SLOW_WEIGHT * ((latency / usual.max(1.0)).min(10.0) - backend.slow);
-                backend.note_latency(latency > self.settings.classes[class].aim * ROOM_SHARE);
-            }
-            Outcome::Error => backend.heard = now,
-            Outcome::Full => backend.note_latency(true),
-            Outcome::TimedOut | Outcome::CalledOff if !silent => backend.note_latency(true),
-            _ => {
-                // It may be dead or only full: room shrinks too, in case it is full.
-                backend.note_latency(true);
-                if backend.failed(now, latency, &self.settings) {
-                    out.push(Action::Log(format!("backend {name} ejected: {EJECT_AFTER} failures in a row")));
-                }
+                latency > self.settings.classes[class].aim * ROOM_SHARE
             }
+            Outcome::Error | Outcome::NeverSent => return,
+            Outcome::Full => true,
+            // A client with little time left proves nothing of the fleet.
+            _ => latency > *usual * LATE_LATENCIES,
+        };
+        backend.note_latency(late);
+        self.late += NEWEST * (f64::from(u8::from(late)) - self.late);
+        let lost = end.outcome != Outcome::Served;
+        if lost && backend.failed(now, latency, &self.settings) {
+            out.push(Action::Log(format!("backend {name} ejected: {EJECT_TOLD} failures in a row")));
         }
     }
 
@@ -752,40 +756,46 @@
 
     // ---- The counter ----
 
-    /// Adds a block to the customer's count: one call out for each name, and a bound on all (housekeeping
-    /// asks again for who still waits).
+    /// Adds a block to the customer's count: one call out for each name, and a bound on all.
     fn ask(&mut self, name: &Name, out: &mut Vec<Action>) {
         let Some(customer) = self.customers.get_mut(name) else { return };
-        if customer.call.is_some() || !self.settings.counter || self.calls.len() as f64 >= self.calls_most {
+        let full = self.calls.len() as f64 >= (CALLS_MOST * self.ease.min(1.0)).max(1.0);
+        if customer.call.is_some() || !self.settings.counter || full {
             return;
         }
         let plan = &self.settings.plans[customer.plan];
         customer.roll(self.now, plan);
-        let need: f64 = customer.waiting.iter().filter_map(|id| self.requests.get(id)).map(|r| r.units).sum();
-        let need = need.min(customer.store.max(1.0));
-        let block = (customer.block(need, plan) - customer.lease).max(0.0);
+        let waiting = customer.waiting.iter().filter_map(|id| self.requests.get(id));
+        let block = if customer.thin(plan) {
+            let first: f64 = waiting.filter(|r| !r.repeat).map(|r| r.units).sum();
+            first / self.ease.min(1.0)
+        } else {
+            let need: f64 = waiting.map(|r| r.units).sum();
+            (customer.block(need.min(customer.store.max(1.0)), plan) - customer.lease).max(0.0)
+        };
         let owed = std::mem::take(&mut customer.owed);
         let count = mix(customer.salt ^ customer.window.wrapping_mul(0x9e37_79b9_7f4a_7c15)) >> 1;
         customer.call = Some((customer.window, block, owed));
         self.calls.insert(count, name.clone());
-        let keep = Customer::turn(plan) * WINDOW_SPAN * 1.5;
-        out.push(Action::Count { name: count, amount: block + owed, keep: keep.min(60_000.0) });
+        let keep = (Customer::turn(plan) * IDLE_TURNS).min(KEEP_MOST);
+        out.push(Action::Count { name: count, amount: block + owed, keep });
     }
 
-    fn on_counted(&mut self, count: u64, outcome: CountOutcome, out: &mut Vec<Action>) {
+    fn on_counted(&mut self, count: u64, outcome: CountOutcome, latency: Millis, out: &mut Vec<Action>) {
         let Some(name) = self.calls.remove(&count) else { return };
-        match outcome {
-            CountOutcome::Total(total) => {
-                if std::mem::take(&mut self.told_silent) {
-                    self.back_at = self.now;
-                    out.push(Action::Log("counter back".into()));
-                }
-                (self.silences, self.counter_heard) = (0, self.now);
-                self.calls_most = (self.calls_most + CALLS_GROW).min(CALLS_MOST);
-                self.granted(&name, total, out);
-            }
-            _ => self.silent(&name, outcome == CountOutcome::Unknown, out),
+        let quick = self.settings.counter_timeout * EASE_SHARE;
+        let slow = if matches!(outcome, CountOutcome::Total(_)) { latency / quick } else { f64::INFINITY };
+        let step = EASE_STEP * (1.0 - slow).max(-2.0);
+        self.ease = (self.ease * (1.0 + step)).clamp(EASE_LEAST, EASE_MOST);
+        let CountOutcome::Total(total) = outcome else {
+            return self.silent(&name, outcome == CountOutcome::Unknown, out);
+        };
+        if std::mem::take(&mut self.told_silent) {
+            self.back_at = self.now;
+            out.push(Action::Log("counter back".into()));
         }
+        (self.silences, self.counter_heard) = (0, self.now);
+        self.granted(&name, total, out);
     }
 
     /// A total came: learn the store from it, keep what fits, give the rest back, serve who waits.
@@ -794,6 +804,9 @@
         let Some(customer) = self.customers.get_mut(name) else { return };
         let Some((window, block, owed)) = customer.call.take() else { return };
         let plan = &self.settings.plans[customer.plan];
+        if customer.thin(plan) {
+            return self.granted_thin(name, total - block - owed, block, out);
+        }
         customer.roll(now, plan);
         let slice = customer.slice.take();
         if plan.ceiling_rate > 0.0 && customer.known && customer.heard < self.back_at {
@@ -804,10 +817,8 @@
         customer.heard = now;
         if window == customer.window {
             customer.added += block + owed;
-            let (_, began) = customer.window_at(now, plan);
             if !customer.known {
-                let since = Customer::start_of(plan) + plan.rate * (now - began) / 1000.0;
-                customer.store = since.min(plan.burst) - total;
+                customer.store = Customer::start_of(plan) - total;
                 customer.known = true;
             } else if total + 1e-6 < customer.added {
                 // Guards against an emptied count: what this gateway holds is told again, so that new blocks
@@ -817,15 +828,6 @@
             } else {
                 customer.store = (customer.store - (total - customer.seen - owed)).min(plan.burst);
             }
-            // A late add counted if the total has risen by as much: its block is ours then. Not under a
-            // ceiling, where the rise may be others' use and a block granted twice would count against the
-            // ceiling.
-            let lost = std::mem::take(&mut customer.lost);
-            let rise = total - customer.seen - block - owed;
-            if lost > 0.0 && rise + 1e-6 >= lost && plan.ceiling_rate <= 0.0 {
-                customer.lease += lost;
-                customer.added += lost;
-            }
             customer.seen = total;
             customer.lease += block;
             if customer.store < 0.0 {
@@ -843,20 +845,15 @@
         }
     }
 
-    /// No answer: back off, and let the silence rule decide for who waits. A block that may have counted is
-    /// set aside until the next total tells.
+    /// No answer: the silence rule decides for who waits, and a block that may have counted is let go.
     fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
         if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
-        self.calls_most = (self.calls_most / 2.0).max(1.0);
-        self.quiet_until =
-            self.now + self.settings.counter_timeout * f64::from(self.silences).min(QUIET_MOST);
         let Some(customer) = self.customers.get_mut(name) else { return };
-        let (_, block, owed) = customer.call.take().unwrap_or_default();
+        let (_, _, owed) = customer.call.take().unwrap_or_default();
         customer.owed += if may_have_counted { owed.max(0.0) } else { owed };
-        customer.lost += if may_have_counted { block } else { 0.0 };
         for id in std::mem::take(&mut customer.waiting) {
             self.by_slice(id, out);
         }
@@ -868,9 +865,12 @@
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
         let plan = &self.settings.plans[request.plan];
         customer.waiting.retain(|w| *w != id);
+        if customer.thin(plan) {
+            return self.by_odds(id, out);
+        }
         customer.roll(self.now, plan);
         if customer.spend_slice(request.units, self.now, plan) {
-            return self.admitted(id, out);
+            return self.place(id, out);
         }
         let short = request.units - customer.slice.map_or(0.0, |s| s.0);
         let rate = plan.rate / customer.spread;
@@ -884,22 +884,22 @@
         let now = self.now;
         let mut asking = Vec::new();
         let plans = &self.settings.plans;
-        let crowded = self.customers.len() > CUSTOMERS_MOST;
+        self.told.retain(|_, (_, at)| now - *at < KEEP_MOST);
         self.customers.retain(|name, customer| {
             let plan = &plans[customer.plan];
             let (idle, turn) = (now - customer.demand_at, Customer::turn(plan));
             customer.roll(now, plan);
-            if idle > turn * IDLE_SHARE && customer.lease >= 1.0 && customer.store < plan.burst * PLENTY_SHARE
-            {
+            let scarce = customer.store < plan.burst * NEAR_SHARE;
+            if scarce && idle > turn * BLOCK_SHARE && customer.lease >= 1.0 {
                 let lease = std::mem::take(&mut customer.lease);
                 (customer.owed, customer.store) = (customer.owed - lease, customer.store + lease);
             }
-            let owes = customer.owed.abs() >= (plan.burst * OWED_SHARE).max(1.0);
+            let owes = !customer.thin(plan) && customer.owed.abs() >= (plan.burst * BLOCK_SHARE).max(1.0);
             if customer.call.is_none() && (owes || !customer.waiting.is_empty()) {
                 asking.push(name.clone());
             }
             let busy = customer.call.is_some() || customer.open > 0 || !customer.waiting.is_empty();
-            busy || idle < turn * if crowded { CROWDED_TURNS } else { IDLE_TURNS }
+            busy || idle < turn * IDLE_TURNS
         });
         if !self.counter_silent() {
             for name in asking {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -96,6 +96,7 @@
             plan: plan.into(),
             class: class.into(),
             units: 1.0,
+            repeat: false,
             patience: 2000.0,
             first: 0,
             spread: 2,
