--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,9 +80,9 @@
 const ROOM_LEAST: f64 = 0.2;
 /// Late answers beyond `ROOM_LATE` turn away this many times their share of the fresh requests, never all;
 /// those let in without a total as if they were worth `BLIND_RANK` times less.
-const TAKE_SLOPE: f64 = 5.0;
+const TAKE_SLOPE: f64 = 2.0;
 const TAKE_LEAST: f64 = 0.05;
-const BLIND_RANK: f64 = 8.0;
+const BLIND_RANK: f64 = 40.0;
 /// A backend that failed is tried again after this share of the cold time for each failure in a row ...
 const EJECT_SHARE: f64 = 0.02;
 /// ... and the log tells of it at this many.
