--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,8 @@
 //!
 //! # What the host must provide
 //!
-//! - One gateway object in a process of its own; after a restart a new one, with a fresh seed and the last list. No two share a seed: chance would choose alike.
+//! - One gateway object in a process of its own; after a restart a new one, with a fresh seed and the last list.
+//!   No two share a seed: chance would choose alike.
 //! - Clocks that agree among gateways to well within the shortest window of any plan: count names are made of the
 //!   window's number. Gateways whose clocks differ by a window count apart, and each grants the quota again.
 //! - A counter that adds an amount to a number by name and answers the total. A call without an answer in time is
