--- a/src/logic.rs
+++ b/src/logic.rs
@@ -666,6 +666,7 @@
         let ready = self.backends.values().filter(|b| b.ready).count().max(1) as f64;
         let (salt, own) = (self.random, mix(u64::from(self.settings.number) + 1));
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
+        let (many, cold_share) = (self.many(), COLD_MULTIPLE * self.take());
         let mut best: Option<(f64, &Name)> = None;
         for (name, backend) in &self.backends {
             let (group, zone, cell) = (class.group, &backend.zone, backend.cell);
@@ -676,15 +677,15 @@
             let warmth = backend.warmth(self.now, &self.settings);
             // The cold budget: by chance its share of an even part, from the first ms. Guards cold backends
             // with no agreement and no warm backend.
-            let cold = warmth < 1.0 && luck * ready >= warmth * COLD_MULTIPLE * self.take();
+            let cold = warmth < 1.0 && luck * ready >= warmth * cold_share;
             if !backend.ready || !in_group || full || cold || self.now < backend.eject_until {
                 continue;
             }
             // Among many, a draw by weight: no two gateways follow the same order.
-            let draw = if self.many() { -luck.max(1e-12).ln() } else { 1.0 + 0.1 * luck };
+            let draw = if many { -luck.max(1e-12).ln() } else { 1.0 + 0.1 * luck };
             let far = if *zone == self.settings.zone { 1.0 } else { far };
             let own = unit(hash(name) ^ own) * ready < OWN_BACKENDS;
-            let far = if own || !self.many() { far } else { far * STRANGE };
+            let far = if own || !many { far } else { far * STRANGE };
             let score = if warmth < 1.0 { 0.0 } else { (1.0 + f64::from(backend.out)) * far * draw };
             if best.is_none_or(|(s, _)| score < s) {
                 best = Some((score, name));
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -66,7 +66,11 @@
 
 impl Door {
     pub fn new(settings: Settings, backends: &[&str]) -> Self {
-        let gateway = Gateway::new(settings, 1).expect("usable settings");
+        Self::seeded(settings, 1, backends)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64, backends: &[&str]) -> Self {
+        let gateway = Gateway::new(settings, seed).expect("usable settings");
         let mut door = Self { gateway, now: 1000.0, did: Vec::new() };
         let list = backends.iter().map(|name| backend(name, BackendState::Ready, None)).collect();
         door.tell(Event::BackendList(list));
@@ -90,26 +94,39 @@
     }
 
     pub fn ask(&mut self, id: RequestId, customer: &str, plan: &str, class: &str) -> Vec<Action> {
+        self.ask_of(id, customer, plan, class, false, 2)
+    }
+
+    /// The same for a customer of so many gateways, as a first try or as the client's repeat.
+    pub fn ask_of(
+        &mut self, id: RequestId, customer: &str, plan: &str, class: &str, repeat: bool, spread: u32,
+    ) -> Vec<Action> {
         self.tell(Event::Request(Arrival {
             id,
             customer: customer.into(),
             plan: plan.into(),
             class: class.into(),
             units: 1.0,
-            repeat: false,
+            repeat,
             patience: 2000.0,
             first: 0,
-            spread: 2,
+            spread,
         }))
     }
 
     pub fn end(&mut self, id: RequestId, attempt: u32, backend: &Name, outcome: Outcome) -> Vec<Action> {
+        self.end_after(100.0, id, attempt, backend, outcome)
+    }
+
+    pub fn end_after(
+        &mut self, latency: Millis, id: RequestId, attempt: u32, backend: &Name, outcome: Outcome,
+    ) -> Vec<Action> {
         self.tell(Event::AttemptEnded(AttemptEnd {
             id,
             attempt,
             backend: backend.clone(),
             outcome,
-            latency: 100.0,
+            latency,
             true_units: None,
             finished: outcome == Outcome::Served,
             load: None,
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -12,11 +12,8 @@
     let names: Vec<&str> = backends.iter().map(String::as_str).collect();
     (0..gateways)
         .map(|number| {
-            let mut door = Door::new(settings(), &[]);
             let settings = Settings { gateways, number, peers, ..settings() };
-            door.gateway = Gateway::new(settings, 1000 + u64::from(number)).expect("usable settings");
-            let list = names.iter().map(|name| backend(name, BackendState::Ready, None)).collect();
-            door.tell(Event::BackendList(list));
+            let mut door = Door::seeded(settings, 1000 + u64::from(number), &names);
             if cold {
                 let born = Some(door.now);
                 let last = backends.last().expect("a backend");
@@ -33,43 +30,25 @@
 
 /// A request of a customer spread over all gateways.
 fn spread(door: &mut Door, id: RequestId, customer: &str, repeat: bool) -> Vec<Action> {
-    door.tell(Event::Request(Arrival {
-        id,
-        customer: customer.into(),
-        plan: "plain".into(),
-        class: "safe".into(),
-        units: 1.0,
-        repeat,
-        patience: 2000.0,
-        first: 0,
-        spread: GATEWAYS,
-    }))
+    door.ask_of(id, customer, "plain", "safe", repeat, GATEWAYS)
 }
 
-/// Offers one request at each gateway in turn, `gap` ms apart, on a counter that answers; gives the sends.
-fn one_each(doors: &mut [Door], customer: &str, gap: Millis, totals: &mut BTreeMap<u64, f64>) -> usize {
-    let mut gone_on = 0;
-    let mut now = doors[0].now;
-    for (id, door) in doors.iter_mut().enumerate() {
-        now += gap;
-        door.now = now;
-        let mut did = spread(door, id as u64 + 1, customer, false);
+#[test]
+fn a_thin_customer_s_quota_holds_over_all_gateways() {
+    // Burst 10, rate 5: in 1.5 s, less than a turn, no more than two windows' bursts can be granted.
+    let mut doors = fleet(GATEWAYS, &names(20), false, false);
+    let (mut gone_on, mut totals) = (0, BTreeMap::<u64, f64>::new());
+    let start = doors[0].now;
+    for (id, door) in (1..).zip(&mut doors) {
+        door.now = start + 3.0 * id as f64;
+        let mut did = spread(door, id, "c", false);
         if let Some((name, amount)) = count(&did) {
             let total = totals.entry(name).or_default();
             *total += amount;
-            let total = *total;
-            did.extend(door.total(name, total));
+            did.extend(door.total(name, *total));
         }
         gone_on += sends(&did);
     }
-    gone_on
-}
-
-#[test]
-fn a_thin_customer_s_quota_holds_over_all_gateways() {
-    // Burst 10, rate 5: in 1.5 s, less than a turn, no more than two windows' bursts can be granted.
-    let mut doors = fleet(GATEWAYS, &names(20), false, false);
-    let gone_on = one_each(&mut doors, "c", 3.0, &mut BTreeMap::new());
     assert!((5..=20).contains(&gone_on), "{gone_on} of {GATEWAYS} tries went on");
 }
 
@@ -180,18 +159,7 @@
             }
             for (id, backend) in did.iter().filter_map(|a| sent(std::slice::from_ref(a))) {
                 gone_on += 1;
-                let (true_units, load) = (None, None);
-                let (attempt, outcome, finished) = (0, Outcome::Served, true);
-                door.tell(Event::AttemptEnded(AttemptEnd {
-                    id,
-                    attempt,
-                    backend,
-                    outcome,
-                    latency,
-                    true_units,
-                    finished,
-                    load,
-                }));
+                door.end_after(latency, id, 0, &backend, Outcome::Served);
             }
         }
         gone_on
