--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,11 @@
+//! What the event loops share: readiness by epoll, buffered sockets, timers and the clock. No decision is here.
+
+mod clock;
+mod poll;
+mod socket;
+mod timers;
+
+pub use clock::Clock;
+pub use poll::{Interest, Poller, Ready, Waker};
+pub use socket::{Flow, Socket, connect, listen};
+pub use timers::Timers;
--- /dev/null
+++ b/crates/net/src/poll.rs
@@ -0,0 +1,130 @@
+//! Readiness by epoll, level-triggered: what is left unread is told again.
+
+use rustix::event::{Timespec, epoll};
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::Duration;
+
+/// What a registration waits for. Errors and hang-ups are always told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Interest {
+    /// Bytes to read, or the peer's end.
+    pub read: bool,
+    /// Room to write.
+    pub write: bool,
+}
+
+impl Interest {
+    /// Reading alone.
+    pub const READ: Self = Self { read: true, write: false };
+
+    fn flags(self) -> epoll::EventFlags {
+        let mut flags = epoll::EventFlags::empty();
+        flags.set(epoll::EventFlags::IN, self.read);
+        flags.set(epoll::EventFlags::OUT, self.write);
+        flags
+    }
+}
+
+/// One descriptor that is ready.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// The token given when it was registered.
+    pub token: u64,
+    /// It can be read, or reading tells of an end.
+    pub read: bool,
+    /// It can be written.
+    pub write: bool,
+    /// Both directions are over or broken.
+    pub broken: bool,
+}
+
+/// An epoll instance.
+pub struct Poller {
+    epoll: OwnedFd,
+    buffer: Vec<epoll::Event>,
+}
+
+impl Poller {
+    /// A new one.
+    ///
+    /// # Errors
+    /// When the system has no descriptor left.
+    pub fn new() -> io::Result<Self> {
+        Ok(Self { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?, buffer: Vec::with_capacity(256) })
+    }
+
+    /// Registers a descriptor.
+    ///
+    /// # Errors
+    /// When the system refuses.
+    pub fn add(&self, fd: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
+        Ok(epoll::add(&self.epoll, fd, epoll::EventData::new_u64(token), interest.flags())?)
+    }
+
+    /// Changes what a registration waits for.
+    ///
+    /// # Errors
+    /// When the system refuses.
+    pub fn change(&self, fd: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
+        Ok(epoll::modify(&self.epoll, fd, epoll::EventData::new_u64(token), interest.flags())?)
+    }
+
+    /// Ends a registration; closing the descriptor does the same.
+    ///
+    /// # Errors
+    /// When the system refuses.
+    pub fn remove(&self, fd: impl AsFd) -> io::Result<()> {
+        Ok(epoll::delete(&self.epoll, fd)?)
+    }
+
+    /// Waits until something is ready or the time is over; a signal ends the wait with nothing.
+    ///
+    /// # Errors
+    /// When the system fails.
+    pub fn wait(&mut self, most: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
+        ready.clear();
+        self.buffer.clear();
+        // Rounded up to the next ms by hand: a wait that ends too early would spin.
+        let most = most.map(|m| m + Duration::from_micros(200));
+        let most = most.map(|m| Timespec { tv_sec: m.as_secs() as i64, tv_nsec: m.subsec_nanos().into() });
+        let room = rustix::buffer::spare_capacity(&mut self.buffer);
+        match epoll::wait(&self.epoll, room, most.as_ref()) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(error) => return Err(error.into()),
+        }
+        ready.extend(self.buffer.iter().map(|event| {
+            let flags = event.flags;
+            Ready {
+                token: event.data.u64(),
+                read: flags
+                    .intersects(epoll::EventFlags::IN | epoll::EventFlags::HUP | epoll::EventFlags::ERR),
+                write: flags.contains(epoll::EventFlags::OUT),
+                broken: flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR),
+            }
+        }));
+        Ok(())
+    }
+}
+
+/// Wakes a poller from another thread.
+#[derive(Debug)]
+pub struct Waker(std::os::unix::net::UnixStream);
+
+impl Waker {
+    /// A waker and the descriptor to register; what is read from it is of no meaning.
+    ///
+    /// # Errors
+    /// When the system has no descriptor left.
+    pub fn pair() -> io::Result<(Self, std::os::unix::net::UnixStream)> {
+        let (ours, theirs) = std::os::unix::net::UnixStream::pair()?;
+        ours.set_nonblocking(true)?;
+        theirs.set_nonblocking(true)?;
+        Ok((Self(ours), theirs))
+    }
+
+    /// Wakes the poller; a full pipe wakes it as well.
+    pub fn wake(&self) {
+        let _ = io::Write::write(&mut &self.0, &[1]);
+    }
+}
--- /dev/null
+++ b/crates/net/src/socket.rs
@@ -0,0 +1,161 @@
+//! Non-blocking TCP sockets with buffers on both sides.
+
+use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
+
+/// Whether a direction of a socket goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    /// It goes on.
+    Open,
+    /// The peer ended it in order.
+    Ended,
+    /// It broke.
+    Broken,
+}
+
+/// A connection with what came in and is not consumed, and what is to go out.
+#[derive(Debug)]
+pub struct Socket {
+    stream: TcpStream,
+    /// Bytes that came in.
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    sent: usize,
+}
+
+const READ: usize = 16 << 10;
+
+impl Socket {
+    /// Takes over a stream.
+    ///
+    /// # Errors
+    /// When it cannot be made non-blocking.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        // Answers are written whole: waiting for more to send would only add latency.
+        let _ = stream.set_nodelay(true);
+        Ok(Self { stream, input: Vec::new(), output: Vec::new(), sent: 0 })
+    }
+
+    /// Reads once, so that one peer does not hold up the others: how many bytes, and whether more may come.
+    pub fn read(&mut self) -> (usize, Flow) {
+        let held = self.input.len();
+        self.input.resize(held + READ, 0);
+        let result = self.stream.read(&mut self.input[held..]);
+        let (count, flow) = match result {
+            Ok(0) => (0, Flow::Ended),
+            Ok(n) => (n, Flow::Open),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                (0, Flow::Open)
+            }
+            Err(_) => (0, Flow::Broken),
+        };
+        self.input.truncate(held + count);
+        if self.input.is_empty() && self.input.capacity() > READ {
+            self.input = Vec::new();
+        }
+        (count, flow)
+    }
+
+    /// Consumes bytes from the front of the input.
+    pub fn consume(&mut self, count: usize) {
+        self.input.drain(..count);
+        if self.input.is_empty() {
+            // An idle connection holds no buffer.
+            self.input = Vec::new();
+        }
+    }
+
+    /// The bytes to go out; append here, then `flush`.
+    pub fn output(&mut self) -> &mut Vec<u8> {
+        &mut self.output
+    }
+
+    /// How many bytes are still to go out.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.output.len() - self.sent
+    }
+
+    /// Writes as much as the peer takes.
+    pub fn flush(&mut self) -> Flow {
+        while self.sent < self.output.len() {
+            match self.stream.write(&self.output[self.sent..]) {
+                Ok(0) => return Flow::Broken,
+                Ok(n) => self.sent += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Flow::Broken,
+            }
+        }
+        if self.sent == self.output.len() {
+            self.sent = 0;
+            if self.output.capacity() > 4 * READ { self.output = Vec::new() } else { self.output.clear() }
+        } else if self.sent > 4 * READ {
+            self.output.drain(..self.sent);
+            self.sent = 0;
+        }
+        Flow::Open
+    }
+
+    /// Makes the close a reset, so that the peer cannot take a cut answer for a whole one.
+    pub fn reset_on_close(&self) {
+        let _ = sockopt::set_socket_linger(&self.stream, Some(std::time::Duration::ZERO));
+    }
+
+    /// Whether a connection that was begun is made; called once the socket can be written.
+    ///
+    /// # Errors
+    /// When it could not be made.
+    pub fn finish_connect(&self) -> io::Result<()> {
+        match sockopt::socket_error(&self.stream)? {
+            Ok(()) => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Our own end of the connection.
+    ///
+    /// # Errors
+    /// When the socket is gone.
+    pub fn local(&self) -> io::Result<SocketAddr> {
+        self.stream.local_addr()
+    }
+}
+
+impl AsFd for Socket {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
+/// Begins a connection; the socket can be written once it is made.
+///
+/// # Errors
+/// When it cannot even be begun.
+pub fn connect(address: SocketAddr) -> io::Result<Socket> {
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let fd = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    match rustix::net::connect(&fd, &address) {
+        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Socket::new(TcpStream::from(fd)),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// A non-blocking listener; port 0 takes a free one.
+///
+/// # Errors
+/// When the address cannot be had.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let fd = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    sockopt::set_socket_reuseaddr(&fd, true)?;
+    rustix::net::bind(&fd, &address)?;
+    rustix::net::listen(&fd, 1024)?;
+    Ok(TcpListener::from(fd))
+}
