--- a/crates/graphql/benches/price.rs
+++ b/crates/graphql/benches/price.rs
@@ -1,1 +1,43 @@
-fn main() {}
+//! What parsing, pricing and counting cost, for a small query and one of forty fields.
+
+use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use doorcourse_graphql::{Limits, Prepared, Schema, parse};
+use std::hint::black_box;
+use std::sync::Arc;
+
+const SDL: &str = "type Query { preview(id: ID!): Preview @cost(weight: \"0\") }
+    type Preview { id: ID! title: String url: String waveform: String }";
+
+fn queries() -> [(&'static str, String); 2] {
+    let many: String = (0..40).map(|n| format!("p{n}: preview(id: \"{n}\") {{ id title url }} ")).collect();
+    [("small", "{ preview(id: 7) { id title url } }".into()), ("forty", format!("{{ {many} }}"))]
+}
+
+fn bench(c: &mut Criterion) {
+    let schema: Arc<Schema> = Schema::parse(SDL).unwrap().into();
+    for (name, source) in queries() {
+        let mut group = c.benchmark_group(name);
+        group.throughput(Throughput::Bytes(source.len() as u64));
+        group.bench_function("parse", |b| b.iter(|| parse(black_box(&source), &Limits::default()).unwrap()));
+        let prepare = || Prepared::new(schema.clone(), &source, None, None, Limits::default()).unwrap();
+        group.bench_function("parse, validate and price", |b| b.iter(|| prepare().cost()));
+        let rows: String =
+            (0..40).map(|n| format!("\"p{n}\":{{\"id\":\"{n}\",\"title\":\"t\",\"url\":\"u\"}},")).collect();
+        let answer = format!("{{\"data\":{{{}}}}}", rows.trim_end_matches(','));
+        group.throughput(Throughput::Bytes(answer.len() as u64));
+        group.bench_function("count an answer", |b| {
+            b.iter_batched(
+                || prepare().scan(50),
+                |mut scan| {
+                    scan.feed(answer.as_bytes());
+                    scan.counted()
+                },
+                criterion::BatchSize::SmallInput,
+            );
+        });
+        group.finish();
+    }
+}
+
+criterion_group!(benches, bench);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/graphql/src/ast.rs
@@ -0,0 +1,228 @@
+//! Documents. Selection sets lie in one arena, so that walking and dropping them needs no recursion.
+
+use crate::Pos;
+
+/// What an operation does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperationKind {
+    /// Reads.
+    Query,
+    /// Writes.
+    Mutation,
+    /// A stream of answers.
+    Subscription,
+}
+
+pub(crate) type SetId = usize;
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum ValueKind {
+    Variable(String),
+    Int(String),
+    Float(String),
+    Str(String),
+    Bool(bool),
+    Null,
+    Enum(String),
+    List(Vec<Value>),
+    Object(Vec<(String, Value)>),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Value {
+    pub kind: ValueKind,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Type {
+    Named(String),
+    List(Box<Type>),
+    NonNull(Box<Type>),
+}
+
+impl Type {
+    pub fn named(&self) -> &str {
+        match self {
+            Self::Named(name) => name,
+            Self::List(inner) | Self::NonNull(inner) => inner.named(),
+        }
+    }
+
+    pub fn nullable(&self) -> &Type {
+        match self {
+            Self::NonNull(inner) => inner,
+            other => other,
+        }
+    }
+
+    pub fn is_list(&self) -> bool {
+        matches!(self.nullable(), Self::List(_))
+    }
+}
+
+impl std::fmt::Display for Type {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Named(name) => write!(f, "{name}"),
+            Self::List(inner) => write!(f, "[{inner}]"),
+            Self::NonNull(inner) => write!(f, "{inner}!"),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Argument {
+    pub name: String,
+    pub value: Value,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Directive {
+    pub name: String,
+    pub arguments: Vec<Argument>,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Field {
+    pub alias: Option<String>,
+    pub name: String,
+    pub arguments: Vec<Argument>,
+    pub directives: Vec<Directive>,
+    pub set: Option<SetId>,
+    pub at: Pos,
+}
+
+impl Field {
+    pub fn key(&self) -> &str {
+        self.alias.as_ref().unwrap_or(&self.name)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Selection {
+    Field(Field),
+    Spread { name: String, directives: Vec<Directive>, at: Pos },
+    Inline { condition: Option<String>, directives: Vec<Directive>, set: SetId, at: Pos },
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct VariableDef {
+    pub name: String,
+    pub kind: Type,
+    pub default: Option<Value>,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Operation {
+    pub kind: OperationKind,
+    pub name: Option<String>,
+    pub variables: Vec<VariableDef>,
+    pub directives: Vec<Directive>,
+    pub set: SetId,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Fragment {
+    pub name: String,
+    pub condition: String,
+    pub directives: Vec<Directive>,
+    pub set: SetId,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct InputDef {
+    pub name: String,
+    pub kind: Type,
+    pub default: Option<Value>,
+    pub directives: Vec<Directive>,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct FieldDef {
+    pub name: String,
+    pub arguments: Vec<InputDef>,
+    pub kind: Type,
+    pub directives: Vec<Directive>,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum TypeBody {
+    Scalar,
+    Object { interfaces: Vec<String>, fields: Vec<FieldDef> },
+    Interface { interfaces: Vec<String>, fields: Vec<FieldDef> },
+    Union(Vec<String>),
+    Enum(Vec<String>),
+    Input(Vec<InputDef>),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Definition {
+    Schema { roots: Vec<(OperationKind, String)>, at: Pos },
+    Type { name: String, body: TypeBody, directives: Vec<Directive>, extend: bool, at: Pos },
+    Directive { name: String, arguments: Vec<InputDef>, at: Pos },
+}
+
+/// A parsed source: operations, fragments, and the type system where it holds one.
+#[derive(Clone, Debug, Default)]
+pub struct Document {
+    pub(crate) operations: Vec<Operation>,
+    pub(crate) fragments: Vec<Fragment>,
+    pub(crate) definitions: Vec<Definition>,
+    pub(crate) sets: Vec<Vec<Selection>>,
+    /// How many tokens the source has.
+    pub tokens: usize,
+}
+
+impl Document {
+    /// The operations in their order: kind and name.
+    pub fn operations(&self) -> impl Iterator<Item = (OperationKind, Option<&str>)> {
+        self.operations.iter().map(|o| (o.kind, o.name.as_deref()))
+    }
+
+    /// The names of the fragments.
+    pub fn fragments(&self) -> impl Iterator<Item = &str> {
+        self.fragments.iter().map(|f| f.name.as_str())
+    }
+
+    /// How many definitions of a type system there are.
+    #[must_use]
+    pub fn type_system(&self) -> usize {
+        self.definitions.len()
+    }
+
+    /// Every set that belongs to one, itself included, without those behind fragment spreads.
+    pub(crate) fn sets_below(&self, set: SetId) -> Vec<SetId> {
+        let (mut found, mut at) = (vec![set], 0);
+        while at < found.len() {
+            for selection in &self.sets[found[at]] {
+                match selection {
+                    Selection::Field(Field { set: Some(set), .. }) | Selection::Inline { set, .. } => {
+                        found.push(*set)
+                    }
+                    _ => {}
+                }
+            }
+            at += 1;
+        }
+        found
+    }
+
+    /// Names of the fragments spread anywhere in a set.
+    pub(crate) fn spreads_below(&self, set: SetId) -> Vec<(&str, Pos)> {
+        let sets = self.sets_below(set);
+        let spread = |s: &'_ Selection| matches!(s, Selection::Spread { .. });
+        let all = sets.into_iter().flat_map(|s| self.sets[s].iter()).filter(|s| spread(s));
+        all.filter_map(|s| {
+            if let Selection::Spread { name, at, .. } = s { Some((name.as_str(), *at)) } else { None }
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/crates/graphql/src/lexer.rs
@@ -0,0 +1,342 @@
+//! Tokens (GraphQL specification, section 2.1).
+
+use crate::{Error, Limits, Pos};
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Kind {
+    /// One of `! $ & ( ) : = @ [ ] { | }`.
+    Punct(char),
+    Spread,
+    Name,
+    Int,
+    Float,
+    Str(String),
+    End,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Token<'a> {
+    pub kind: Kind,
+    pub text: &'a str,
+    pub at: Pos,
+}
+
+impl Token<'_> {
+    pub fn shown(&self) -> String {
+        match &self.kind {
+            Kind::End => "the end".into(),
+            Kind::Str(_) => "a string".into(),
+            _ => format!("`{}`", self.text),
+        }
+    }
+}
+
+struct Lexer<'a> {
+    source: &'a str,
+    at: usize,
+    line: u32,
+    line_start: usize,
+    /// The column's characters counted so far on this line, up to `counted`: no quadratic recount.
+    column: u32,
+    counted: usize,
+}
+
+/// All tokens of a source, the last one its end.
+pub(crate) fn tokens<'a>(source: &'a str, limits: &Limits) -> Result<Vec<Token<'a>>, Error> {
+    let start = Pos { line: 1, column: 1 };
+    if source.len() > limits.bytes {
+        return Err(Error::new(
+            start,
+            format!("the document has {} bytes, at most {}", source.len(), limits.bytes),
+        ));
+    }
+    let skip = if source.starts_with('\u{feff}') { 3 } else { 0 };
+    let mut lexer = Lexer { source, at: skip, line: 1, line_start: skip, column: 1, counted: skip };
+    let mut tokens = Vec::new();
+    loop {
+        let token = lexer.next()?;
+        if tokens.len() > limits.tokens {
+            return Err(Error::new(token.at, format!("more than {} tokens", limits.tokens)));
+        }
+        let end = token.kind == Kind::End;
+        tokens.push(token);
+        if end {
+            return Ok(tokens);
+        }
+    }
+}
+
+impl<'a> Lexer<'a> {
+    fn rest(&self) -> &'a str {
+        &self.source[self.at..]
+    }
+
+    fn pos(&mut self) -> Pos {
+        if self.counted < self.line_start {
+            (self.counted, self.column) = (self.line_start, 1);
+        }
+        self.column += self.source[self.counted..self.at].chars().count() as u32;
+        self.counted = self.at;
+        Pos { line: self.line, column: self.column }
+    }
+
+    fn newline(&mut self) {
+        self.line += 1;
+        self.line_start = self.at;
+    }
+
+    fn skip(&mut self) {
+        loop {
+            match self.rest().as_bytes().first() {
+                Some(b' ' | b'\t' | b',') => self.at += 1,
+                Some(b'\n') => {
+                    self.at += 1;
+                    self.newline();
+                }
+                Some(b'\r') => {
+                    self.at += if self.rest().starts_with("\r\n") { 2 } else { 1 };
+                    self.newline();
+                }
+                Some(b'#') => {
+                    let end = self.rest().find(['\n', '\r']).unwrap_or(self.rest().len());
+                    self.at += end;
+                }
+                Some(0xef) if self.rest().starts_with('\u{feff}') => self.at += 3,
+                _ => return,
+            }
+        }
+    }
+
+    fn take(&mut self, length: usize) -> &'a str {
+        let text = &self.rest()[..length];
+        self.at += length;
+        text
+    }
+
+    fn next(&mut self) -> Result<Token<'a>, Error> {
+        self.skip();
+        let at = self.pos();
+        let Some(c) = self.rest().chars().next() else {
+            return Ok(Token { kind: Kind::End, text: "", at });
+        };
+        let (kind, text) = match c {
+            '!' | '$' | '&' | '(' | ')' | ':' | '=' | '@' | '[' | ']' | '{' | '|' | '}' => {
+                (Kind::Punct(c), self.take(1))
+            }
+            '.' if self.rest().starts_with("...") => (Kind::Spread, self.take(3)),
+            '_' | 'a'..='z' | 'A'..='Z' => {
+                let rest = self.rest();
+                let end = rest.find(|c: char| !(c == '_' || c.is_ascii_alphanumeric())).unwrap_or(rest.len());
+                (Kind::Name, self.take(end))
+            }
+            '-' | '0'..='9' => self.number(at)?,
+            '"' if self.rest().starts_with("\"\"\"") => self.block(at)?,
+            '"' => self.string(at)?,
+            c => return Err(Error::new(at, format!("unexpected character {c:?}"))),
+        };
+        Ok(Token { kind, text, at })
+    }
+
+    fn number(&mut self, at: Pos) -> Result<(Kind, &'a str), Error> {
+        let bytes = self.rest().as_bytes();
+        let digits = |from: usize| bytes[from..].iter().take_while(|b| b.is_ascii_digit()).count();
+        let mut end = usize::from(bytes[0] == b'-');
+        let whole = digits(end);
+        if whole == 0 || (whole > 1 && bytes[end] == b'0') {
+            return Err(Error::new(at, "malformed number: digits without a leading zero are wanted"));
+        }
+        end += whole;
+        let mut kind = Kind::Int;
+        if bytes.get(end) == Some(&b'.') {
+            let count = digits(end + 1);
+            if count == 0 {
+                return Err(Error::new(at, "malformed number: digits are wanted after the point"));
+            }
+            (end, kind) = (end + 1 + count, Kind::Float);
+        }
+        if matches!(bytes.get(end), Some(b'e' | b'E')) {
+            let sign = usize::from(matches!(bytes.get(end + 1), Some(b'+' | b'-')));
+            let count = digits(end + 1 + sign);
+            if count == 0 {
+                return Err(Error::new(at, "malformed number: digits are wanted in the exponent"));
+            }
+            (end, kind) = (end + 1 + sign + count, Kind::Float);
+        }
+        // A name or a point right behind is no second token (section 2.9.1).
+        if matches!(bytes.get(end), Some(b) if b.is_ascii_alphanumeric() || *b == b'_' || *b == b'.') {
+            return Err(Error::new(at, "malformed number: a name follows without a space"));
+        }
+        Ok((kind, self.take(end)))
+    }
+
+    fn string(&mut self, at: Pos) -> Result<(Kind, &'a str), Error> {
+        let start = self.at;
+        self.at += 1;
+        let mut value = String::new();
+        loop {
+            let Some(c) = self.rest().chars().next() else {
+                return Err(Error::new(at, "a string has no end"));
+            };
+            match c {
+                '"' => {
+                    self.at += 1;
+                    return Ok((Kind::Str(value), &self.source[start..self.at]));
+                }
+                '\n' | '\r' => return Err(Error::new(at, "a string has no end on its line")),
+                '\\' => {
+                    let here = self.pos();
+                    value.push(self.escape(here)?);
+                }
+                c if c < ' ' && c != '\t' => {
+                    let here = self.pos();
+                    return Err(Error::new(here, "a control character in a string"));
+                }
+                c => {
+                    value.push(c);
+                    self.at += c.len_utf8();
+                }
+            }
+        }
+    }
+
+    fn escape(&mut self, at: Pos) -> Result<char, Error> {
+        let bad = || Error::new(at, "malformed escape in a string");
+        let c = self.rest()[1..].chars().next().ok_or_else(bad)?;
+        self.at += 1 + c.len_utf8();
+        Ok(match c {
+            '"' | '\\' | '/' => c,
+            'b' => '\u{8}',
+            'f' => '\u{c}',
+            'n' => '\n',
+            'r' => '\r',
+            't' => '\t',
+            'u' if self.rest().starts_with('{') => {
+                let end = self.rest().find('}').filter(|e| (2..=9).contains(e)).ok_or_else(bad)?;
+                let digits = &self.rest()[1..end];
+                let valid = digits.bytes().all(|b| b.is_ascii_hexdigit());
+                let code = u32::from_str_radix(digits, 16).ok().filter(|_| valid).ok_or_else(bad)?;
+                self.at += end + 1;
+                char::from_u32(code).ok_or_else(bad)?
+            }
+            'u' => {
+                let first = self.hex().ok_or_else(bad)?;
+                if !(0xd800..0xdc00).contains(&first) {
+                    return char::from_u32(first).ok_or_else(bad);
+                }
+                if !self.rest().starts_with("\\u") {
+                    return Err(bad());
+                }
+                self.at += 2;
+                let second = self.hex().filter(|s| (0xdc00..0xe000).contains(s)).ok_or_else(bad)?;
+                char::from_u32(0x10000 + ((first - 0xd800) << 10) + (second - 0xdc00)).ok_or_else(bad)?
+            }
+            _ => return Err(bad()),
+        })
+    }
+
+    fn hex(&mut self) -> Option<u32> {
+        let digits = self.rest().get(..4).filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()))?;
+        self.at += 4;
+        u32::from_str_radix(digits, 16).ok()
+    }
+
+    fn block(&mut self, at: Pos) -> Result<(Kind, &'a str), Error> {
+        let start = self.at;
+        self.at += 3;
+        let mut raw = String::new();
+        loop {
+            let rest = self.rest();
+            let Some(c) = rest.chars().next() else {
+                return Err(Error::new(at, "a block string has no end"));
+            };
+            if rest.starts_with("\"\"\"") {
+                self.at += 3;
+                return Ok((Kind::Str(dedent(&raw)), &self.source[start..self.at]));
+            }
+            if rest.starts_with("\\\"\"\"") {
+                raw.push_str("\"\"\"");
+                self.at += 4;
+                continue;
+            }
+            match c {
+                '\r' | '\n' => {
+                    raw.push('\n');
+                    self.at += if rest.starts_with("\r\n") { 2 } else { 1 };
+                    self.newline();
+                }
+                c if c < ' ' && c != '\t' => {
+                    let here = self.pos();
+                    return Err(Error::new(here, "a control character in a block string"));
+                }
+                c => {
+                    raw.push(c);
+                    self.at += c.len_utf8();
+                }
+            }
+        }
+    }
+}
+
+/// The value of a block string: common indentation and blank lines at both ends go (section 2.9.4).
+fn dedent(raw: &str) -> String {
+    let mut lines: Vec<&str> = raw.split('\n').collect();
+    let blank = |line: &str| line.trim_matches([' ', '\t']).is_empty();
+    let indents =
+        lines.iter().skip(1).filter(|l| !blank(l)).map(|l| l.len() - l.trim_start_matches([' ', '\t']).len());
+    let common = indents.min().unwrap_or(0);
+    for line in lines.iter_mut().skip(1) {
+        *line = line.get(common..).unwrap_or("");
+    }
+    let first = lines.iter().position(|l| !blank(l)).unwrap_or(lines.len());
+    let last = lines.iter().rposition(|l| !blank(l)).map_or(first, |l| l + 1);
+    lines[first..last].join("\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn kinds(source: &str) -> Result<Vec<Kind>, Error> {
+        Ok(tokens(source, &Limits::default())?.into_iter().map(|t| t.kind).collect())
+    }
+
+    fn text(source: &str) -> String {
+        match &kinds(source).unwrap()[0] {
+            Kind::Str(s) => s.clone(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn strings_and_their_escapes() {
+        assert_eq!(text(r#""a\n\u00e9\uD83D\uDE00\u{1F600}\"""#), "a\n\u{e9}\u{1F600}\u{1F600}\"");
+        assert_eq!(text("\"\"\"\n    a\n      b \\\"\"\"\r\n\n\"\"\""), "a\n  b \"\"\"");
+        for bad in [
+            r#""\uD83D""#,
+            r#""\uDE00""#,
+            r#""\u{110000}""#,
+            r#""\u{}""#,
+            r#""\x""#,
+            r#""\u+123""#,
+            "\"a",
+            "\"a\nb\"",
+        ] {
+            assert!(kinds(bad).is_err(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn numbers() {
+        assert_eq!(kinds("-0 1.5e-3 12").unwrap(), [Kind::Int, Kind::Float, Kind::Int, Kind::End]);
+        for bad in ["01", "-", "1.", "1e", "1a", "1.2.3", "-01"] {
+            assert!(kinds(bad).is_err(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn places_count_characters() {
+        let tokens = tokens("\u{feff}# é\n  \"é\" a\r\n{", &Limits::default()).unwrap();
+        let places: Vec<_> = tokens.iter().map(|t| (t.at.line, t.at.column)).collect();
+        assert_eq!(places, [(2, 3), (2, 7), (3, 1), (3, 2)]);
+    }
+}
--- /dev/null
+++ b/crates/graphql/src/parser.rs
@@ -0,0 +1,422 @@
+//! The parser (GraphQL specification, section 2 and appendix B). Its recursion is bounded by [`Limits::depth`].
+
+use crate::ast::*;
+use crate::lexer::{Kind, Token, tokens};
+use crate::{DEPTH_MOST, Error, Limits, Pos};
+
+/// Parses a source that holds operations, fragments, a type system, or all of them.
+///
+/// # Errors
+/// The first fault, with its place.
+pub fn parse(source: &str, limits: &Limits) -> Result<Document, Error> {
+    let tokens = tokens(source, limits)?;
+    let document = Document { tokens: tokens.len() - 1, ..Document::default() };
+    let most = limits.depth.min(DEPTH_MOST);
+    let mut parser = Parser { tokens, next: 0, depth: 0, most, aliases: limits.aliases, document };
+    if parser.peek().kind == Kind::End {
+        return Err(Error::new(parser.peek().at, "the document is empty"));
+    }
+    while parser.peek().kind != Kind::End {
+        parser.definition()?;
+    }
+    Ok(parser.document)
+}
+
+struct Parser<'a> {
+    tokens: Vec<Token<'a>>,
+    next: usize,
+    depth: usize,
+    most: usize,
+    aliases: usize,
+    document: Document,
+}
+
+type Parsed<T> = Result<T, Error>;
+
+impl<'a> Parser<'a> {
+    fn peek(&self) -> &Token<'a> {
+        &self.tokens[self.next]
+    }
+
+    fn advance(&mut self) -> Token<'a> {
+        let token = self.tokens[self.next].clone();
+        self.next = (self.next + 1).min(self.tokens.len() - 1);
+        token
+    }
+
+    fn wanted<T>(&self, what: &str) -> Parsed<T> {
+        Err(Error::new(self.peek().at, format!("expected {what}, found {}", self.peek().shown())))
+    }
+
+    fn is(&self, c: char) -> bool {
+        self.peek().kind == Kind::Punct(c)
+    }
+
+    fn eat(&mut self, c: char) -> bool {
+        let found = self.is(c);
+        if found {
+            self.advance();
+        }
+        found
+    }
+
+    fn expect(&mut self, c: char) -> Parsed<()> {
+        if self.eat(c) { Ok(()) } else { self.wanted(&format!("`{c}`")) }
+    }
+
+    fn word(&self) -> Option<&'a str> {
+        if self.peek().kind == Kind::Name { Some(self.peek().text) } else { None }
+    }
+
+    fn eat_word(&mut self, word: &str) -> bool {
+        let found = self.word() == Some(word);
+        if found {
+            self.advance();
+        }
+        found
+    }
+
+    fn name(&mut self) -> Parsed<String> {
+        if self.word().is_none() {
+            return self.wanted("a name");
+        }
+        Ok(self.advance().text.to_owned())
+    }
+
+    fn deeper(&mut self) -> Parsed<()> {
+        self.depth += 1;
+        if self.depth > self.most {
+            return Err(Error::new(self.peek().at, format!("nested deeper than {}", self.most)));
+        }
+        Ok(())
+    }
+
+    fn definition(&mut self) -> Parsed<()> {
+        let at = self.peek().at;
+        if self.is('{') {
+            let set = self.selection_set()?;
+            let (kind, name, variables, directives) = (OperationKind::Query, None, Vec::new(), Vec::new());
+            self.document.operations.push(Operation { kind, name, variables, directives, set, at });
+            return Ok(());
+        }
+        if let Kind::Str(_) = self.peek().kind {
+            self.advance();
+            return match self.word() {
+                Some("query" | "mutation" | "subscription" | "fragment" | "extend") | None => {
+                    self.wanted("a type definition after a description")
+                }
+                _ => self.type_system(at, false),
+            };
+        }
+        match self.word() {
+            Some("query") => self.operation(OperationKind::Query),
+            Some("mutation") => self.operation(OperationKind::Mutation),
+            Some("subscription") => self.operation(OperationKind::Subscription),
+            Some("fragment") => self.fragment(),
+            Some("extend") => {
+                self.advance();
+                self.type_system(at, true)
+            }
+            _ => self.type_system(at, false),
+        }
+    }
+
+    fn operation(&mut self, kind: OperationKind) -> Parsed<()> {
+        let at = self.advance().at;
+        let name = if self.word().is_some() { Some(self.name()?) } else { None };
+        let mut variables = Vec::new();
+        if self.eat('(') {
+            while !self.eat(')') || variables.is_empty() {
+                let at = self.peek().at;
+                self.expect('$')?;
+                let name = self.name()?;
+                self.expect(':')?;
+                let kind = self.type_reference()?;
+                let default = if self.eat('=') { Some(self.value(true)?) } else { None };
+                self.directives(true)?;
+                variables.push(VariableDef { name, kind, default, at });
+            }
+        }
+        let directives = self.directives(false)?;
+        let set = self.selection_set()?;
+        self.document.operations.push(Operation { kind, name, variables, directives, set, at });
+        Ok(())
+    }
+
+    fn fragment(&mut self) -> Parsed<()> {
+        let at = self.advance().at;
+        if self.word() == Some("on") {
+            return self.wanted("a fragment's name other than `on`");
+        }
+        let name = self.name()?;
+        if !self.eat_word("on") {
+            return self.wanted("`on`");
+        }
+        let condition = self.name()?;
+        let directives = self.directives(false)?;
+        let set = self.selection_set()?;
+        self.document.fragments.push(Fragment { name, condition, directives, set, at });
+        Ok(())
+    }
+
+    fn selection_set(&mut self) -> Parsed<SetId> {
+        self.expect('{')?;
+        self.deeper()?;
+        let mut selections = Vec::new();
+        while !self.eat('}') || selections.is_empty() {
+            let selection = self.selection()?;
+            selections.push(selection);
+        }
+        self.depth -= 1;
+        self.document.sets.push(selections);
+        Ok(self.document.sets.len() - 1)
+    }
+
+    fn selection(&mut self) -> Parsed<Selection> {
+        let at = self.peek().at;
+        if self.peek().kind == Kind::Spread {
+            self.advance();
+            if let Some(word) = self.word().filter(|w| *w != "on") {
+                self.advance();
+                let directives = self.directives(false)?;
+                return Ok(Selection::Spread { name: word.to_owned(), directives, at });
+            }
+            let condition = if self.eat_word("on") { Some(self.name()?) } else { None };
+            let directives = self.directives(false)?;
+            let set = self.selection_set()?;
+            return Ok(Selection::Inline { condition, directives, set, at });
+        }
+        let first = self.name()?;
+        let (alias, name) = if self.eat(':') { (Some(first), self.name()?) } else { (None, first) };
+        if alias.is_some() {
+            self.aliases = match self.aliases.checked_sub(1) {
+                Some(left) => left,
+                None => return Err(Error::new(at, "more aliases than allowed")),
+            };
+        }
+        let arguments = self.arguments(false)?;
+        let directives = self.directives(false)?;
+        let set = if self.is('{') { Some(self.selection_set()?) } else { None };
+        Ok(Selection::Field(Field { alias, name, arguments, directives, set, at }))
+    }
+
+    fn arguments(&mut self, constant: bool) -> Parsed<Vec<Argument>> {
+        let mut arguments = Vec::new();
+        if self.eat('(') {
+            while !self.eat(')') || arguments.is_empty() {
+                let at = self.peek().at;
+                let name = self.name()?;
+                self.expect(':')?;
+                arguments.push(Argument { name, value: self.value(constant)?, at });
+            }
+        }
+        Ok(arguments)
+    }
+
+    fn directives(&mut self, constant: bool) -> Parsed<Vec<Directive>> {
+        let mut directives = Vec::new();
+        while self.is('@') {
+            let at = self.advance().at;
+            let name = self.name()?;
+            directives.push(Directive { name, arguments: self.arguments(constant)?, at });
+        }
+        Ok(directives)
+    }
+
+    fn value(&mut self, constant: bool) -> Parsed<Value> {
+        let at = self.peek().at;
+        let kind = match self.peek().kind.clone() {
+            Kind::Punct('$') if !constant => {
+                self.advance();
+                ValueKind::Variable(self.name()?)
+            }
+            Kind::Int => ValueKind::Int(self.advance().text.to_owned()),
+            Kind::Float => ValueKind::Float(self.advance().text.to_owned()),
+            Kind::Str(text) => {
+                self.advance();
+                ValueKind::Str(text)
+            }
+            Kind::Name => match self.advance().text {
+                "true" => ValueKind::Bool(true),
+                "false" => ValueKind::Bool(false),
+                "null" => ValueKind::Null,
+                name => ValueKind::Enum(name.to_owned()),
+            },
+            Kind::Punct('[') => {
+                self.advance();
+                self.deeper()?;
+                let mut values = Vec::new();
+                while !self.eat(']') {
+                    values.push(self.value(constant)?);
+                }
+                self.depth -= 1;
+                ValueKind::List(values)
+            }
+            Kind::Punct('{') => {
+                self.advance();
+                self.deeper()?;
+                let mut fields: Vec<(String, Value)> = Vec::new();
+                while !self.eat('}') {
+                    let here = self.peek().at;
+                    let name = self.name()?;
+                    if fields.iter().any(|(n, _)| *n == name) {
+                        return Err(Error::new(here, format!("input field `{name}` is given twice")));
+                    }
+                    self.expect(':')?;
+                    let value = self.value(constant)?;
+                    fields.push((name, value));
+                }
+                self.depth -= 1;
+                ValueKind::Object(fields)
+            }
+            _ if constant => return self.wanted("a constant value"),
+            _ => return self.wanted("a value"),
+        };
+        Ok(Value { kind, at })
+    }
+
+    fn type_reference(&mut self) -> Parsed<Type> {
+        let inner = if self.eat('[') {
+            self.deeper()?;
+            let inner = self.type_reference()?;
+            self.depth -= 1;
+            self.expect(']')?;
+            Type::List(Box::new(inner))
+        } else {
+            Type::Named(self.name()?)
+        };
+        Ok(if self.eat('!') { Type::NonNull(Box::new(inner)) } else { inner })
+    }
+
+    // ---- Type system (section 3) ----
+
+    fn type_system(&mut self, at: Pos, extend: bool) -> Parsed<()> {
+        let what = self.word().unwrap_or("");
+        let known = ["schema", "scalar", "type", "interface", "union", "enum", "input", "directive"];
+        if !known.contains(&what) || (extend && what == "directive") {
+            return self.wanted("a definition");
+        }
+        self.advance();
+        if what == "schema" {
+            self.directives(true)?;
+            let mut roots = Vec::new();
+            if self.is('{') || !extend {
+                self.expect('{')?;
+                while !self.eat('}') || roots.is_empty() {
+                    let kind = match self.name()?.as_str() {
+                        "query" => OperationKind::Query,
+                        "mutation" => OperationKind::Mutation,
+                        "subscription" => OperationKind::Subscription,
+                        _ => return self.wanted("`query`, `mutation` or `subscription` before"),
+                    };
+                    self.expect(':')?;
+                    roots.push((kind, self.name()?));
+                }
+            }
+            self.document.definitions.push(Definition::Schema { roots, at });
+            return Ok(());
+        }
+        if what == "directive" {
+            self.expect('@')?;
+            let name = self.name()?;
+            let arguments = self.input_definitions('(', ')')?;
+            self.eat_word("repeatable");
+            if !self.eat_word("on") {
+                return self.wanted("`on`");
+            }
+            self.eat('|');
+            self.name()?;
+            while self.eat('|') {
+                self.name()?;
+            }
+            self.document.definitions.push(Definition::Directive { name, arguments, at });
+            return Ok(());
+        }
+        let name = self.name()?;
+        let interfaces = if matches!(what, "type" | "interface") { self.implements()? } else { Vec::new() };
+        let directives = self.directives(true)?;
+        let body = match what {
+            "scalar" => TypeBody::Scalar,
+            "type" => TypeBody::Object { interfaces, fields: self.field_definitions()? },
+            "interface" => TypeBody::Interface { interfaces, fields: self.field_definitions()? },
+            "union" => {
+                let mut members = Vec::new();
+                if self.eat('=') {
+                    self.eat('|');
+                    members.push(self.name()?);
+                    while self.eat('|') {
+                        members.push(self.name()?);
+                    }
+                }
+                TypeBody::Union(members)
+            }
+            "enum" => {
+                let mut values = Vec::new();
+                if self.eat('{') {
+                    while !self.eat('}') || values.is_empty() {
+                        self.description();
+                        if matches!(self.word(), Some("true" | "false" | "null")) {
+                            return self.wanted("an enum value other than true, false and null");
+                        }
+                        values.push(self.name()?);
+                        self.directives(true)?;
+                    }
+                }
+                TypeBody::Enum(values)
+            }
+            _ => TypeBody::Input(self.input_definitions('{', '}')?),
+        };
+        self.document.definitions.push(Definition::Type { name, body, directives, extend, at });
+        Ok(())
+    }
+
+    fn description(&mut self) {
+        if let Kind::Str(_) = self.peek().kind {
+            self.advance();
+        }
+    }
+
+    fn implements(&mut self) -> Parsed<Vec<String>> {
+        let mut interfaces = Vec::new();
+        if self.eat_word("implements") {
+            self.eat('&');
+            interfaces.push(self.name()?);
+            while self.eat('&') {
+                interfaces.push(self.name()?);
+            }
+        }
+        Ok(interfaces)
+    }
+
+    fn field_definitions(&mut self) -> Parsed<Vec<FieldDef>> {
+        let mut fields = Vec::new();
+        if self.eat('{') {
+            while !self.eat('}') || fields.is_empty() {
+                self.description();
+                let at = self.peek().at;
+                let name = self.name()?;
+                let arguments = self.input_definitions('(', ')')?;
+                self.expect(':')?;
+                let kind = self.type_reference()?;
+                fields.push(FieldDef { name, arguments, kind, directives: self.directives(true)?, at });
+            }
+        }
+        Ok(fields)
+    }
+
+    fn input_definitions(&mut self, open: char, close: char) -> Parsed<Vec<InputDef>> {
+        let mut inputs = Vec::new();
+        if self.eat(open) {
+            while !self.eat(close) || inputs.is_empty() {
+                self.description();
+                let at = self.peek().at;
+                let name = self.name()?;
+                self.expect(':')?;
+                let kind = self.type_reference()?;
+                let default = if self.eat('=') { Some(self.value(true)?) } else { None };
+                inputs.push(InputDef { name, kind, default, directives: self.directives(true)?, at });
+            }
+        }
+        Ok(inputs)
+    }
+}
--- /dev/null
+++ b/crates/graphql/src/prepare.rs
@@ -0,0 +1,87 @@
+//! One operation made ready: parsed, validated, its variables coerced, its price known.
+
+use crate::ast::*;
+use crate::plan::{Cost, NodeId, Plan};
+use crate::scan::Scan;
+use crate::variables::coerce_all;
+use crate::{Error, Limits, Schema, parse, validate};
+use serde_json::{Map, Value as Json};
+use std::sync::Arc;
+
+/// An operation that may be priced, sent on, and whose answer can be counted.
+#[derive(Debug)]
+pub struct Prepared {
+    plan: Plan,
+    root: NodeId,
+    kind: OperationKind,
+    root_fields: Vec<String>,
+    cost: Cost,
+}
+
+impl Prepared {
+    /// Parses and validates a request and prices the operation named, or the only one.
+    ///
+    /// # Errors
+    /// Every fault found; one alone where the source does not parse.
+    pub fn new(
+        schema: Arc<Schema>, source: &str, operation: Option<&str>, variables: Option<&Map<String, Json>>,
+        limits: Limits,
+    ) -> Result<Self, Vec<Error>> {
+        let document = parse(source, &limits).map_err(|e| vec![e])?;
+        validate(&schema, &document, &limits)?;
+        let fault = |message: String| vec![Error { message, at: None }];
+        let chosen = match operation {
+            Some(name) => {
+                let found = document.operations.iter().find(|o| o.name.as_deref() == Some(name));
+                found.ok_or_else(|| fault(format!("the document has no operation `{name}`")))?
+            }
+            None if document.operations.len() > 1 => {
+                return Err(fault("the document has several operations: operationName must name one".into()));
+            }
+            None => &document.operations[0],
+        };
+        let mut errors = Vec::new();
+        let coerced = coerce_all(&schema, &chosen.variables, variables, &mut errors);
+        if !errors.is_empty() {
+            return Err(errors);
+        }
+        let (kind, set) = (chosen.kind, chosen.set);
+        let root_type = schema.root(kind).ok_or_else(|| fault("the schema lacks this root".into()))?;
+        let mut plan = Plan::new(schema, Arc::new(document), coerced, &limits);
+        let root = plan.node(&[set], root_type);
+        let mut cost = plan.price(root);
+        if !plan.errors.is_empty() {
+            return Err(plan.errors);
+        }
+        // The root object itself comes back once; only a weight in the schema makes it cost anything.
+        cost.types += plan.schema.types[root_type].weight.unwrap_or(0.0);
+        cost.units = (cost.fields + cost.types).max(0.0);
+        let node = &plan.nodes[root];
+        let root_fields = node.order.iter().map(|k| node.entries[k].name.clone()).collect();
+        Ok(Self { plan, root, kind, root_fields, cost })
+    }
+
+    /// What the operation does.
+    #[must_use]
+    pub fn kind(&self) -> OperationKind {
+        self.kind
+    }
+
+    /// The names of the root fields that will run, each response key once, in their order.
+    #[must_use]
+    pub fn root_fields(&self) -> &[String] {
+        &self.root_fields
+    }
+
+    /// The price before it runs.
+    #[must_use]
+    pub fn cost(&self) -> Cost {
+        self.cost
+    }
+
+    /// A counter for an answer to this operation, which takes the operation over.
+    #[must_use]
+    pub fn scan(self, depth: usize) -> Scan {
+        Scan::new(self.plan, self.root, depth)
+    }
+}
--- /dev/null
+++ b/crates/graphql/src/schema.rs
@@ -0,0 +1,492 @@
+//! A schema built from its SDL, with the weights and list sizes of the Cost Directives specification.
+
+use crate::ast::*;
+use crate::parser::parse;
+use crate::variables::literal;
+use crate::{DEPTH_MOST, Error, Limits, OperationKind, Pos};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub(crate) type TypeId = usize;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Input {
+    pub kind: Type,
+    pub default: Option<Value>,
+    pub weight: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct ListSize {
+    pub assumed: Option<f64>,
+    pub slicing: Vec<String>,
+    pub sized: Vec<String>,
+    pub require_one: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct OutField {
+    pub kind: Type,
+    pub named: TypeId,
+    pub arguments: BTreeMap<String, Input>,
+    pub weight: Option<f64>,
+    pub list_size: Option<ListSize>,
+    pub at: Pos,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TypeKind {
+    Scalar,
+    Object,
+    Interface,
+    Union,
+    Enum,
+    Input,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct TypeDef {
+    pub name: String,
+    pub kind: TypeKind,
+    pub fields: BTreeMap<String, OutField>,
+    pub inputs: BTreeMap<String, Input>,
+    pub values: BTreeSet<String>,
+    /// Interfaces of an object or interface, members of a union.
+    pub related: BTreeSet<String>,
+    /// The objects that a value of this type can be; itself for an object.
+    pub possible: BTreeSet<TypeId>,
+    pub weight: Option<f64>,
+    pub at: Pos,
+}
+
+impl TypeDef {
+    pub fn is_composite(&self) -> bool {
+        matches!(self.kind, TypeKind::Object | TypeKind::Interface | TypeKind::Union)
+    }
+
+    pub fn is_input(&self) -> bool {
+        matches!(self.kind, TypeKind::Scalar | TypeKind::Enum | TypeKind::Input)
+    }
+}
+
+/// A checked schema.
+#[derive(Clone, Debug)]
+pub struct Schema {
+    pub(crate) types: Vec<TypeDef>,
+    pub(crate) index: BTreeMap<String, TypeId>,
+    pub(crate) directives: BTreeMap<String, BTreeMap<String, Input>>,
+    query: TypeId,
+    mutation: Option<TypeId>,
+    subscription: Option<TypeId>,
+}
+
+/// What every schema holds: the scalars of section 3.5, the directives of 3.13 and of the Cost Directives
+/// specification, and introspection (section 4.2), which costs nothing.
+const BUILT_IN: &str = r#"
+scalar Int scalar Float scalar String scalar Boolean scalar ID
+directive @skip(if: Boolean!) on FIELD
+directive @include(if: Boolean!) on FIELD
+directive @deprecated(reason: String = "No longer supported") on FIELD_DEFINITION
+directive @specifiedBy(url: String!) on SCALAR
+directive @cost(weight: String!) on OBJECT
+directive @listSize(assumedSize: Int, slicingArguments: [String!], sizedFields: [String!],
+    requireOneSlicingArgument: Boolean = true) on FIELD_DEFINITION
+type __Schema @cost(weight: "0") { description: String types: [__Type!]! queryType: __Type! mutationType: __Type
+    subscriptionType: __Type directives: [__Directive!]! }
+type __Type @cost(weight: "0") { kind: __TypeKind! name: String description: String specifiedByURL: String
+    fields(includeDeprecated: Boolean = false): [__Field!] interfaces: [__Type!] possibleTypes: [__Type!]
+    enumValues(includeDeprecated: Boolean = false): [__EnumValue!]
+    inputFields(includeDeprecated: Boolean = false): [__InputValue!] ofType: __Type }
+enum __TypeKind { SCALAR OBJECT INTERFACE UNION ENUM INPUT_OBJECT LIST NON_NULL }
+type __Field @cost(weight: "0") { name: String! description: String type: __Type! isDeprecated: Boolean!
+    args(includeDeprecated: Boolean = false): [__InputValue!]! deprecationReason: String }
+type __InputValue @cost(weight: "0") { name: String! description: String type: __Type! defaultValue: String
+    isDeprecated: Boolean! deprecationReason: String }
+type __EnumValue @cost(weight: "0") { name: String! description: String isDeprecated: Boolean!
+    deprecationReason: String }
+type __Directive @cost(weight: "0") { name: String! description: String locations: [String!]!
+    args(includeDeprecated: Boolean = false): [__InputValue!]! isRepeatable: Boolean! }
+"#;
+
+impl Schema {
+    /// Builds a schema from its SDL.
+    ///
+    /// # Errors
+    /// Every fault found, with its place.
+    pub fn parse(source: &str) -> Result<Self, Vec<Error>> {
+        let limits =
+            Limits { bytes: 8 << 20, tokens: 1 << 20, depth: DEPTH_MOST, aliases: 0, ..Limits::default() };
+        let document = parse(source, &limits).map_err(|e| vec![e])?;
+        let built_in = parse(BUILT_IN, &limits).map_err(|e| vec![e])?;
+        let mut builder = Builder::default();
+        builder.take(&built_in, true);
+        builder.take(&document, false);
+        builder.finish(&document)
+    }
+
+    pub(crate) fn find(&self, name: &str) -> Option<TypeId> {
+        self.index.get(name).copied()
+    }
+
+    pub(crate) fn root(&self, kind: OperationKind) -> Option<TypeId> {
+        match kind {
+            OperationKind::Query => Some(self.query),
+            OperationKind::Mutation => self.mutation,
+            OperationKind::Subscription => self.subscription,
+        }
+    }
+
+    /// The fields of a root type: what classes are given to.
+    pub fn root_fields(&self, kind: OperationKind) -> impl Iterator<Item = &str> {
+        let root = self.root(kind).map(|t| &self.types[t].fields);
+        root.into_iter().flatten().map(|(name, _)| name.as_str()).filter(|n| !n.starts_with("__"))
+    }
+
+    /// The weight of one instance of a type: `@cost`, else 1 for composite types and 0 for leaves.
+    pub(crate) fn type_weight(&self, id: TypeId) -> f64 {
+        let one = |id: TypeId| {
+            let def = &self.types[id];
+            def.weight.unwrap_or(if def.is_composite() || def.kind == TypeKind::Input { 1.0 } else { 0.0 })
+        };
+        let def = &self.types[id];
+        if matches!(def.kind, TypeKind::Interface | TypeKind::Union) {
+            return def.possible.iter().map(|p| one(*p)).fold(0.0, f64::max);
+        }
+        one(id)
+    }
+}
+
+#[derive(Default)]
+struct Builder {
+    types: Vec<TypeDef>,
+    index: BTreeMap<String, TypeId>,
+    directives: BTreeMap<String, BTreeMap<String, Input>>,
+    roots: Vec<(OperationKind, String, Pos)>,
+    errors: Vec<Error>,
+}
+
+impl Builder {
+    fn fault(&mut self, at: Pos, message: String) {
+        self.errors.push(Error::new(at, message));
+    }
+
+    fn weight(&mut self, directives: &[Directive]) -> Option<f64> {
+        let cost = directives.iter().find(|d| d.name == "cost")?;
+        let weight = cost.arguments.iter().find(|a| a.name == "weight").map(|a| &a.value.kind);
+        let parsed = match weight {
+            Some(ValueKind::Str(text)) => text.trim().parse().ok().filter(|w: &f64| w.is_finite()),
+            _ => None,
+        };
+        if parsed.is_none() {
+            self.fault(cost.at, "@cost needs weight: a string that holds a finite number".into());
+        }
+        parsed
+    }
+
+    fn list_size(&mut self, field: &FieldDef) -> Option<ListSize> {
+        let directive = field.directives.iter().find(|d| d.name == "listSize")?;
+        let mut size = ListSize { assumed: None, slicing: Vec::new(), sized: Vec::new(), require_one: true };
+        for argument in &directive.arguments {
+            let strings = match &argument.value.kind {
+                ValueKind::List(values) => {
+                    let text =
+                        |v: &Value| if let ValueKind::Str(s) = &v.kind { Some(s.clone()) } else { None };
+                    values.iter().map(text).collect::<Option<Vec<_>>>()
+                }
+                _ => None,
+            };
+            match (argument.name.as_str(), &argument.value.kind, strings) {
+                ("assumedSize", ValueKind::Int(n), _) => {
+                    size.assumed = n.parse().ok().filter(|n: &f64| *n >= 0.0)
+                }
+                ("slicingArguments", _, Some(names)) => size.slicing = names,
+                ("sizedFields", _, Some(names)) => size.sized = names,
+                ("requireOneSlicingArgument", ValueKind::Bool(b), _) => size.require_one = *b,
+                (name, ..) => {
+                    self.fault(argument.at, format!("@listSize: `{name}` is unknown or of the wrong type"))
+                }
+            }
+        }
+        for name in &size.slicing {
+            let argument = field.arguments.iter().find(|a| a.name == *name);
+            if argument.is_none_or(|a| a.kind.is_list() || a.kind.named() != "Int") {
+                let text =
+                    format!("@listSize: slicing argument `{name}` is no Int argument of `{}`", field.name);
+                self.fault(directive.at, text);
+            }
+        }
+        Some(size)
+    }
+
+    fn input(&mut self, def: &InputDef) -> Input {
+        Input { kind: def.kind.clone(), default: def.default.clone(), weight: self.weight(&def.directives) }
+    }
+
+    fn inputs(&mut self, defs: &[InputDef]) -> BTreeMap<String, Input> {
+        let mut inputs = BTreeMap::new();
+        for def in defs {
+            let input = self.input(def);
+            if inputs.insert(def.name.clone(), input).is_some() {
+                self.fault(def.at, format!("`{}` is defined twice", def.name));
+            }
+        }
+        inputs
+    }
+
+    fn take(&mut self, document: &Document, built_in: bool) {
+        let first =
+            document.operations.iter().map(|o| o.at).chain(document.fragments.iter().map(|f| f.at)).min();
+        if let Some(at) = first {
+            self.fault(at, "a schema holds no operations and no fragments".into());
+        }
+        let extends = |d: &&Definition| matches!(d, Definition::Type { extend: true, .. });
+        let definitions = document.definitions.iter();
+        let ordered = definitions.clone().filter(|d| !extends(d)).chain(definitions.filter(extends));
+        for definition in ordered {
+            match definition {
+                Definition::Schema { roots, at } => {
+                    self.roots.extend(roots.iter().map(|(kind, name)| (*kind, name.clone(), *at)));
+                }
+                Definition::Directive { name, arguments, at } => {
+                    let arguments = self.inputs(arguments);
+                    let known = self.directives.insert(name.clone(), arguments).is_some();
+                    let stated = ["cost", "listSize", "skip", "include", "deprecated", "specifiedBy"];
+                    if known && !stated.contains(&name.as_str()) {
+                        self.fault(*at, format!("directive `@{name}` is defined twice"));
+                    }
+                }
+                Definition::Type { name, body, directives, extend, at } => {
+                    if name.starts_with("__") && !built_in {
+                        self.fault(*at, format!("`{name}`: names with two underscores are reserved"));
+                    }
+                    self.define(name, body, directives, *extend, *at);
+                }
+            }
+        }
+    }
+
+    fn define(&mut self, name: &str, body: &TypeBody, directives: &[Directive], extend: bool, at: Pos) {
+        let kind = match body {
+            TypeBody::Scalar => TypeKind::Scalar,
+            TypeBody::Object { .. } => TypeKind::Object,
+            TypeBody::Interface { .. } => TypeKind::Interface,
+            TypeBody::Union(_) => TypeKind::Union,
+            TypeBody::Enum(_) => TypeKind::Enum,
+            TypeBody::Input(_) => TypeKind::Input,
+        };
+        let weight = self.weight(directives);
+        let known = self.index.get(name).copied();
+        let id = match (known, extend) {
+            (Some(id), true) if self.types[id].kind == kind => id,
+            (Some(_), true) => {
+                return self.fault(at, format!("`{name}` is extended as another kind of type"));
+            }
+            (None, true) => return self.fault(at, format!("`{name}` is extended and not defined")),
+            (Some(_), false) => return self.fault(at, format!("type `{name}` is defined twice")),
+            (None, false) => {
+                let (fields, inputs, values) = Default::default();
+                let (related, possible) = Default::default();
+                let name = name.to_owned();
+                self.index.insert(name.clone(), self.types.len());
+                self.types.push(TypeDef {
+                    name,
+                    kind,
+                    fields,
+                    inputs,
+                    values,
+                    related,
+                    possible,
+                    weight: None,
+                    at,
+                });
+                self.types.len() - 1
+            }
+        };
+        let mut fields = Vec::new();
+        let mut related = Vec::new();
+        match body {
+            TypeBody::Scalar => {}
+            TypeBody::Object { interfaces, fields: f } | TypeBody::Interface { interfaces, fields: f } => {
+                related.clone_from(interfaces);
+                fields.clone_from(f);
+            }
+            TypeBody::Union(members) => related.clone_from(members),
+            TypeBody::Enum(values) => self.types[id].values.extend(values.iter().cloned()),
+            TypeBody::Input(inputs) => {
+                let inputs = self.inputs(inputs);
+                self.types[id].inputs.extend(inputs);
+            }
+        }
+        for field in fields {
+            let arguments = self.inputs(&field.arguments);
+            let (weight, list_size) = (self.weight(&field.directives), self.list_size(&field));
+            if field.name.starts_with("__") {
+                self.fault(field.at, format!("`{}`: names with two underscores are reserved", field.name));
+            }
+            let made =
+                OutField { kind: field.kind.clone(), named: 0, arguments, weight, list_size, at: field.at };
+            if self.types[id].fields.insert(field.name.clone(), made).is_some() {
+                self.fault(field.at, format!("field `{name}.{}` is defined twice", field.name));
+            }
+        }
+        self.types[id].related.extend(related);
+        self.types[id].weight = weight.or(self.types[id].weight);
+    }
+
+    fn finish(mut self, document: &Document) -> Result<Schema, Vec<Error>> {
+        let start = Pos { line: 1, column: 1 };
+        let stated = !self.roots.is_empty();
+        let mut root = |kind, default: &str| {
+            let found = self.roots.iter().find(|(k, ..)| *k == kind).cloned();
+            let (name, at) = match found {
+                Some((_, name, at)) => (name, at),
+                None if stated => return None,
+                None => (default.to_owned(), start),
+            };
+            match self.index.get(&name) {
+                Some(id) if self.types[*id].kind == TypeKind::Object => Some(*id),
+                _ if stated => {
+                    self.errors.push(Error::new(at, format!("root type `{name}` is no object type")));
+                    None
+                }
+                _ => None,
+            }
+        };
+        let query = root(OperationKind::Query, "Query");
+        let mutation = root(OperationKind::Mutation, "Mutation");
+        let subscription = root(OperationKind::Subscription, "Subscription");
+        if query.is_none() {
+            self.fault(start, "a schema needs a query root: `type Query`, or `schema { query: ... }`".into());
+        }
+        self.resolve();
+        if let Some(query) = query {
+            let meta = |named: TypeId, kind: &str, arguments| {
+                let (weight, list_size) = (Some(0.0), None);
+                OutField { kind: Type::Named(kind.into()), named, arguments, weight, list_size, at: start }
+            };
+            let (schema, one) = (self.index["__Schema"], self.index["__Type"]);
+            let name = Type::NonNull(Box::new(Type::Named("String".into())));
+            let name = Input { kind: name, default: None, weight: None };
+            let fields = &mut self.types[query].fields;
+            fields.insert("__schema".into(), meta(schema, "__Schema", BTreeMap::new()));
+            fields.insert("__type".into(), meta(one, "__Type", BTreeMap::from([("name".into(), name)])));
+        }
+        let (types, index, directives) = (self.types, self.index, self.directives);
+        let mut errors = self.errors;
+        let Some(query) = query else { return Err(errors) };
+        let schema = Schema { types, index, directives, query, mutation, subscription };
+        schema.check_defaults(document, &mut errors);
+        if errors.is_empty() { Ok(schema) } else { Err(errors) }
+    }
+
+    /// Resolves names, finds possible types, and checks what refers to what.
+    fn resolve(&mut self) {
+        let mut errors = Vec::new();
+        for id in 0..self.types.len() {
+            let def = &self.types[id];
+            let fault = |at: Pos, text: String| Error::new(at, text);
+            let empty = match def.kind {
+                TypeKind::Object | TypeKind::Interface => def.fields.is_empty(),
+                TypeKind::Union => def.related.is_empty(),
+                TypeKind::Enum => def.values.is_empty(),
+                TypeKind::Input => def.inputs.is_empty(),
+                TypeKind::Scalar => false,
+            };
+            if empty {
+                errors.push(fault(def.at, format!("type `{}` has no fields, members or values", def.name)));
+            }
+            let inputs = def.fields.values().flat_map(|f| f.arguments.iter().map(move |a| (f.at, a)));
+            for (at, (name, input)) in inputs.chain(def.inputs.iter().map(|i| (def.at, i))) {
+                let found = self.index.get(input.kind.named()).map(|t| &self.types[*t]);
+                if found.is_none_or(|t| !t.is_input()) {
+                    errors.push(fault(at, format!("`{name}`: `{}` is no input type", input.kind.named())));
+                }
+            }
+            for related in &def.related {
+                let wanted = if def.kind == TypeKind::Union { TypeKind::Object } else { TypeKind::Interface };
+                let Some(other) =
+                    self.index.get(related).map(|t| &self.types[*t]).filter(|t| t.kind == wanted)
+                else {
+                    errors.push(fault(def.at, format!("`{}`: `{related}` is no {wanted:?}", def.name)));
+                    continue;
+                };
+                for name in other.fields.keys().filter(|_| wanted == TypeKind::Interface) {
+                    if !def.fields.contains_key(name) {
+                        let text = format!("`{}` lacks field `{name}` of interface `{related}`", def.name);
+                        errors.push(fault(def.at, text));
+                    }
+                }
+            }
+            for (name, field) in &def.fields {
+                let found = self.index.get(field.kind.named()).map(|t| &self.types[*t]);
+                let Some(found) = found.filter(|t| t.kind != TypeKind::Input) else {
+                    errors.push(fault(
+                        field.at,
+                        format!("`{name}`: `{}` is no output type", field.kind.named()),
+                    ));
+                    continue;
+                };
+                for sized in field.list_size.iter().flat_map(|s| &s.sized) {
+                    if found.fields.get(sized).is_none_or(|f| !f.kind.is_list()) {
+                        let text = format!("@listSize: sized field `{sized}` is no list of `{}`", found.name);
+                        errors.push(fault(field.at, text));
+                    }
+                }
+                if let Some(size) = &field.list_size {
+                    if !field.kind.is_list() && size.sized.is_empty() {
+                        errors.push(fault(
+                            field.at,
+                            format!("@listSize: `{name}` is no list and names no sizedFields"),
+                        ));
+                    }
+                }
+            }
+        }
+        self.errors.extend(errors);
+        let find = |name: &str| self.index.get(name).copied();
+        let objects: Vec<TypeId> =
+            (0..self.types.len()).filter(|t| self.types[*t].kind == TypeKind::Object).collect();
+        let possible: Vec<BTreeSet<TypeId>> = (0..self.types.len())
+            .map(|id| match self.types[id].kind {
+                TypeKind::Object => BTreeSet::from([id]),
+                TypeKind::Interface => {
+                    let name = &self.types[id].name;
+                    objects.iter().copied().filter(|o| self.types[*o].related.contains(name)).collect()
+                }
+                TypeKind::Union => self.types[id].related.iter().filter_map(|m| find(m)).collect(),
+                _ => BTreeSet::new(),
+            })
+            .collect();
+        let named: Vec<BTreeMap<String, TypeId>> = self
+            .types
+            .iter()
+            .map(|t| t.fields.iter().filter_map(|(n, f)| Some((n.clone(), find(f.kind.named())?))).collect())
+            .collect();
+        for ((def, possible), named) in self.types.iter_mut().zip(possible).zip(named) {
+            def.possible = possible;
+            for (name, field) in &mut def.fields {
+                field.named = named.get(name).copied().unwrap_or(0);
+            }
+        }
+    }
+}
+
+impl Schema {
+    fn check_defaults(&self, document: &Document, errors: &mut Vec<Error>) {
+        let mut check = |def: &InputDef| {
+            if let Some(default) = &def.default {
+                literal(self, default, &def.kind, &mut |_, _, _| {}, errors);
+            }
+        };
+        for definition in &document.definitions {
+            match definition {
+                Definition::Type { body: TypeBody::Input(inputs), .. } => inputs.iter().for_each(&mut check),
+                Definition::Type {
+                    body: TypeBody::Object { fields, .. } | TypeBody::Interface { fields, .. },
+                    ..
+                } => fields.iter().flat_map(|f| &f.arguments).for_each(&mut check),
+                Definition::Directive { arguments, .. } => arguments.iter().for_each(&mut check),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/graphql/src/validate.rs
@@ -0,0 +1,351 @@
+//! The validation that a gateway needs (GraphQL specification, section 5): what would make the price of an
+//! operation meaningless or let it grow without bound. Merging of fields (5.3.2) is left to the node.
+
+use crate::ast::*;
+use crate::schema::{Input, Schema, TypeId};
+use crate::variables::{literal, place};
+use crate::{Error, Limits, OperationKind, Pos};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Validates all operations and fragments of a document.
+///
+/// # Errors
+/// Every fault found, with its place.
+pub fn validate(schema: &Schema, document: &Document, limits: &Limits) -> Result<(), Vec<Error>> {
+    let mut check = Check { schema, document, errors: Vec::new() };
+    check.run(limits);
+    if check.errors.is_empty() { Ok(()) } else { Err(check.errors) }
+}
+
+struct Check<'a> {
+    schema: &'a Schema,
+    document: &'a Document,
+    errors: Vec<Error>,
+}
+
+/// A variable's use: its name, the type its place wants, and where.
+type Use<'a> = (&'a str, Type, Pos);
+
+impl<'a> Check<'a> {
+    fn fault(&mut self, at: Pos, message: String) {
+        self.errors.push(Error::new(at, message));
+    }
+
+    fn run(&mut self, limits: &Limits) {
+        let document = self.document;
+        if document.operations.is_empty() {
+            self.fault(Pos { line: 1, column: 1 }, "the document holds no operation".into());
+        }
+        if let Some(definition) = document.definitions.first() {
+            let (Definition::Schema { at, .. }
+            | Definition::Type { at, .. }
+            | Definition::Directive { at, .. }) = definition;
+            self.fault(*at, "a type system has no place in a request".into());
+        }
+        let mut fragments: HashMap<&str, &Fragment> = HashMap::new();
+        for fragment in &document.fragments {
+            if fragments.insert(&fragment.name, fragment).is_some() {
+                self.fault(fragment.at, format!("fragment `{}` is defined twice", fragment.name));
+            }
+        }
+        let mut names = BTreeSet::new();
+        for operation in &document.operations {
+            match &operation.name {
+                Some(name) if !names.insert(name) => {
+                    self.fault(operation.at, format!("operation `{name}` is defined twice"));
+                }
+                None if document.operations.len() > 1 => {
+                    self.fault(operation.at, "an operation without a name must be the only one".into());
+                }
+                _ => {}
+            }
+        }
+        let Some(order) = self.order(&fragments) else { return };
+        // What each fragment holds in all, found from the innermost outward: never by spreading them out.
+        let mut sizes: HashMap<&str, (u64, usize)> = HashMap::new();
+        for fragment in &order {
+            let size = self.size(fragment.set, &sizes);
+            sizes.insert(&fragment.name, size);
+        }
+        for operation in &document.operations {
+            let (fields, depth) = self.size(operation.set, &sizes);
+            if fields > limits.expansion {
+                let text = format!("{fields} fields with all fragments spread, at most {}", limits.expansion);
+                self.fault(operation.at, text);
+            }
+            if depth > limits.depth {
+                self.fault(
+                    operation.at,
+                    format!("nested {depth} deep with all fragments spread, at most {}", limits.depth),
+                );
+            }
+        }
+        let mut uses: HashMap<&str, Vec<Use<'a>>> = HashMap::new();
+        for fragment in &order {
+            let mut found = Vec::new();
+            let id = self.schema.find(&fragment.condition).filter(|t| self.schema.types[*t].is_composite());
+            match id {
+                Some(id) => self.set(fragment.set, id, &fragments, &mut found),
+                None => self.fault(fragment.at, format!("`{}` is no composite type", fragment.condition)),
+            }
+            self.directives(&fragment.directives, &mut found);
+            uses.insert(&fragment.name, found);
+        }
+        for operation in &document.operations {
+            self.operation(operation, &fragments, &uses);
+        }
+    }
+
+    /// The fragments, each behind those it spreads; `None` with a fault where they form a cycle.
+    fn order(&mut self, fragments: &HashMap<&str, &'a Fragment>) -> Option<Vec<&'a Fragment>> {
+        let document = self.document;
+        let mut waits: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+        let mut users: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        let mut unknown = false;
+        for fragment in &document.fragments {
+            let own = waits.entry(&fragment.name).or_default();
+            for (name, _) in document.spreads_below(fragment.set) {
+                if fragments.contains_key(name) && own.insert(name) {
+                    users.entry(name).or_default().push(&fragment.name);
+                }
+            }
+        }
+        let roots = document.operations.iter().map(|o| o.set).chain(document.fragments.iter().map(|f| f.set));
+        for (name, at) in roots.flat_map(|s| document.spreads_below(s)) {
+            if !fragments.contains_key(name) {
+                unknown = true;
+                self.errors.push(Error::new(at, format!("fragment `{name}` is not defined")));
+            }
+        }
+        let mut free: Vec<&str> = waits.iter().filter(|(_, w)| w.is_empty()).map(|(n, _)| *n).collect();
+        let mut order = Vec::new();
+        while let Some(name) = free.pop() {
+            order.push(fragments[name]);
+            for user in users.remove(name).unwrap_or_default() {
+                if let Some(wait) = waits.get_mut(user) {
+                    wait.remove(name);
+                    if wait.is_empty() {
+                        free.push(user);
+                    }
+                }
+            }
+        }
+        if order.len() < fragments.len() {
+            let cyclic =
+                document.fragments.iter().find(|f| waits.get(f.name.as_str()).is_some_and(|w| !w.is_empty()));
+            if let Some(fragment) = cyclic {
+                self.fault(
+                    fragment.at,
+                    format!("fragment `{}` spreads itself, over others or not", fragment.name),
+                );
+            }
+            return None;
+        }
+        if unknown { None } else { Some(order) }
+    }
+
+    /// Fields and depth of a set with all fragments spread. Recursion only within the source's own nesting.
+    fn size(&self, set: SetId, fragments: &HashMap<&str, (u64, usize)>) -> (u64, usize) {
+        let (mut fields, mut depth) = (0u64, 0);
+        for selection in &self.document.sets[set] {
+            let (more, deep) = match selection {
+                Selection::Field(field) => {
+                    let (f, d) = field.set.map_or((0, 0), |s| self.size(s, fragments));
+                    (f.saturating_add(1), d)
+                }
+                Selection::Spread { name, .. } => fragments.get(name.as_str()).copied().unwrap_or((0, 0)),
+                Selection::Inline { set, .. } => self.size(*set, fragments),
+            };
+            fields = fields.saturating_add(more);
+            depth = depth.max(deep);
+        }
+        (fields, depth + 1)
+    }
+
+    fn operation(
+        &mut self, operation: &'a Operation, fragments: &HashMap<&str, &'a Fragment>,
+        uses: &HashMap<&str, Vec<Use<'a>>>,
+    ) {
+        let Some(root) = self.schema.root(operation.kind) else {
+            return self
+                .fault(operation.at, format!("the schema has no {:?} root", operation.kind).to_lowercase());
+        };
+        let mut known: BTreeMap<&str, &VariableDef> = BTreeMap::new();
+        for def in &operation.variables {
+            if known.insert(&def.name, def).is_some() {
+                self.fault(def.at, format!("variable `${}` is defined twice", def.name));
+            }
+            match self.schema.find(def.kind.named()) {
+                Some(id) if self.schema.types[id].is_input() => {
+                    if let Some(default) = &def.default {
+                        literal(self.schema, default, &def.kind, &mut |_, _, _| {}, &mut self.errors);
+                    }
+                }
+                _ => self.fault(def.at, format!("`${}`: `{}` is no input type", def.name, def.kind.named())),
+            }
+        }
+        let mut found = Vec::new();
+        self.set(operation.set, root, fragments, &mut found);
+        self.directives(&operation.directives, &mut found);
+        // The fragments that the operation reaches.
+        let (mut open, mut reached) = (vec![operation.set], BTreeSet::new());
+        while let Some(set) = open.pop() {
+            for (name, _) in self.document.spreads_below(set) {
+                if reached.insert(name) {
+                    open.extend(fragments.get(name).map(|f| f.set));
+                }
+            }
+        }
+        let all = reached.iter().filter_map(|n| uses.get(n)).flatten().chain(&found);
+        let mut errors = Vec::new();
+        for (name, wanted, at) in all {
+            match known.get(name) {
+                None => errors
+                    .push(Error::new(*at, format!("variable `${name}` is not defined by the operation"))),
+                Some(def) if !usable(def, wanted) => {
+                    let text = format!("variable `${name}` of type `{}` does not fit `{wanted}`", def.kind);
+                    errors.push(Error::new(*at, text));
+                }
+                Some(_) => {}
+            }
+        }
+        self.errors.extend(errors);
+        if operation.kind == OperationKind::Subscription && self.document.sets[operation.set].len() != 1 {
+            self.fault(operation.at, "a subscription has one root field".into());
+        }
+    }
+
+    fn set(
+        &mut self, set: SetId, parent: TypeId, fragments: &HashMap<&str, &'a Fragment>,
+        uses: &mut Vec<Use<'a>>,
+    ) {
+        let (document, schema) = (self.document, self.schema);
+        for selection in &document.sets[set] {
+            match selection {
+                Selection::Field(field) => self.field(field, parent, fragments, uses),
+                Selection::Spread { name, directives, at } => {
+                    self.directives(directives, uses);
+                    let condition = fragments.get(name.as_str()).and_then(|f| schema.find(&f.condition));
+                    if let Some(condition) = condition {
+                        self.overlap(parent, condition, *at);
+                    }
+                }
+                Selection::Inline { condition, directives, set, at } => {
+                    self.directives(directives, uses);
+                    let id = condition.as_ref().map_or(Some(parent), |c| schema.find(c));
+                    match id.filter(|t| schema.types[*t].is_composite()) {
+                        Some(id) => {
+                            self.overlap(parent, id, *at);
+                            self.set(*set, id, fragments, uses);
+                        }
+                        None => {
+                            let name = condition.as_deref().unwrap_or_default();
+                            self.fault(*at, format!("`{name}` is no composite type"));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn overlap(&mut self, parent: TypeId, condition: TypeId, at: Pos) {
+        let (p, c) = (&self.schema.types[parent], &self.schema.types[condition]);
+        if p.possible.is_disjoint(&c.possible) {
+            let text = format!("a value of `{}` can never be a `{}`", p.name, c.name);
+            self.fault(at, text);
+        }
+    }
+
+    fn field(
+        &mut self, field: &'a Field, parent: TypeId, fragments: &HashMap<&str, &'a Fragment>,
+        uses: &mut Vec<Use<'a>>,
+    ) {
+        let (schema, def) = (self.schema, &self.schema.types[parent]);
+        self.directives(&field.directives, uses);
+        if field.name == "__typename" {
+            if field.set.is_some() || !field.arguments.is_empty() {
+                self.fault(field.at, "`__typename` takes no arguments and has no fields".into());
+            }
+            return;
+        }
+        let Some(found) = def.fields.get(&field.name) else {
+            return self.fault(field.at, format!("type `{}` has no field `{}`", def.name, field.name));
+        };
+        let what = format!("field `{}.{}`", def.name, field.name);
+        self.arguments(&what, field.at, &field.arguments, &found.arguments, uses);
+        let composite = schema.types[found.named].is_composite();
+        match (field.set, composite) {
+            (Some(set), true) => self.set(set, found.named, fragments, uses),
+            (None, false) => {}
+            (Some(_), false) => {
+                self.fault(field.at, format!("{what} of type `{}` has no fields of its own", found.kind))
+            }
+            (None, true) => {
+                self.fault(field.at, format!("{what} of type `{}` needs a selection of fields", found.kind))
+            }
+        }
+    }
+
+    fn arguments(
+        &mut self, what: &str, at: Pos, given: &'a [Argument], known: &BTreeMap<String, Input>,
+        uses: &mut Vec<Use<'a>>,
+    ) {
+        let mut names = BTreeSet::new();
+        for argument in given {
+            if !names.insert(&argument.name) {
+                self.fault(argument.at, format!("argument `{}` is given twice", argument.name));
+            }
+            match known.get(&argument.name) {
+                Some(input) => {
+                    let mut on = |name, kind, at| uses.push((name, kind, at));
+                    literal(self.schema, &argument.value, &place(input), &mut on, &mut self.errors);
+                }
+                None => self.fault(argument.at, format!("{what} has no argument `{}`", argument.name)),
+            }
+        }
+        for (name, input) in known {
+            if matches!(input.kind, Type::NonNull(_)) && input.default.is_none() && !names.contains(name) {
+                self.fault(at, format!("{what} needs argument `{name}`"));
+            }
+        }
+    }
+
+    fn directives(&mut self, directives: &'a [Directive], uses: &mut Vec<Use<'a>>) {
+        let mut names = BTreeSet::new();
+        for directive in directives {
+            let schema = self.schema;
+            if !names.insert(&directive.name) && matches!(directive.name.as_str(), "skip" | "include") {
+                self.fault(directive.at, format!("`@{}` is given twice", directive.name));
+            }
+            match schema.directives.get(&directive.name) {
+                Some(known) => {
+                    let what = format!("directive `@{}`", directive.name);
+                    self.arguments(&what, directive.at, &directive.arguments, known, uses);
+                }
+                None => self.fault(directive.at, format!("directive `@{}` is unknown", directive.name)),
+            }
+        }
+    }
+}
+
+/// Whether a variable may stand where a type is wanted (section 5.8.5).
+fn usable(def: &VariableDef, wanted: &Type) -> bool {
+    match (wanted, &def.kind) {
+        (Type::NonNull(inner), kind) if !matches!(kind, Type::NonNull(_)) => {
+            let default = def.default.as_ref().is_some_and(|d| d.kind != ValueKind::Null);
+            default && compatible(kind, inner)
+        }
+        _ => compatible(&def.kind, wanted),
+    }
+}
+
+fn compatible(given: &Type, wanted: &Type) -> bool {
+    match (given, wanted) {
+        (Type::NonNull(g), Type::NonNull(w)) => compatible(g, w),
+        (_, Type::NonNull(_)) => false,
+        (Type::NonNull(g), w) => compatible(g, w),
+        (Type::List(g), Type::List(w)) => compatible(g, w),
+        (Type::Named(g), Type::Named(w)) => g == w,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/graphql/tests/documents.rs
@@ -0,0 +1,259 @@
+//! Validation, cost, and the count of an answer.
+
+use doorcourse_graphql::{Counted, Error, Limits, OperationKind, Prepared, Schema};
+use proptest::prelude::*;
+use serde_json::{Map, Value, json};
+use std::sync::Arc;
+
+const SDL: &str = r#"
+"An archive." type Query {
+  preview(id: ID!): Preview @cost(weight: "0")
+  previews(first: Int, last: Int = 3, filter: Filter): [Preview!]! @cost(weight: "0")
+    @listSize(slicingArguments: ["first", "last"])
+  page(first: Int!): Page @cost(weight: "1") @listSize(slicingArguments: ["first"], sizedFields: ["edges"])
+  any: [Thing] @listSize(assumedSize: 4)
+  one: Thing @cost(weight: "0")
+}
+type Page @cost(weight: "0") { edges: [Preview!] total: Int }
+input Filter { genre: Genre = FOLK, words: [String!], not: Filter }
+enum Genre { FOLK JAZZ }
+interface Named { title: String! }
+type Preview implements Named { title: String! url(size: Int): String waveform: String @cost(weight: "0.5") like: [Preview] }
+type Album implements Named @cost(weight: "5") { title: String! tracks(first: Int!): [Preview!] @cost(weight: "0") @listSize(slicingArguments: ["first"]) }
+union Thing = Preview | Album
+type Mutation { save(tracks: [TrackInput!]! @cost(weight: "0.25")): Album }
+input TrackInput { id: ID! note: String @cost(weight: "2") }
+"#;
+
+fn schema() -> Arc<Schema> {
+    Schema::parse(SDL).unwrap().into()
+}
+
+fn prepare(source: &str, variables: Value) -> Result<Prepared, Vec<Error>> {
+    let variables: Map<String, Value> = serde_json::from_value(variables).unwrap();
+    Prepared::new(schema(), source, None, Some(&variables), Limits::default())
+}
+
+fn units(source: &str, variables: Value) -> f64 {
+    prepare(source, variables).unwrap_or_else(|e| panic!("{source}: {e:?}")).cost().units
+}
+
+fn refused(source: &str, variables: Value, part: &str) {
+    let Err(errors) = prepare(source, variables) else { panic!("{source} passed") };
+    assert!(errors.iter().any(|e| e.to_string().contains(part)), "{source}: {errors:?} lacks {part:?}");
+}
+
+fn counted(source: &str, answer: &str) -> Counted {
+    let mut scan = prepare(source, json!({})).unwrap().scan(20);
+    scan.feed(answer.as_bytes());
+    scan.counted()
+}
+
+#[test]
+fn prices() {
+    assert_eq!(units("{ preview(id: 1) { url title } }", json!({})), 1.0);
+    assert_eq!(units("{ previews(first: 40) { waveform } }", json!({})), 40.0 * 1.5);
+    assert_eq!(units("query($n: Int = 7) { previews(first: $n) { url } }", json!({})), 7.0);
+    assert_eq!(units("query($n: Int = 7) { previews(first: $n) { url } }", json!({"n": 9})), 9.0);
+    // A default of the schema counts where no slicing argument is given.
+    assert_eq!(units("{ previews { url } }", json!({})), 3.0);
+    assert_eq!(units("{ previews(first: -5) { url } }", json!({})), 0.0);
+    // sizedFields: the size goes to the edges below.
+    assert_eq!(units("{ page(first: 6) { edges { waveform } total } }", json!({})), 1.0 + 1.0 + 6.0 * 1.5);
+    // A list without a size counts as the limit says; an assumed one as the schema says, of the dearest type.
+    assert_eq!(units("{ preview(id: 1) { like { url } } }", json!({})), 1.0 + 1.0 + 10.0);
+    assert_eq!(
+        units("{ any { ... on Preview { waveform } ... on Album { title } } }", json!({})),
+        1.0 + 4.0 * 5.0
+    );
+    let save = "mutation($t: [TrackInput!]!) { save(tracks: $t) { title } }";
+    assert_eq!(units(save, json!({"t": [{"id": 1}, {"id": 2, "note": "x"}]})), 1.0 + 5.0 + 2.0 * 0.25 + 2.0);
+}
+
+#[test]
+fn what_is_skipped_or_asked_twice_is_not_charged_again() {
+    let source =
+        "query($no: Boolean!) { a: preview(id: 1) { url } b: preview(id: 2) @include(if: $no) { url } }";
+    assert_eq!(units(source, json!({"no": false})), 1.0);
+    assert_eq!(units(source, json!({"no": true})), 2.0);
+    assert_eq!(
+        units(
+            "{ preview(id: 1) { waveform } ...F ...F preview(id: 1) { url } }
+        fragment F on Query { preview(id: 1) { waveform } }",
+            json!({})
+        ),
+        1.5
+    );
+    assert_eq!(prepare(source, json!({"no": false})).unwrap().root_fields(), ["preview"]);
+}
+
+#[test]
+fn fragments_are_never_spread_out_exponentially() {
+    let mut source = String::from("{ preview(id: 1) { ...F0 } } ");
+    for n in 0..25 {
+        source +=
+            &format!("fragment F{n} on Preview {{ a: like {{ ...F{0} }} b: like {{ ...F{0} }} }} ", n + 1);
+    }
+    source += "fragment F25 on Preview { url }";
+    refused(&source, json!({}), "fields with all fragments spread, at most 10000");
+    let limits = Limits { expansion: u64::MAX, ..Limits::default() };
+    refused_depth(&source.replace("F25 on Preview { url }", "F25 on Preview { url } "), limits);
+    let deep = Limits { depth: 60, ..limits };
+    let prepared = Prepared::new(schema(), &source, None, None, deep).unwrap();
+    assert!(prepared.cost().units > 1e14);
+}
+
+fn refused_depth(source: &str, limits: Limits) {
+    let errors = Prepared::new(schema(), source, None, None, limits).unwrap_err();
+    assert!(errors[0].to_string().contains("deep with all fragments spread, at most 30"), "{errors:?}");
+}
+
+#[test]
+fn long_chains_and_deep_nests_do_not_overflow() {
+    let limits = Limits { tokens: 1 << 22, bytes: 1 << 24, ..Limits::default() };
+    let mut chain = String::from("{ preview(id: 1) { ...F0 } } ");
+    for n in 0..20_000 {
+        chain += &format!("fragment F{n} on Preview {{ ...F{} }} ", n + 1);
+    }
+    chain += "fragment F20000 on Preview { url }";
+    let errors = Prepared::new(schema(), &chain, None, None, limits).unwrap_err();
+    assert!(errors[0].message.contains("deep"), "{errors:?}");
+    for (open, inner, close) in [("{ a ", "", "}"), ("{ a(b: [", "", "]) }"), ("{ a(b: {c: ", "1", "}) }")] {
+        let source = open.repeat(100_000) + inner + &close.repeat(100_000);
+        assert!(Prepared::new(schema(), &source, None, None, limits).is_err());
+    }
+    let source = format!("{{ a(b: {}1{}) }}", "[".repeat(100_000), "]".repeat(100_000));
+    let errors = Prepared::new(schema(), &source, None, None, limits).unwrap_err();
+    assert!(errors[0].message.contains("nested deeper than 30"), "{errors:?}");
+}
+
+#[test]
+fn faults_have_places() {
+    for (source, part) in [
+        ("{ preview(id: 1) { nope } }", "1:20: type `Preview` has no field `nope`"),
+        ("{ preview { url } }", "1:3: field `Query.preview` needs argument `id`"),
+        ("{ preview(id: 1.5) { url } }", "1:15: expected a value of type `ID`, found a float"),
+        ("{ preview(id: 1, x: 2) { url } }", "has no argument `x`"),
+        ("{ preview(id: 1) }", "needs a selection"),
+        ("{ preview(id: 1) { url { x } } }", "has no fields of its own"),
+        ("{ previews(first: 1, filter: {genre: ROCK}) { url } }", "an enum value that it does not have"),
+        ("{ previews(first: 1, filter: {what: 1}) { url } }", "`Filter` has no input field `what`"),
+        (
+            "query($a: String) { preview(id: $a) { url } }",
+            "variable `$a` of type `String` does not fit `ID!`",
+        ),
+        ("{ preview(id: $a) { url } }", "variable `$a` is not defined"),
+        ("{ ...F } fragment F on Query { preview(id: $a) { url } }", "variable `$a` is not defined"),
+        ("{ ...F }", "fragment `F` is not defined"),
+        ("{ ...F } fragment F on Query { ...G } fragment G on Query { ...F }", "spreads itself"),
+        ("{ ...F } fragment F on Preview { url }", "a value of `Query` can never be a `Preview`"),
+        ("{ ... on Genre { x } }", "`Genre` is no composite type"),
+        ("{ preview(id: 1) @nope { url } }", "directive `@nope` is unknown"),
+        ("{ preview(id: 1) @skip { url } }", "needs argument `if`"),
+        ("query A { one { __typename } } query A { one { __typename } }", "operation `A` is defined twice"),
+        ("{ previews(first: 1, last: 2) { url } }", "needs exactly one of the arguments"),
+        ("type X { a: Int } { one { __typename } }", "a type system has no place"),
+        ("subscription { x }", "no subscription root"),
+        ("{ preview(id: 1) { url }", "expected a name, found the end"),
+    ] {
+        refused(source, json!({}), part);
+    }
+    let source = "query($f: Filter!) { previews(first: 1, filter: $f) { url } }";
+    refused(source, json!({}), "`$f` of type `Filter!` is required");
+    refused(source, json!({"f": {"words": ["a", 1]}}), "`$f.words[1]`");
+    refused(source, json!({"f": {"not": {"x": 1}}}), "has no input field `x`");
+}
+
+#[test]
+fn schemas_are_checked() {
+    for (sdl, part) in [
+        ("type A { a: Int }", "needs a query root"),
+        ("type Query { a: B }", "`B` is no output type"),
+        ("type Query { a: Int @cost(weight: 1) }", "@cost needs weight: a string"),
+        (
+            "type Query { a: [Int] @listSize(slicingArguments: [\"n\"]) }",
+            "slicing argument `n` is no Int argument",
+        ),
+        ("type Query { a: Int @listSize(assumedSize: 3) }", "is no list and names no sizedFields"),
+        ("type Query implements I { a: Int } interface I { b: Int }", "lacks field `b`"),
+        ("type Query { a(b: Int = \"x\"): Int }", "expected a value of type `Int`"),
+        ("type Query { a: Int a: Int }", "defined twice"),
+        ("extend type Query { a: Int }", "is extended and not defined"),
+        ("schema { query: Q }", "root type `Q` is no object type"),
+    ] {
+        let errors = Schema::parse(sdl).unwrap_err();
+        assert!(errors.iter().any(|e| e.to_string().contains(part)), "{sdl}: {errors:?}");
+    }
+    let schema = Schema::parse("schema { query: Q } type Q { a: Int } extend type Q { b: Int }").unwrap();
+    assert_eq!(schema.root_fields(OperationKind::Query).collect::<Vec<_>>(), ["a", "b"]);
+}
+
+#[test]
+fn answers_are_counted_by_what_came_back() {
+    let query = "{ previews(first: 40) { waveform like { url } } }";
+    let answer = r#"{"data":{"previews":[{"waveform":"a]}\"","like":[{"url":"x"},null]},{"waveform":null,"like":null}]}}"#;
+    // Two previews, one liked; the field `like` weighs 1 and `waveform` 0.5 for each of the two.
+    let found = counted(query, answer);
+    assert_eq!((found.units, found.whole, found.data), (2.0 + 1.0 + 2.0 * 1.0 + 2.0 * 0.5, true, true));
+    let claimed =
+        counted(query, r#"{"data":{"previews":[]},"extensions":{"cost":{"actualCost":7.5,"x":1}}}"#);
+    assert_eq!((claimed.units, claimed.claim), (0.0, Some(7.5)));
+    let failed = counted(query, r#"{"errors":[{"message":"no"}],"data":null}"#);
+    assert_eq!((failed.whole, failed.data, failed.errors, failed.units), (true, false, true, 0.0));
+    // What was not asked for has no weight, wherever it stands, also behind an escaped key.
+    let odd = counted(
+        query,
+        r#"{"data":{"preview\u0073":[{"junk":[{"waveform":"x"}]}],"data":{"previews":[{}]}}}"#,
+    );
+    assert_eq!((odd.units, odd.whole), (1.0, true));
+}
+
+#[test]
+fn cut_and_malformed_answers_are_not_whole() {
+    let query = "{ previews(first: 40) { waveform } }";
+    for bad in [
+        "",
+        "[]",
+        "{",
+        r#"{"data":{}"#,
+        r#"{"data":{}}x"#,
+        r#"{"data":{"a":01}}"#,
+        r#"{"data":{"a":tru}}"#,
+        r#"{"data":{"a" 1}}"#,
+        r#"{"data":{"a":1,}}"#,
+        r#"{"data":[}}"#,
+        "null",
+        "\"data\"",
+        "{}",
+        r#"{"other":1}"#,
+    ] {
+        assert!(!counted(query, bad).whole, "{bad}");
+    }
+    let deep = format!(r#"{{"data":{}"#, "[".repeat(100));
+    assert!(!counted(query, &deep).whole);
+}
+
+proptest! {
+    #[test]
+    fn a_count_does_not_depend_on_how_bytes_come(cut in 0usize..90, list in prop::collection::vec(0u8..4, 0..6)) {
+        let rows: Vec<Value> = list.iter().map(|n| json!({"waveform": "w", "like": vec![json!({"url": "é"}); usize::from(*n)]})).collect();
+        let answer = json!({"data": {"previews": rows}}).to_string();
+        let query = "{ previews(first: 40) { waveform like { url } } }";
+        let cut = cut.min(answer.len());
+        let mut scan = prepare(query, json!({})).unwrap().scan(20);
+        scan.feed(&answer.as_bytes()[..cut]);
+        scan.feed(&answer.as_bytes()[cut..]);
+        let likes: f64 = list.iter().map(|n| f64::from(*n)).sum();
+        let wanted = list.len() as f64 * 2.5 + likes;
+        prop_assert_eq!(scan.counted().units, wanted);
+        prop_assert!(scan.counted().whole);
+    }
+
+    #[test]
+    fn noise_never_panics(noise in "[{}()\\[\\]:!$@\"\\\\a-z0-9. \n#|&=\u{e9}-]{0,80}") {
+        let _ = Prepared::new(schema(), &noise, None, None, Limits::default());
+        let _ = Schema::parse(&noise);
+        let mut scan = prepare("{ one { __typename } }", json!({})).unwrap().scan(20);
+        scan.feed(noise.as_bytes());
+    }
+}
