Settings as protobuf text with every fault placed; a request's life as a module

Need: the gateway's settings must be checked whole before it starts; what a broken connection may have done is a decision. Change: doorcourse-config (schema compiled in build.rs, places by line and column), doorcourse-exchange (held, sent, passing, cut; class of an operation; what no window holds), Action::Refuse tells quota from full (interface and three lines of policy).

--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,510 @@
+//! Reading and checking. Every fault is told, not the first alone; nothing is used unless there is none.
+
+use crate::locate::Places;
+use crate::raw::{self, class, node};
+use crate::{Config, Counter, Customer, Fault, Limits, Node};
+use doorcourse::{BackendEntry, BackendState, Class, Effect, Group, Name, Plan};
+use doorcourse_graphql::{DEPTH_MOST, Limits as QueryLimits, OperationKind, Schema};
+use prost_reflect::{DescriptorPool, DynamicMessage};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+
+const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/settings.bin"));
+
+/// The quiet wait before the first new connection to the counter, in ms.
+const FIRST_WAIT: f64 = 50.0;
+/// What a ceiling must leave above quota and burst for the decisions' bound (docs/design.md, "Bounds").
+const CEILING_ROOM: f64 = 1.6;
+
+struct Check<'a> {
+    file: &'a str,
+    places: Places,
+    faults: Vec<Fault>,
+}
+
+impl Check<'_> {
+    fn fault(&mut self, path: &str, message: impl Into<String>) {
+        let field = if path.is_empty() { String::new() } else { format!("{path}: ") };
+        let (file, line) = (self.file.to_owned(), self.places.find(path));
+        self.faults.push(Fault { file, line, field, message: message.into() });
+    }
+
+    fn figure(&mut self, path: &str, value: f64, range: RangeInclusive<f64>) -> f64 {
+        if !range.contains(&value) {
+            let (low, high) = (range.start(), range.end());
+            self.fault(path, format!("{value} is out of range: allowed is {low} to {high}"));
+        }
+        value
+    }
+
+    fn whole(&mut self, path: &str, value: u64, range: RangeInclusive<u64>) -> u64 {
+        if !range.contains(&value) {
+            let (low, high) = (range.start(), range.end());
+            self.fault(path, format!("{value} is out of range: allowed is {low} to {high}"));
+        }
+        value
+    }
+
+    fn name(&mut self, path: &str, name: &str, seen: &mut HashSet<String>) -> Name {
+        if name.is_empty() || name.chars().any(|c| c.is_whitespace() || c.is_control()) {
+            self.fault(path, "a name without white space is needed");
+        } else if !seen.insert(name.to_owned()) {
+            self.fault(path, format!("`{name}` is taken already"));
+        }
+        name.into()
+    }
+
+    fn address(&mut self, path: &str, text: &str) -> SocketAddr {
+        text.parse().unwrap_or_else(|_| {
+            self.fault(path, format!("`{text}` is no address: \"1.2.3.4:80\" or \"[::1]:80\" is wanted"));
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        })
+    }
+}
+
+/// Parses a message of the schema from text; the library's error already names line and column.
+fn parse<M: prost::Message + Default>(name: &str, file: &str, text: &str) -> Result<M, Vec<Fault>> {
+    let fault =
+        |message: String, line| vec![Fault { file: file.into(), line, field: String::new(), message }];
+    let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| fault(e.to_string(), None))?;
+    let Some(descriptor) = pool.get_message_by_name(&format!("doorcourse.settings.{name}")) else {
+        return Err(fault(format!("no message {name} in the schema"), None));
+    };
+    let parsed = DynamicMessage::parse_text_format(descriptor, text).map_err(|error| {
+        use miette::Diagnostic;
+        let offset = error.labels().and_then(|mut l| l.next()).map(|l| l.offset());
+        let before = offset.map(|o| &text[..o.min(text.len())]).unwrap_or(text);
+        let line = before.matches('\n').count() + 1;
+        let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
+        let help = error.help().map_or(String::new(), |h| format!(" ({h})"));
+        fault(format!("{error}{help}"), Some((line, column)))
+    })?;
+    parsed.transcode_to().map_err(|e| fault(e.to_string(), None))
+}
+
+/// Reads settings. `open` gives the text of a file named in them, or says why it cannot.
+///
+/// # Errors
+/// Every fault found, each with file, line and field.
+pub fn read(
+    file: &str, text: &str, open: &dyn Fn(&str) -> Result<String, String>,
+) -> Result<Config, Vec<Fault>> {
+    let raw: raw::Settings = parse("Settings", file, text)?;
+    let mut check = Check { file, places: Places::new(text), faults: Vec::new() };
+    let config = settings(&raw, &mut check, open);
+    match config {
+        Some(config) if check.faults.is_empty() => Ok(config),
+        _ => Err(check.faults),
+    }
+}
+
+/// Reads a node list file.
+///
+/// # Errors
+/// Every fault found, each with file, line and field.
+pub fn read_nodes(file: &str, text: &str) -> Result<Vec<Node>, Vec<Fault>> {
+    let raw: raw::Nodes = parse("Nodes", file, text)?;
+    let mut check = Check { file, places: Places::new(text), faults: Vec::new() };
+    let nodes = nodes(&raw.nodes, &mut check);
+    if check.faults.is_empty() { Ok(nodes) } else { Err(check.faults) }
+}
+
+fn nodes(raw: &[raw::Node], check: &mut Check) -> Vec<Node> {
+    let mut seen = HashSet::new();
+    let one = |(at, raw): (usize, &raw::Node)| {
+        let path = |field: &str| format!("nodes[{at}].{field}");
+        let name = check.name(&path("name"), &raw.name, &mut seen);
+        let address = check.address(&path("address"), &raw.address);
+        let started = raw.started_ms.map(|s| check.figure(&path("started_ms"), s, 0.0..=1e15));
+        let state = match raw.state() {
+            node::State::Ready => BackendState::Ready,
+            node::State::Draining => BackendState::Draining,
+        };
+        let entry = BackendEntry { name, zone: raw.zone.as_str().into(), cell: raw.cell, state, started };
+        Node { entry, address }
+    };
+    raw.iter().enumerate().map(one).collect()
+}
+
+fn settings(
+    raw: &raw::Settings, check: &mut Check, open: &dyn Fn(&str) -> Result<String, String>,
+) -> Option<Config> {
+    let fleet = raw.fleet.clone().unwrap_or_default();
+    let gateways = check.whole("fleet.gateways", fleet.gateways.unwrap_or(1).into(), 1..=10_000) as u32;
+    let number = fleet.number.unwrap_or(0);
+    if number >= gateways {
+        check.fault("fleet.number", format!("{number} is not below the number of gateways, {gateways}"));
+    }
+    let price_cross_zone =
+        check.figure("fleet.price_cross_zone", fleet.price_cross_zone.unwrap_or(0.0), 0.0..=100.0);
+    if raw.listen.is_empty() {
+        check.fault("listen", "at least one address is needed");
+    }
+    let listen =
+        raw.listen.iter().enumerate().map(|(at, l)| check.address(&format!("listen[{at}]"), l)).collect();
+    let path = raw.path.clone().unwrap_or_else(|| "/graphql".into());
+    if !path.starts_with('/') || path.contains(['?', ' ']) {
+        check.fault("path", format!("`{path}` must begin with / and hold no ? and no space"));
+    }
+    let counter = raw.counter.as_ref().map(|c| counter(c, check));
+    if counter.is_none() && gateways > 1 {
+        check.fault(
+            "fleet.gateways",
+            format!("{gateways} gateways need a shared counter: set counter.address"),
+        );
+    }
+    if raw.nodes.is_empty() == raw.node_list.is_none() {
+        check.fault("nodes", "either nodes or node_list is needed, not both");
+    }
+    let nodes = nodes(&raw.nodes, check);
+    let node_list = raw.node_list.as_ref().map(|list| {
+        if list.file.is_empty() {
+            check.fault("node_list.file", "a file's name is needed");
+        }
+        (list.file.clone(), check.figure("node_list.poll_ms", list.poll_ms.unwrap_or(200.0), 10.0..=60_000.0))
+    });
+    let graphql = raw.graphql.clone().unwrap_or_default();
+    let schema = schema(&graphql, check, open);
+    let (classes, give_up) = classes(&raw.classes, check);
+    let plans = plans(&raw.plans, check);
+    let customers = customers(raw, gateways, &plans, check);
+    let mut of =
+        |kind| schema.as_ref().map(|s| root_classes(s, kind, &raw.classes, check)).unwrap_or_default();
+    let (query_classes, mutation_classes) = (of(OperationKind::Query), of(OperationKind::Mutation));
+    let cold = raw.cold_nodes.unwrap_or_default();
+    let attempts = raw.attempts.unwrap_or_default();
+    let most_units = plans.iter().map(|p| p.burst).fold(1.0, f64::max);
+    let decisions = doorcourse::Settings {
+        gateways,
+        number,
+        zone: fleet.zone.clone().unwrap_or_default().into(),
+        tick: 1.0,
+        classes,
+        plans,
+        counter: true,
+        counter_timeout: counter.as_ref().map_or(50.0, |c| c.timeout),
+        settles: true,
+        most_units,
+        most_attempts: check.whole("attempts.most", attempts.most.unwrap_or(3).into(), 1..=100) as u32,
+        longest_advice: check.figure(
+            "attempts.longest_advice_ms",
+            attempts.longest_advice_ms.unwrap_or(10_000.0),
+            0.0..=3.6e6,
+        ),
+        cold_share: check.figure("cold_nodes.share", cold.share.unwrap_or(0.2), 0.0..=1.0),
+        cold_time: check.figure("cold_nodes.warm_ms", cold.warm_ms.unwrap_or(20_000.0), 0.0..=3.6e6),
+        fall_multiple: check.figure(
+            "cold_nodes.fall_multiple",
+            cold.fall_multiple.unwrap_or(2.0),
+            1.0..=100.0,
+        ),
+        fall_time: check.figure("cold_nodes.fall_ms", cold.fall_ms.unwrap_or(1000.0), 1.0..=6e5),
+        price_cross_zone,
+        ..doorcourse::Settings::default()
+    };
+    if check.faults.is_empty() {
+        if let Err(error) = doorcourse::Gateway::new(decisions.clone(), 1) {
+            check.fault("", error.to_string());
+        }
+    }
+    let limits = limits(&raw.limits.unwrap_or_default(), check);
+    let query_limits = query_limits(&graphql, check);
+    let answer_depth = graphql.answer_depth.unwrap_or(100);
+    let answer_depth = check.whole("graphql.answer_depth", answer_depth.into(), 2..=1000) as usize;
+    let introspection = graphql.introspection.unwrap_or(false);
+    let schema = schema?;
+    Some(Config {
+        decisions,
+        listen,
+        path,
+        counter,
+        nodes,
+        node_list,
+        give_up,
+        query_classes,
+        mutation_classes,
+        customers,
+        schema,
+        query_limits,
+        answer_depth,
+        introspection,
+        limits,
+    })
+}
+
+fn counter(raw: &raw::Counter, check: &mut Check) -> Counter {
+    Counter {
+        address: check.address("counter.address", &raw.address),
+        password: raw.password.clone(),
+        timeout: check.figure("counter.timeout_ms", raw.timeout_ms.unwrap_or(50.0), 1.0..=10_000.0),
+        dead_after: check.figure(
+            "counter.dead_after_ms",
+            raw.dead_after_ms.unwrap_or(1000.0),
+            10.0..=60_000.0,
+        ),
+        longest_wait: check.figure(
+            "counter.longest_wait_ms",
+            raw.longest_wait_ms.unwrap_or(2000.0),
+            10.0..=60_000.0,
+        ),
+    }
+}
+
+fn schema(
+    raw: &raw::GraphQl, check: &mut Check, open: &dyn Fn(&str) -> Result<String, String>,
+) -> Option<Arc<Schema>> {
+    if raw.schema_file.is_empty() {
+        check.fault("graphql.schema_file", "the name of a file with the schema's SDL is needed");
+        return None;
+    }
+    let text = match open(&raw.schema_file) {
+        Ok(text) => text,
+        Err(why) => {
+            check.fault("graphql.schema_file", format!("{}: {why}", raw.schema_file));
+            return None;
+        }
+    };
+    match Schema::parse(&text) {
+        Ok(schema) => Some(schema.into()),
+        Err(errors) => {
+            for error in errors {
+                let line = error.at.map(|p| (p.line as usize, p.column as usize));
+                let (file, field) = (raw.schema_file.clone(), String::new());
+                check.faults.push(Fault { file, line, field, message: error.message });
+            }
+            None
+        }
+    }
+}
+
+fn classes(raw: &[raw::Class], check: &mut Check) -> (Vec<Class>, Vec<f64>) {
+    if raw.is_empty() {
+        check.fault("classes", "at least one class is needed");
+    }
+    let (mut seen, mut give_up) = (HashSet::new(), Vec::new());
+    let mut classes = Vec::new();
+    for (at, raw) in raw.iter().enumerate() {
+        let path = |field: &str| format!("classes[{at}].{field}");
+        let name = check.name(&path("name"), &raw.name, &mut seen);
+        let aim = check.figure(&path("aim_ms"), raw.aim_ms, 1.0..=6e5);
+        give_up.push(check.figure(&path("give_up_ms"), raw.give_up_ms, aim.max(1.0)..=3.6e6));
+        let effect = match raw.effect() {
+            class::Effect::Unstated => {
+                check.fault(&path("effect"), "SAFE, KEYED or UNSAFE must be stated");
+                Effect::Unsafe
+            }
+            class::Effect::Safe => Effect::Safe,
+            class::Effect::Keyed => Effect::Keyed,
+            class::Effect::Unsafe => Effect::Unsafe,
+        };
+        let group = match raw.group() {
+            class::Group::All => Group::All,
+            class::Group::Zone => Group::Zone,
+            class::Group::Cell => Group::Cell,
+        };
+        let memory = check.figure(&path("memory_ms"), raw.memory_ms, 0.0..=3.6e6);
+        if effect == Effect::Keyed && memory == 0.0 {
+            check.fault(&path("memory_ms"), "a KEYED class needs a memory above 0");
+        }
+        let worth = check.figure(&path("worth"), raw.worth.unwrap_or(1.0), 0.0..=1e6);
+        let late_worth = check.figure(&path("late_worth"), raw.late_worth, 0.0..=1.0);
+        classes.push(Class { name, aim, effect, group, memory, worth, late_worth });
+    }
+    (classes, give_up)
+}
+
+fn plans(raw: &[raw::Plan], check: &mut Check) -> Vec<Plan> {
+    if raw.is_empty() {
+        check.fault("plans", "at least one plan is needed");
+    }
+    let mut seen = HashSet::new();
+    let mut plans = Vec::new();
+    for (at, raw) in raw.iter().enumerate() {
+        let path = |field: &str| format!("plans[{at}].{field}");
+        let name = check.name(&path("name"), &raw.name, &mut seen);
+        let rate = check.figure(&path("rate"), raw.rate, 0.0..=1e9);
+        let burst = check.figure(&path("burst"), raw.burst, 0.0..=1e9);
+        if rate > 0.0 && burst <= 0.0 {
+            check.fault(&path("burst"), "a plan with a rate needs a burst above 0");
+        }
+        let ceiling_rate = check.figure(&path("ceiling_rate"), raw.ceiling_rate, 0.0..=1e9);
+        let ceiling_burst = check.figure(&path("ceiling_burst"), raw.ceiling_burst, 0.0..=1e9);
+        if ceiling_rate > 0.0 {
+            // Below these the decisions' bound does not hold: such a ceiling would be a promise broken.
+            if ceiling_rate < rate * CEILING_ROOM {
+                check.fault(
+                    &path("ceiling_rate"),
+                    format!("{ceiling_rate} is below {CEILING_ROOM} times the rate"),
+                );
+            }
+            if ceiling_burst < burst * CEILING_ROOM {
+                check.fault(
+                    &path("ceiling_burst"),
+                    format!("{ceiling_burst} is below {CEILING_ROOM} times the burst"),
+                );
+            }
+            if rate <= 0.0 {
+                check.fault(&path("rate"), "a plan with a ceiling needs a rate");
+            }
+        }
+        plans.push(Plan {
+            name,
+            rate,
+            burst,
+            ceiling_rate,
+            ceiling_burst,
+            open: check.whole(&path("open"), raw.open.into(), 0..=1_000_000) as u32,
+            ceiling_slack: check.figure(&path("ceiling_slack"), raw.ceiling_slack, 0.0..=1e9),
+            price: check.figure(&path("price"), raw.price.unwrap_or(1.0), 0.0..=1e6),
+            over_worth: check.figure(&path("over_worth"), raw.over_worth, 0.0..=1.0),
+            over_cost: check.figure(&path("over_cost"), raw.over_cost.unwrap_or(1.0), 0.0..=100.0),
+        });
+    }
+    plans
+}
+
+fn customers(
+    raw: &raw::Settings, gateways: u32, plans: &[Plan], check: &mut Check,
+) -> HashMap<[u8; 32], Arc<Customer>> {
+    let (mut seen, mut keys) = (HashSet::new(), HashMap::new());
+    for (at, raw) in raw.customers.iter().enumerate() {
+        let path = |field: &str| format!("customers[{at}].{field}");
+        let name = check.name(&path("name"), &raw.name, &mut seen);
+        let plan = plans.iter().position(|p| *p.name == *raw.plan);
+        if plan.is_none() {
+            let known: Vec<&str> = plans.iter().map(|p| &*p.name).collect();
+            check.fault(&path("plan"), format!("`{}` is no plan: there are {}", raw.plan, known.join(", ")));
+        }
+        let first = raw.first_gateway.unwrap_or(0);
+        if first >= gateways {
+            check.fault(
+                &path("first_gateway"),
+                format!("{first} is not below the number of gateways, {gateways}"),
+            );
+        }
+        let spread = raw.gateways.unwrap_or(gateways);
+        check.whole(&path("gateways"), spread.into(), 1..=gateways.into());
+        if raw.key_sha256.is_empty() {
+            check.fault(&path("key_sha256"), "at least one key is needed");
+        }
+        let customer = Arc::new(Customer { name, plan: plan.unwrap_or(0), first, spread });
+        for (number, digits) in raw.key_sha256.iter().enumerate() {
+            let path = path(&format!("key_sha256[{number}]"));
+            match key_hash(digits) {
+                Some(hash) => {
+                    if keys.insert(hash, Arc::clone(&customer)).is_some() {
+                        check.fault(&path, "this key is given twice");
+                    }
+                }
+                None => {
+                    check.fault(&path, "64 hex digits of a SHA-256 are wanted: printf %s KEY | sha256sum")
+                }
+            }
+        }
+    }
+    keys
+}
+
+fn key_hash(digits: &str) -> Option<[u8; 32]> {
+    if digits.len() != 64 || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut hash = [0; 32];
+    for (byte, at) in hash.iter_mut().zip((0..64).step_by(2)) {
+        *byte = u8::from_str_radix(&digits[at..at + 2], 16).ok()?;
+    }
+    Some(hash)
+}
+
+fn root_classes(
+    schema: &Schema, kind: OperationKind, raw: &[raw::Class], check: &mut Check,
+) -> BTreeMap<String, usize> {
+    let what = if kind == OperationKind::Query { "query_fields" } else { "mutation_fields" };
+    let known: HashSet<&str> = schema.root_fields(kind).collect();
+    let mut classes = BTreeMap::new();
+    for (at, class) in raw.iter().enumerate() {
+        let fields = if kind == OperationKind::Query { &class.query_fields } else { &class.mutation_fields };
+        for (number, field) in fields.iter().enumerate() {
+            let path = format!("classes[{at}].{what}[{number}]");
+            if !known.contains(field.as_str()) {
+                check.fault(&path, format!("`{field}` is no such root field of the schema"));
+            } else if classes.insert(field.clone(), at).is_some() {
+                check.fault(&path, format!("`{field}` belongs to a class already"));
+            }
+        }
+    }
+    let mut missing: Vec<&str> = known.into_iter().filter(|f| !classes.contains_key(*f)).collect();
+    missing.sort_unstable();
+    if !missing.is_empty() {
+        check.fault(
+            "classes",
+            format!("no class has these root fields in its {what}: {}", missing.join(", ")),
+        );
+    }
+    classes
+}
+
+fn query_limits(raw: &raw::GraphQl, check: &mut Check) -> QueryLimits {
+    let d = QueryLimits::default();
+    let mut whole = |name: &str, value: Option<u32>, default: u64, range| {
+        check.whole(&format!("graphql.{name}"), value.map_or(default, u64::from), range)
+    };
+    QueryLimits {
+        bytes: whole("document_bytes", raw.document_bytes, d.bytes as u64, 1..=16 << 20) as usize,
+        tokens: whole("tokens", raw.tokens, d.tokens as u64, 1..=1_000_000) as usize,
+        depth: whole("depth", raw.depth, d.depth as u64, 1..=DEPTH_MOST as u64) as usize,
+        aliases: whole("aliases", raw.aliases, d.aliases as u64, 0..=100_000) as usize,
+        expansion: whole("expansion", raw.expansion, d.expansion, 1..=1_000_000),
+        list_size: check.figure("graphql.list_size", raw.list_size.unwrap_or(d.list_size), 0.0..=1e6),
+    }
+}
+
+fn limits(raw: &raw::Limits, check: &mut Check) -> Limits {
+    let mut whole = |name: &str, value: Option<u64>, default: u64, range| {
+        check.whole(&format!("limits.{name}"), value.unwrap_or(default), range)
+    };
+    let small = |value: Option<u32>| value.map(u64::from);
+    let connections = whole("connections", small(raw.connections), 10_000, 1..=1_000_000) as usize;
+    let requests = whole("requests", small(raw.requests), 4096, 1..=1_000_000) as usize;
+    let buffered = whole("buffered_bytes", raw.buffered_bytes, 256 << 20, 65_536..=1_000_000_000_000);
+    let line = whole("line_bytes", small(raw.line_bytes), 8192, 64..=1 << 20) as usize;
+    let head = whole("head_bytes", small(raw.head_bytes), 32_768, 128..=1 << 20) as usize;
+    let fields = whole("fields", small(raw.fields), 64, 1..=10_000) as usize;
+    let body = whole("body_bytes", raw.body_bytes, 1 << 20, 1..=1_000_000_000);
+    let answer = whole("answer_bytes", raw.answer_bytes, 1 << 30, 1..=1_000_000_000_000);
+    let held_answer = whole("held_answer_bytes", small(raw.held_answer_bytes), 16_384, 0..=16 << 20) as usize;
+    let client_buffer =
+        whole("client_buffer_bytes", small(raw.client_buffer_bytes), 65_536, 1024..=1_000_000_000);
+    let mut time = |name: &str, value: Option<f64>, default: f64, range| {
+        check.figure(&format!("limits.{name}"), value.unwrap_or(default), range)
+    };
+    Limits {
+        connections,
+        requests,
+        buffered,
+        line,
+        head,
+        fields,
+        body,
+        answer,
+        held_answer,
+        client_buffer: client_buffer as usize,
+        head_time: time("head_ms", raw.head_ms, 10_000.0, 10.0..=6e5),
+        body_time: time("body_ms", raw.body_ms, 20_000.0, 10.0..=6e5),
+        idle_time: time("idle_ms", raw.idle_ms, 60_000.0, 10.0..=3.6e6),
+        node_idle_time: time("node_idle_ms", raw.node_idle_ms, 30_000.0, 10.0..=3.6e6),
+        stop_time: time("stop_ms", raw.stop_ms, 5000.0, 0.0..=6e5),
+        longest_deadline: time("longest_deadline_ms", raw.longest_deadline_ms, 60_000.0, 1.0..=3.6e6),
+        answer_margin: time("answer_margin_ms", raw.answer_margin_ms, 20.0, 0.0..=1000.0),
+    }
+}
+
+impl Counter {
+    /// The first wait before connecting again, in ms; it doubles up to `longest_wait`.
+    #[must_use]
+    pub fn first_wait(&self) -> f64 {
+        FIRST_WAIT.min(self.longest_wait)
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,146 @@
-//! To come.
+//! Settings in protobuf text format (`proto/settings.proto`): read, checked as a whole, and turned into what the
+//! decision library and the gateway take. It opens no files: the caller hands in their texts.
+
+#[allow(missing_docs)]
+mod raw {
+    include!(concat!(env!("OUT_DIR"), "/doorcourse.settings.rs"));
+}
+
+mod check;
+mod locate;
+
+pub use check::{read, read_nodes};
+
+use doorcourse::{BackendEntry, Name};
+use doorcourse_graphql::{Limits as QueryLimits, OperationKind, Schema};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{file}{}: {field}{message}", line.map_or(String::new(), |(l, c)| format!(":{l}:{c}")))]
+pub struct Fault {
+    /// The file.
+    pub file: String,
+    /// Line and column, where known.
+    pub line: Option<(usize, usize)>,
+    /// The field with a colon behind it, or nothing.
+    pub field: String,
+    /// What is wrong and what is allowed.
+    pub message: String,
+}
+
+/// The counter's address and manners.
+#[derive(Clone, Debug)]
+pub struct Counter {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// For AUTH.
+    pub password: Option<String>,
+    /// A call is given up after this, in ms.
+    pub timeout: f64,
+    /// A silent connection is replaced after this, in ms.
+    pub dead_after: f64,
+    /// The longest wait before connecting again, in ms.
+    pub longest_wait: f64,
+}
+
+/// A node as the decisions know it, and its address.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// For the decisions.
+    pub entry: BackendEntry,
+    /// For the sockets.
+    pub address: SocketAddr,
+}
+
+/// A customer, found by one of its keys.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// Its name.
+    pub name: Name,
+    /// The number of its plan in the settings.
+    pub plan: usize,
+    /// The first gateway its requests come in through.
+    pub first: u32,
+    /// Through how many.
+    pub spread: u32,
+}
+
+/// Bounds of the gateway; times in ms. `proto/settings.proto` says what each is.
+#[derive(Clone, Debug)]
+#[allow(missing_docs)]
+pub struct Limits {
+    pub connections: usize,
+    pub requests: usize,
+    pub buffered: u64,
+    pub line: usize,
+    pub head: usize,
+    pub fields: usize,
+    pub body: u64,
+    pub answer: u64,
+    pub held_answer: usize,
+    pub client_buffer: usize,
+    pub head_time: f64,
+    pub body_time: f64,
+    pub idle_time: f64,
+    pub node_idle_time: f64,
+    pub stop_time: f64,
+    pub longest_deadline: f64,
+    pub answer_margin: f64,
+}
+
+/// Settings that passed every check.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// For the decision library.
+    pub decisions: doorcourse::Settings,
+    /// Where clients are served.
+    pub listen: Vec<SocketAddr>,
+    /// The endpoint's path.
+    pub path: String,
+    /// The shared counter.
+    pub counter: Option<Counter>,
+    /// The nodes of the settings themselves.
+    pub nodes: Vec<Node>,
+    /// A file of nodes beside the settings, and how often to look at it in ms.
+    pub node_list: Option<(String, f64)>,
+    /// How long a client of each class waits, in ms.
+    pub give_up: Vec<f64>,
+    /// The class of each root field, of queries and of mutations.
+    pub query_classes: BTreeMap<String, usize>,
+    /// See `query_classes`.
+    pub mutation_classes: BTreeMap<String, usize>,
+    /// Customers by the SHA-256 of their keys.
+    pub customers: HashMap<[u8; 32], Arc<Customer>>,
+    /// The schema.
+    pub schema: Arc<Schema>,
+    /// Bounds on documents.
+    pub query_limits: QueryLimits,
+    /// How deep an answer may nest.
+    pub answer_depth: usize,
+    /// Whether introspection is answered.
+    pub introspection: bool,
+    /// Bounds of the gateway.
+    pub limits: Limits,
+}
+
+impl Config {
+    /// The customer that a key belongs to.
+    #[must_use]
+    pub fn customer(&self, key: &[u8]) -> Option<&Arc<Customer>> {
+        use sha2::Digest;
+        self.customers.get::<[u8; 32]>(&sha2::Sha256::digest(key).into())
+    }
+
+    /// The class of a root field.
+    #[must_use]
+    pub fn class_of(&self, kind: OperationKind, field: &str) -> Option<usize> {
+        match kind {
+            OperationKind::Query => self.query_classes.get(field).copied(),
+            OperationKind::Mutation => self.mutation_classes.get(field).copied(),
+            OperationKind::Subscription => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/locate.rs
@@ -0,0 +1,178 @@
+//! Where each field of a text-format source stands, so that a fault found after parsing names its line. It runs
+//! only on sources that the library has parsed, and never fails: a field it cannot find has no place.
+
+use std::collections::HashMap;
+
+/// A place: line and column from 1.
+pub type Place = (usize, usize);
+
+/// The places of all fields by path: `plans[1].rate`, `listen[0]`, `fleet.number`.
+#[derive(Debug, Default)]
+pub struct Places {
+    places: HashMap<String, Place>,
+}
+
+impl Places {
+    /// Reads a source.
+    #[must_use]
+    pub fn new(source: &str) -> Self {
+        let mut reader = Reader { rest: source.chars().collect(), at: 0, place: (1, 1) };
+        let mut places = Self::default();
+        reader.message("", &mut places.places);
+        places
+    }
+
+    /// The place of a field, or of the nearest message around it.
+    #[must_use]
+    pub fn find(&self, path: &str) -> Option<Place> {
+        let mut path = path;
+        loop {
+            // A single field is noted with an index as well.
+            let found = self.places.get(path).or_else(|| self.places.get(&format!("{path}[0]")));
+            if found.is_some() {
+                return found.copied();
+            }
+            path = path.rsplit_once('.').map(|(p, _)| p)?;
+        }
+    }
+}
+
+struct Reader {
+    rest: Vec<char>,
+    at: usize,
+    place: Place,
+}
+
+impl Reader {
+    fn peek(&self) -> Option<char> {
+        self.rest.get(self.at).copied()
+    }
+
+    fn next(&mut self) -> Option<char> {
+        let c = self.peek()?;
+        self.at += 1;
+        self.place = if c == '\n' { (self.place.0 + 1, 1) } else { (self.place.0, self.place.1 + 1) };
+        Some(c)
+    }
+
+    fn skip(&mut self) {
+        self.skip_over(",;");
+    }
+
+    fn skip_over(&mut self, separators: &str) {
+        while let Some(c) = self.peek() {
+            match c {
+                '#' => {
+                    while self.peek().is_some_and(|c| c != '\n') {
+                        self.next();
+                    }
+                }
+                c if c.is_whitespace() || separators.contains(c) => drop(self.next()),
+                _ => return,
+            }
+        }
+    }
+
+    fn message(&mut self, path: &str, places: &mut HashMap<String, Place>) {
+        let mut counts: HashMap<String, usize> = HashMap::new();
+        loop {
+            self.skip();
+            let place = self.place;
+            let mut name = String::new();
+            while let Some(c) = self.peek().filter(|c| c.is_alphanumeric() || *c == '_' || *c == '.') {
+                name.push(c);
+                self.next();
+            }
+            if name.is_empty() {
+                // The end of this message or of the source.
+                self.next();
+                return;
+            }
+            self.skip();
+            if self.peek() == Some(':') {
+                self.next();
+                self.skip();
+            }
+            let list = self.peek() == Some('[');
+            if list {
+                self.next();
+            }
+            loop {
+                self.skip();
+                let place = if list { self.place } else { place };
+                if list && self.peek().is_none_or(|c| c == ']') {
+                    self.next();
+                    break;
+                }
+                let count = counts.entry(name.clone()).or_default();
+                let dot = if path.is_empty() { "" } else { "." };
+                let full = format!("{path}{dot}{name}[{count}]");
+                *count += 1;
+                places.insert(full.clone(), place);
+                match self.peek() {
+                    Some('{' | '<') => {
+                        self.next();
+                        // A message that is not repeated has its path without the index.
+                        let inner = if full.ends_with("[0]") { full.trim_end_matches("[0]") } else { &full };
+                        self.message_at(&full, inner, places);
+                    }
+                    _ => self.scalar(),
+                }
+                if !list {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn message_at(&mut self, full: &str, short: &str, places: &mut HashMap<String, Place>) {
+        let mut inner = HashMap::new();
+        self.message("", &mut inner);
+        for (path, place) in inner {
+            places.insert(format!("{full}.{path}"), place);
+            places.insert(format!("{short}.{path}"), place);
+        }
+    }
+
+    fn scalar(&mut self) {
+        while let Some(c) = self.peek() {
+            match c {
+                '"' | '\'' => {
+                    self.next();
+                    while let Some(d) = self.next() {
+                        if d == '\\' {
+                            self.next();
+                        } else if d == c {
+                            break;
+                        }
+                    }
+                    // Strings side by side are one.
+                    self.skip_over("");
+                    if !matches!(self.peek(), Some('"' | '\'')) {
+                        return;
+                    }
+                }
+                c if c.is_whitespace() || "#,;]}>".contains(c) => return,
+                _ => drop(self.next()),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn places_of_fields() {
+        let source = "fleet { gateways: 3 number: 1 }\nlisten: [\"a\",\n  \"b}\"]\nplans {\n  name: 'x' 'y' # }\n  rate: 1\n}\nplans <\n rate: 2 >";
+        let places = Places::new(source);
+        assert_eq!(places.find("fleet.number"), Some((1, 21)));
+        assert_eq!(places.find("listen[1]"), Some((3, 3)));
+        assert_eq!(places.find("plans[0].rate"), Some((6, 3)));
+        assert_eq!(places.find("plans[1].rate"), Some((9, 2)));
+        // What is missing is told at the message that lacks it.
+        assert_eq!(places.find("plans[1].burst"), Some((8, 1)));
+        assert_eq!(places.find("counter.address"), None);
+    }
+}
--- /dev/null
+++ b/crates/config/tests/faults.rs
@@ -0,0 +1,103 @@
+//! Good settings pass; each fault is told with file, line and field.
+
+use doorcourse_config::{Config, Fault, read, read_nodes};
+
+const SDL: &str = "type Query { preview(id: ID!): String search: [String] } type Mutation { order: ID }";
+
+const GOOD: &str = r#"fleet { gateways: 2 number: 1 zone: "a" }
+listen: "127.0.0.1:0"
+counter { address: "127.0.0.1:6000" }
+nodes { name: "n1" address: "127.0.0.1:7001" cell: 3 }
+classes { name: "read" aim_ms: 500 give_up_ms: 900 effect: SAFE query_fields: ["preview", "search"] }
+classes { name: "order" aim_ms: 400 give_up_ms: 900 effect: UNSAFE mutation_fields: "order" }
+plans { name: "basic" rate: 5 burst: 10 }
+customers { name: "c" plan: "basic" key_sha256: "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683" }
+graphql { schema_file: "s.graphql" }
+"#;
+
+fn check(text: &str) -> Result<Config, Vec<Fault>> {
+    read("f.txtpb", text, &|name| {
+        if name == "s.graphql" { Ok(SDL.into()) } else { Err("no such file".into()) }
+    })
+}
+
+#[test]
+fn good_settings_pass() {
+    let config = check(GOOD).unwrap();
+    assert_eq!((config.decisions.gateways, config.decisions.number), (2, 1));
+    assert_eq!(config.customer(b"key").map(|c| c.spread), Some(2));
+    assert!(config.customer(b"other").is_none());
+    assert_eq!(config.query_classes["search"], 0);
+    assert_eq!(config.limits.held_answer, 16_384);
+}
+
+#[test]
+fn each_fault_names_line_field_and_what_is_allowed() {
+    for (from, to, told) in [
+        ("number: 1", "number: 2", "f.txtpb:1:21: fleet.number: 2 is not below the number of gateways, 2"),
+        ("number: 1", "number: \"x\"", "f.txtpb:1:"),
+        ("number: 1", "nummer: 1", "f.txtpb:1:"),
+        ("127.0.0.1:0", "here", "f.txtpb:2:1: listen[0]: `here` is no address"),
+        ("counter { address: \"127.0.0.1:6000\" }\n", "", "fleet.gateways: 2 gateways need a shared counter"),
+        (
+            "nodes { name: \"n1\" address: \"127.0.0.1:7001\" cell: 3 }\n",
+            "",
+            "nodes: either nodes or node_list",
+        ),
+        ("effect: SAFE", "", "f.txtpb:5:1: classes[0].effect: SAFE, KEYED or UNSAFE must be stated"),
+        ("effect: UNSAFE", "effect: KEYED", "classes[1].memory_ms: a KEYED class needs a memory above 0"),
+        (
+            "give_up_ms: 900 effect: SAFE",
+            "give_up_ms: 90 effect: SAFE",
+            "classes[0].give_up_ms: 90 is out of range: allowed is 500",
+        ),
+        (
+            "\"search\"]",
+            "\"serch\"]",
+            "f.txtpb:5:91: classes[0].query_fields[1]: `serch` is no such root field",
+        ),
+        (", \"search\"]", "]", "classes: no class has these root fields in its query_fields: search"),
+        ("burst: 10", "burst: 0", "f.txtpb:7:31: plans[0].burst: a plan with a rate needs a burst above 0"),
+        (
+            "burst: 10",
+            "burst: 10 ceiling_rate: 6 ceiling_burst: 20",
+            "plans[0].ceiling_rate: 6 is below 1.6 times the rate",
+        ),
+        ("rate: 5", "rate: nan", "plans[0].rate: NaN is out of range"),
+        (
+            "plan: \"basic\"",
+            "plan: \"gold\"",
+            "f.txtpb:8:23: customers[0].plan: `gold` is no plan: there are basic",
+        ),
+        ("2c70", "2c7", "customers[0].key_sha256[0]: 64 hex digits"),
+        ("s.graphql", "t.graphql", "graphql.schema_file: t.graphql: no such file"),
+        ("graphql { ", "graphql { depth: 1000 ", "graphql.depth: 1000 is out of range: allowed is 1 to 200"),
+        ("graphql { ", "limits { head_ms: 1 } graphql { ", "limits.head_ms: 1 is out of range"),
+    ] {
+        assert!(GOOD.contains(from), "{from}");
+        let faults = check(&GOOD.replacen(from, to, 1)).expect_err(to);
+        let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        assert!(shown.iter().any(|f| f.contains(told)), "{to}: {shown:?} lacks {told:?}");
+    }
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let bad = GOOD
+        .replace("number: 1", "number: 9")
+        .replace("burst: 10", "burst: -1")
+        .replace("\"basic\" key", "\"x\" key");
+    assert!(check(&bad).unwrap_err().len() >= 4);
+}
+
+#[test]
+fn node_lists() {
+    let nodes =
+        read_nodes("n", "nodes { name: 'a' address: '127.0.0.1:1' state: DRAINING started_ms: 5 }").unwrap();
+    assert_eq!(nodes[0].entry.started, Some(5.0));
+    let faults =
+        read_nodes("n", "nodes { name: 'a' address: 'x' }\nnodes { name: 'a' address: '127.0.0.1:1' }")
+            .unwrap_err();
+    assert_eq!(faults.len(), 2);
+    assert_eq!(faults[1].to_string(), "n:2:9: nodes[1].name: `a` is taken already");
+}
--- /dev/null
+++ b/crates/exchange/src/admission.rs
@@ -0,0 +1,124 @@
+//! What is settled before the decision library hears of a request.
+
+use doorcourse::{Class, Effect, Millis, Plan};
+
+/// What a request asks for, as far as admission goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Offer {
+    /// The class.
+    pub class: usize,
+    /// The units.
+    pub units: f64,
+}
+
+/// The class of an operation, by those of its root fields: the strictest effect among them, since the whole
+/// operation is sent and repeated as one; of equals the most urgent aim, since its answer comes as one. An
+/// operation of meta fields alone (introspection) is the most patient of the safe classes.
+#[must_use]
+pub fn class_of(classes: &[Class], fields: impl IntoIterator<Item = usize>) -> Option<usize> {
+    let strictness = |effect: Effect| match effect {
+        Effect::Safe => 0,
+        Effect::Keyed => 1,
+        Effect::Unsafe => 2,
+    };
+    let known = fields.into_iter().filter_map(|at| Some((at, classes.get(at)?)));
+    let order = |(_, a): &(usize, &Class), (_, b): &(usize, &Class)| {
+        strictness(a.effect).cmp(&strictness(b.effect)).then(b.aim.total_cmp(&a.aim))
+    };
+    let of_fields = known.max_by(order).map(|(at, _)| at);
+    of_fields.or_else(|| {
+        let safe = classes.iter().enumerate().filter(|(_, c)| c.effect == Effect::Safe);
+        safe.max_by(|a, b| a.1.aim.total_cmp(&b.1.aim)).map(|(at, _)| at)
+    })
+}
+
+/// Why a request can never be let in, however long its client waits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Never {
+    /// The most that its plan can ever hold.
+    pub most: f64,
+}
+
+/// Whether a plan can ever hold a cost. Asked first, so that such a request takes no block from the others: a
+/// block larger than the burst is never granted, and its client would be told to come back for ever.
+///
+/// # Errors
+/// When it cannot.
+pub fn fits(plan: &Plan, units: f64) -> Result<(), Never> {
+    // Under a ceiling a gateway that knows nothing starts with half the burst; the rate fills the rest.
+    let quota = if plan.rate > 0.0 { plan.burst } else { f64::INFINITY };
+    let ceiling =
+        if plan.ceiling_rate > 0.0 { plan.ceiling_burst + plan.ceiling_slack } else { f64::INFINITY };
+    let most = quota.min(ceiling);
+    if units <= most { Ok(()) } else { Err(Never { most }) }
+}
+
+/// How long the decisions have for a request: until the client gives up, by its own word or its class, less the
+/// margin in which the answer travels. `None` when nothing is left: the client will not hear any answer.
+#[must_use]
+pub fn patience(give_up: Millis, asked: Option<Millis>, longest: Millis, margin: Millis) -> Option<Millis> {
+    let whole = asked.filter(|a| a.is_finite()).unwrap_or(give_up).min(longest);
+    // A margin that is most of a short deadline would refuse what could be answered: a quarter at most.
+    let left = whole - margin.min(whole / 4.0);
+    if left > 0.0 { Some(left) } else { None }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use doorcourse::Group;
+
+    fn class(effect: Effect, aim: Millis) -> Class {
+        let (name, group) = ("c".into(), Group::All);
+        Class { name, aim, effect, group, memory: 0.0, worth: 1.0, late_worth: 0.0 }
+    }
+
+    #[test]
+    fn the_strictest_effect_and_of_equals_the_most_urgent() {
+        let classes = [
+            class(Effect::Safe, 100.0),
+            class(Effect::Keyed, 900.0),
+            class(Effect::Unsafe, 500.0),
+            class(Effect::Unsafe, 300.0),
+            class(Effect::Safe, 2000.0),
+        ];
+        assert_eq!(class_of(&classes, [0, 1]), Some(1));
+        assert_eq!(class_of(&classes, [0, 2, 1, 3]), Some(3));
+        assert_eq!(class_of(&classes, [4, 0]), Some(0));
+        assert_eq!(class_of(&classes, []), Some(4));
+        assert_eq!(class_of(&classes[1..4], []), None);
+    }
+
+    fn plan(rate: f64, burst: f64, ceiling: f64) -> Plan {
+        Plan {
+            name: "p".into(),
+            rate,
+            burst,
+            open: 0,
+            ceiling_rate: if ceiling > 0.0 { rate * 2.0 } else { 0.0 },
+            ceiling_burst: ceiling,
+            ceiling_slack: 1.0,
+            price: 1.0,
+            over_worth: 0.0,
+            over_cost: 1.0,
+        }
+    }
+
+    #[test]
+    fn what_no_window_can_hold() {
+        assert_eq!(fits(&plan(5.0, 40.0, 0.0), 40.0), Ok(()));
+        assert_eq!(fits(&plan(5.0, 40.0, 0.0), 40.5), Err(Never { most: 40.0 }));
+        assert_eq!(fits(&plan(0.0, 0.0, 0.0), 1e9), Ok(()));
+        assert!(fits(&plan(5.0, 40.0, 64.0), f64::NAN).is_err());
+    }
+
+    #[test]
+    fn patience_leaves_time_for_the_answer() {
+        assert_eq!(patience(1000.0, None, 5000.0, 20.0), Some(980.0));
+        assert_eq!(patience(1000.0, Some(400.0), 5000.0, 20.0), Some(380.0));
+        assert_eq!(patience(1000.0, Some(9000.0), 5000.0, 20.0), Some(4980.0));
+        assert_eq!(patience(1000.0, Some(8.0), 5000.0, 20.0), Some(6.0));
+        assert_eq!(patience(1000.0, Some(0.0), 5000.0, 20.0), None);
+        assert_eq!(patience(1000.0, Some(-3.0), 5000.0, 20.0), None);
+    }
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -1,1 +1,15 @@
-//! To come.
+//! The life of one request between its client and its nodes: decisions without I/O and without a clock.
+//!
+//! The decision library says where a request goes and when it is refused or failed. This module says what its
+//! bytes on sockets mean for it: what an attempt that ended in some state of the wire may have done, when an
+//! answer is passed on and from when on it can only be cut, and that a client gets one final answer before its
+//! time is up. The host tells what happened and carries out what comes back.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod admission;
+mod exchange;
+
+pub use admission::{Never, Offer, class_of, fits, patience};
+pub use exchange::{Exchange, Failure, Final, Input, Output, Wire};
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -1,6 +1,7 @@
 //! Writing messages. Callers give field values without line ends; a line end in one is left out, so that no
 //! value can start a line of its own.
 
+use crate::Framing;
 use std::io::Write;
 
 fn fields(out: &mut Vec<u8>, fields: &[(&str, &str)]) {
@@ -20,13 +21,16 @@
     out.extend_from_slice(body);
 }
 
-/// Appends the head of a response; without a `length` the body goes in chunks.
-pub fn response_head(out: &mut Vec<u8>, status: u16, head: &[(&str, &str)], length: Option<u64>) {
+/// Appends the head of a response with a body that is framed as told. A body that ends with the connection is
+/// for clients of version 1.0, which know no chunks.
+pub fn response_head(out: &mut Vec<u8>, status: u16, head: &[(&str, &str)], framing: Framing) {
     let _ = write!(out, "HTTP/1.1 {status} {}\r\n", reason(status));
     fields(out, head);
-    match length {
-        Some(n) => drop(write!(out, "content-length: {n}\r\n\r\n")),
-        None => out.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n"),
+    match framing {
+        Framing::Length(n) => drop(write!(out, "content-length: {n}\r\n\r\n")),
+        Framing::Chunked => out.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n"),
+        Framing::Close => out.extend_from_slice(b"connection: close\r\n\r\n"),
+        Framing::None => out.extend_from_slice(b"\r\n"),
     }
 }
 
--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -119,7 +119,7 @@
                     };
                     plan(&mut agenda, now + latency, Event::AttemptEnded(end));
                 }
-                Action::Refuse { id, retry_after } => {
+                Action::Refuse { id, retry_after, .. } => {
                     println!("{now:>5} ms  {id} refused, come back in {retry_after:.0} ms");
                 }
                 Action::Fail { id } => println!("{now:>5} ms  {id} failed"),
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -320,7 +320,7 @@
         Action::Send { id, backend, timeout } => {
             writeln!(reply, "HAND_OFF\t{i}\t{id}\t{backend}\t{:.3}", timeout.unwrap_or(0.0))
         }
-        Action::Refuse { id, retry_after } => writeln!(reply, "SHED\t{i}\t{id}\t{retry_after:.3}"),
+        Action::Refuse { id, retry_after, .. } => writeln!(reply, "SHED\t{i}\t{id}\t{retry_after:.3}"),
         Action::Fail { id } => writeln!(reply, "DROP_REQUEST\t{i}\t{id}"),
         Action::CallOff { id, attempt } => writeln!(reply, "CALL_OFF\t{i}\t{id}\t{attempt}"),
         Action::SetTimer { after, token } => writeln!(reply, "NOTIFY_ME\t{i}\t{after:.3}\t{token}"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -329,6 +329,15 @@
     },
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its customer is beyond the quota.
+    Quota,
+    /// What serves is full, or the gateway sheds.
+    Busy,
+}
+
 /// Something that the host is to do at once.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -347,6 +356,8 @@
         id: RequestId,
         /// How long the client ought to wait.
         retry_after: Millis,
+        /// Why.
+        why: Refusal,
     },
     /// Final answer: failed, with no promise.
     Fail {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -396,7 +396,7 @@
         let class = self.settings.classes.iter().position(|c| c.name == arrival.class);
         let plan = self.settings.plans.iter().position(|p| p.name == arrival.plan);
         let (Some(class), Some(plan)) = (class, plan) else {
-            return out.push(Action::Refuse { id, retry_after: 0.0 });
+            return out.push(Action::Refuse { id, retry_after: 0.0, why: Refusal::Busy });
         };
         let now = self.now;
         let units = if arrival.units.is_finite() { arrival.units.max(0.0) } else { 1.0 };
@@ -539,7 +539,7 @@
 
     fn over_quota(&mut self, id: RequestId, short: f64, rate: f64, out: &mut Vec<Action>) {
         let wait = short / rate.max(1e-9) * 1000.0 * (1.0 + 0.5 * self.chance());
-        self.refuse(id, wait, out);
+        self.refuse(id, wait, Refusal::Quota, out);
     }
 
     fn hold(&mut self, id: RequestId, stage: Stage, until: Millis, out: &mut Vec<Action>) {
@@ -602,16 +602,16 @@
             || (class.effect == Effect::Keyed && class.group == Group::All);
         if harmless && self.now < request.deadline {
             let wait = self.settings.longest_advice * (0.3 + 0.4 * self.chance());
-            self.refuse(id, wait, out);
+            self.refuse(id, wait, Refusal::Busy, out);
         } else {
             self.forget(id);
             out.push(Action::Fail { id });
         }
     }
 
-    fn refuse(&mut self, id: RequestId, wait: Millis, out: &mut Vec<Action>) {
+    fn refuse(&mut self, id: RequestId, wait: Millis, why: Refusal, out: &mut Vec<Action>) {
         self.forget(id);
-        out.push(Action::Refuse { id, retry_after: wait.clamp(0.0, self.settings.longest_advice) });
+        out.push(Action::Refuse { id, retry_after: wait.clamp(0.0, self.settings.longest_advice), why });
     }
 
     /// Units of a request that was never sent go back to its customer's block.
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -25,7 +25,7 @@
     // Others hold the whole burst and more than the window has refilled by now.
     let did = door.total(name, amount + 40.0);
     let advice = did.iter().find_map(|a| match a {
-        Action::Refuse { id: 1, retry_after } => Some(*retry_after),
+        Action::Refuse { id: 1, retry_after, .. } => Some(*retry_after),
         _ => None,
     });
     assert!(advice.is_some_and(|ms| ms > 0.0), "{did:?}");
