The gateway serves: GraphQL over HTTP on epoll, nodes pooled, counter linked

Need: the thin path from a client's query over sockets through the decision library to a node and back. Change: doorcourse-gateway (one thread; front, loop, exchanges carried out), doorcourse-cli with serve, check and query; answers of the right shape for stand-ins. The deadline of a client runs from its request's head.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,77 @@
-fn main() {}
+//! The doorcourse command: arguments, exit codes and the log's set-up; nothing else.
+
+mod query;
+mod serve;
+
+use clap::{Parser, Subcommand};
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// An API gateway that keeps quotas and priorities over a fleet of instances.
+#[derive(Parser, Debug)]
+#[command(version, propagate_version = true, after_help = EXAMPLES)]
+struct Arguments {
+    /// What the log holds: error, warn, info, debug or trace, also by part, as in `warn,doorcourse=debug`.
+    #[arg(long, global = true, default_value = "info", env = "DOORCOURSE_LOG")]
+    log: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+const EXAMPLES: &str = "Examples:
+  doorcourse check settings.txtpb            every fault of the settings, with file, line and field
+  doorcourse serve --config settings.txtpb   the gateway, until SIGTERM or SIGINT
+  doorcourse query cost --schema catalogue.graphql query.graphql
+
+Exit codes: 0 good, 1 refused or failed, 2 wrong use or unreadable files.";
+
+#[derive(Subcommand, Debug)]
+enum Command {
+    /// Run the gateway until it is told to stop.
+    Serve {
+        /// The settings, in protobuf text format.
+        #[arg(long)]
+        config: PathBuf,
+        /// The seed of the decisions; by default one by chance. No two gateways may share a seed.
+        #[arg(long)]
+        seed: Option<u64>,
+    },
+    /// Check settings and tell every fault; 1 if there is any.
+    Check {
+        /// The settings, in protobuf text format.
+        file: PathBuf,
+    },
+    /// Parse, validate and price GraphQL documents.
+    #[command(subcommand)]
+    Query(query::Query),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let filter = match tracing_subscriber::EnvFilter::try_new(&arguments.log) {
+        Ok(filter) => filter,
+        Err(error) => {
+            eprintln!("--log: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    if std::io::stderr().is_terminal() {
+        log.init();
+    } else {
+        log.json().flatten_event(true).init();
+    }
+    let done = match arguments.command {
+        Command::Serve { config, seed } => serve::serve(&config, seed),
+        Command::Check { file } => serve::check(&file),
+        Command::Query(command) => query::run(command),
+    };
+    match done {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("doorcourse: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/query.rs
@@ -0,0 +1,120 @@
+//! `query parse`, `query validate` and `query cost`.
+
+use anyhow::Context;
+use clap::{Args, Subcommand};
+use doorcourse_graphql::{Error, Limits, OperationKind, Prepared, Schema, parse, validate};
+use serde_json::{Map, Value};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Subcommand, Debug)]
+pub enum Query {
+    /// Parse a document and tell what it holds; 1 with the place of the first fault.
+    Parse {
+        /// A file with operations, fragments or a type system.
+        file: PathBuf,
+    },
+    /// Validate a document against a schema; 1 with the place of every fault.
+    Validate {
+        #[command(flatten)]
+        schema: SchemaFile,
+        /// A file with operations and fragments.
+        file: PathBuf,
+    },
+    /// Price an operation by the schema's @cost and @listSize; 1 with the place of every fault.
+    #[command(after_help = "Example:
+  doorcourse query cost --schema catalogue.graphql --variables '{\"n\": 40}' query.graphql")]
+    Cost {
+        #[command(flatten)]
+        schema: SchemaFile,
+        /// The variables, a JSON object.
+        #[arg(long)]
+        variables: Option<String>,
+        /// The operation, where the document has several.
+        #[arg(long)]
+        operation: Option<String>,
+        /// A file with operations and fragments.
+        file: PathBuf,
+    },
+}
+
+#[derive(Args, Debug)]
+pub struct SchemaFile {
+    /// The schema's SDL.
+    #[arg(long)]
+    schema: PathBuf,
+}
+
+fn read(file: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(file).with_context(|| file.display().to_string())
+}
+
+fn told(file: &Path, errors: &[Error]) -> ExitCode {
+    let shown = file.display();
+    errors.iter().for_each(|e| match e.at {
+        Some(at) => eprintln!("{shown}:{}:{}: {}", at.line, at.column, e.message),
+        None => eprintln!("{shown}: {}", e.message),
+    });
+    ExitCode::FAILURE
+}
+
+pub fn run(command: Query) -> anyhow::Result<ExitCode> {
+    let limits = Limits::default();
+    match command {
+        Query::Parse { file } => Ok(match parse(&read(&file)?, &limits) {
+            Err(error) => told(&file, &[error]),
+            Ok(document) => {
+                let kind = |k| match k {
+                    OperationKind::Query => "query",
+                    OperationKind::Mutation => "mutation",
+                    OperationKind::Subscription => "subscription",
+                };
+                for (k, name) in document.operations() {
+                    println!("{} {}", kind(k), name.unwrap_or("(no name)"));
+                }
+                document.fragments().for_each(|f| println!("fragment {f}"));
+                println!(
+                    "{} tokens, {} definitions of a type system",
+                    document.tokens,
+                    document.type_system()
+                );
+                ExitCode::SUCCESS
+            }
+        }),
+        Query::Validate { schema, file } => {
+            let schema = match Schema::parse(&read(&schema.schema)?) {
+                Ok(schema) => schema,
+                Err(errors) => return Ok(told(&schema.schema, &errors)),
+            };
+            let document = parse(&read(&file)?, &limits).map_err(|e| vec![e]);
+            Ok(match document.and_then(|d| validate(&schema, &d, &limits)) {
+                Err(errors) => told(&file, &errors),
+                Ok(()) => {
+                    println!("{}: valid", file.display());
+                    ExitCode::SUCCESS
+                }
+            })
+        }
+        Query::Cost { schema, variables, operation, file } => {
+            let variables: Option<Map<String, Value>> = variables
+                .map(|v| serde_json::from_str(&v))
+                .transpose()
+                .context("--variables: a JSON object")?;
+            let schema = match Schema::parse(&read(&schema.schema)?) {
+                Ok(schema) => schema,
+                Err(errors) => return Ok(told(&schema.schema, &errors)),
+            };
+            let source = read(&file)?;
+            let prepared =
+                Prepared::new(schema.into(), &source, operation.as_deref(), variables.as_ref(), limits);
+            Ok(match prepared {
+                Err(errors) => told(&file, &errors),
+                Ok(prepared) => {
+                    let cost = prepared.cost();
+                    println!("{} units: {} of fields, {} of types", cost.units, cost.fields, cost.types);
+                    ExitCode::SUCCESS
+                }
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,46 @@
+//! `serve` and `check`.
+
+use anyhow::Context;
+use doorcourse_config::{Config, Fault};
+use doorcourse_gateway::{Gateway, Start};
+use std::path::Path;
+use std::process::ExitCode;
+
+/// Reads settings and the files that they name, relative to their folder.
+fn read(file: &Path) -> anyhow::Result<Result<Config, Vec<Fault>>> {
+    let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+    let folder = file.parent().unwrap_or(Path::new(""));
+    let open = |name: &str| std::fs::read_to_string(folder.join(name)).map_err(|e| e.to_string());
+    Ok(doorcourse_config::read(&file.display().to_string(), &text, &open))
+}
+
+fn told(faults: &[Fault]) -> ExitCode {
+    faults.iter().for_each(|fault| eprintln!("{fault}"));
+    ExitCode::FAILURE
+}
+
+pub fn check(file: &Path) -> anyhow::Result<ExitCode> {
+    Ok(match read(file)? {
+        Err(faults) => told(&faults),
+        Ok(config) => {
+            let (plans, classes) = (config.decisions.plans.len(), config.decisions.classes.len());
+            println!(
+                "{}: good: {classes} classes, {plans} plans, {} keys",
+                file.display(),
+                config.customers.len()
+            );
+            ExitCode::SUCCESS
+        }
+    })
+}
+
+pub fn serve(file: &Path, seed: Option<u64>) -> anyhow::Result<ExitCode> {
+    let config = match read(file)? {
+        Ok(config) => config,
+        Err(faults) => return Ok(told(&faults)),
+    };
+    let folder = file.parent().unwrap_or(Path::new(""));
+    let mut gateway = Gateway::new(Start { config, folder, seed })?;
+    gateway.run()?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -204,10 +204,10 @@
         price_cross_zone,
         ..doorcourse::Settings::default()
     };
-    if check.faults.is_empty() {
-        if let Err(error) = doorcourse::Gateway::new(decisions.clone(), 1) {
-            check.fault("", error.to_string());
-        }
+    if check.faults.is_empty()
+        && let Err(error) = doorcourse::Gateway::new(decisions.clone(), 1)
+    {
+        check.fault("", error.to_string());
     }
     let limits = limits(&raw.limits.unwrap_or_default(), check);
     let query_limits = query_limits(&graphql, check);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,1 +1,11 @@
-//! To come.
+//! The running gateway: one thread, epoll, no runtime. It translates: sockets and timers into events of the
+//! decision library and of a request's exchange, and their actions into bytes. It decides nothing itself.
+
+mod counter;
+mod front;
+mod nodes;
+mod run;
+mod serve;
+
+pub use front::{DEADLINE_FIELD, REQUEST_ID_FIELD};
+pub use run::{Gateway, Start};
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,719 @@
+//! The event loop: who is ready, whose time has come, and the clients' connections.
+
+use crate::counter::{Own, counted, link};
+use crate::front::{self, Caller, Reply};
+use crate::nodes::{ListFile, Pools, entries};
+use crate::serve::{NodeConnection, Request};
+use doorcourse::{Action, Event, RequestId};
+use doorcourse_config::Config;
+use doorcourse_exchange::Input;
+use doorcourse_http::{Decoder, Framing, Limits as HttpLimits, Part, Role};
+use doorcourse_net::{Clock, Flow, Interest, Poller, Ready, Socket, Timers, connect, listen};
+use doorcourse_resp::{Link, LinkAction};
+use slab::Slab;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::time::Duration;
+
+/// What a gateway is started with.
+#[derive(Debug)]
+pub struct Start<'a> {
+    /// The settings.
+    pub config: Config,
+    /// The folder that files named in the settings are relative to.
+    pub folder: &'a Path,
+    /// The seed of the decisions; `None` takes one by chance.
+    pub seed: Option<u64>,
+}
+
+/// What a registration belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Token {
+    Listener(usize),
+    Client(usize, u32),
+    Node(usize, u32),
+    Counter(u32),
+    Signal,
+}
+
+impl Token {
+    /// Slots are used again within one round of readiness; the generation tells the old from the new.
+    fn pack(self) -> u64 {
+        let (kind, slot, generation) = match self {
+            Self::Listener(slot) => (1, slot, 0),
+            Self::Client(slot, generation) => (2, slot, generation),
+            Self::Node(slot, generation) => (3, slot, generation),
+            Self::Counter(generation) => (4, 0, generation),
+            Self::Signal => (5, 0, 0),
+        };
+        kind << 60 | u64::from(generation & 0x0fff_ffff) << 32 | slot as u64
+    }
+
+    fn unpack(token: u64) -> Self {
+        let (slot, generation) = ((token & 0xffff_ffff) as usize, (token >> 32 & 0x0fff_ffff) as u32);
+        match token >> 60 {
+            1 => Self::Listener(slot),
+            2 => Self::Client(slot, generation),
+            3 => Self::Node(slot, generation),
+            4 => Self::Counter(generation),
+            _ => Self::Signal,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Alarm {
+    Decision(u64),
+    TimeUp(RequestId),
+    Client(usize, u32),
+    NodeIdle(usize, u32),
+    NodeList,
+    Stop,
+}
+
+/// Where a client's connection stands.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// Between requests, or in a head.
+    Head,
+    /// In a body.
+    Body(Box<Caller>),
+    /// A request is with the decisions, or its answer on the way.
+    Answering(RequestId),
+    /// Everything was said; what the client still sends is read over, so that it reads our last words.
+    Lingering,
+}
+
+#[derive(Debug)]
+pub(crate) struct Client {
+    pub socket: Socket,
+    pub generation: u32,
+    decoder: Decoder,
+    pub phase: Phase,
+    body: Vec<u8>,
+    /// When the head of the present request came.
+    pub head_at: f64,
+    /// Whether the connection may carry another request after this one.
+    pub keep_alive: bool,
+    pub minor: u8,
+    /// How the answer that is being passed on is framed.
+    pub framing: Framing,
+    /// When the connection's patience with the client ends.
+    until: f64,
+    interest: Interest,
+    accounted: usize,
+    /// Close once all is written.
+    pub closing: bool,
+}
+
+pub(crate) struct CounterConnection {
+    socket: Socket,
+    generation: u32,
+    connected: bool,
+    interest: Interest,
+}
+
+pub(crate) enum CounterSide {
+    Own(Own),
+    Shared {
+        settings: doorcourse_config::Counter,
+        link: Box<Link>,
+        connection: Option<CounterConnection>,
+        due: f64,
+    },
+}
+
+/// A running gateway.
+pub struct Gateway {
+    pub(crate) config: Config,
+    pub(crate) clock: Clock,
+    pub(crate) poller: Poller,
+    pub(crate) timers: Timers<Alarm>,
+    pub(crate) decision: doorcourse::Gateway,
+    pub(crate) events: VecDeque<Event>,
+    pub(crate) actions: Vec<Action>,
+    listeners: Vec<TcpListener>,
+    pub(crate) clients: Slab<Client>,
+    pub(crate) nodes: Slab<NodeConnection>,
+    pub(crate) pools: Pools,
+    list: Option<ListFile>,
+    pub(crate) requests: HashMap<RequestId, Request>,
+    pub(crate) next_request: RequestId,
+    pub(crate) name: String,
+    pub(crate) counter: CounterSide,
+    pub(crate) generation: u32,
+    pub(crate) claims_told: HashSet<doorcourse::Name>,
+    /// Bytes held for clients.
+    pub(crate) buffered: u64,
+    signal: UnixStream,
+    pub(crate) stopping: bool,
+    spare: Option<std::fs::File>,
+}
+
+/// Input of one client that is held while its request is answered: pipelining, but not without bound.
+const PIPELINED: usize = 16 << 10;
+/// How long a client that was told to go may still talk, in ms.
+const LINGER: f64 = 1000.0;
+
+impl Gateway {
+    /// Binds the listeners and takes the first node list; nothing is served before `run`.
+    ///
+    /// # Errors
+    /// When an address cannot be had or the node list cannot be read.
+    pub fn new(start: Start) -> anyhow::Result<Self> {
+        let Start { config, folder, seed } = start;
+        let poller = Poller::new()?;
+        let clock = Clock::default();
+        let seed = seed.unwrap_or_else(chance);
+        let decision = doorcourse::Gateway::new(config.decisions.clone(), seed)?;
+        let mut listeners = Vec::new();
+        for (at, address) in config.listen.iter().enumerate() {
+            let listener =
+                listen(*address).map_err(|e| anyhow::anyhow!("cannot listen on {address}: {e}"))?;
+            poller.add(&listener, Token::Listener(at).pack(), Interest::READ)?;
+            listeners.push(listener);
+        }
+        let (wake, signal) = UnixStream::pair()?;
+        signal.set_nonblocking(true)?;
+        wake.set_nonblocking(true)?;
+        for number in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            signal_hook::low_level::pipe::register(number, wake.try_clone()?)?;
+        }
+        poller.add(&signal, Token::Signal.pack(), Interest::READ)?;
+        let counter = match &config.counter {
+            None => CounterSide::Own(Own::default()),
+            Some(settings) => {
+                let link = Box::new(link(settings));
+                CounterSide::Shared { settings: settings.clone(), link, connection: None, due: 0.0 }
+            }
+        };
+        let name = format!("g{}-{:x}", config.decisions.number, clock.now() as u64);
+        let mut gateway = Self {
+            clock,
+            poller,
+            timers: Timers::default(),
+            decision,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            listeners,
+            clients: Slab::new(),
+            nodes: Slab::new(),
+            pools: Pools::default(),
+            list: config.node_list.as_ref().map(|(file, poll)| ListFile::new(folder.join(file), *poll)),
+            requests: HashMap::new(),
+            next_request: 0,
+            name,
+            counter,
+            generation: 0,
+            claims_told: HashSet::new(),
+            buffered: 0,
+            signal,
+            stopping: false,
+            spare: std::fs::File::open("/dev/null").ok(),
+            config,
+        };
+        if gateway.list.is_some() {
+            gateway.look_at_list()?;
+        } else {
+            let nodes = std::mem::take(&mut gateway.config.nodes);
+            gateway.take_list(&nodes);
+        }
+        Ok(gateway)
+    }
+
+    /// Where clients are served.
+    ///
+    /// # Errors
+    /// When a listener is gone.
+    pub fn addresses(&self) -> std::io::Result<Vec<SocketAddr>> {
+        self.listeners.iter().map(TcpListener::local_addr).collect()
+    }
+
+    /// Serves until told to stop.
+    ///
+    /// # Errors
+    /// When waiting for readiness fails: nothing can be served then.
+    pub fn run(&mut self) -> anyhow::Result<()> {
+        for address in self.addresses()? {
+            tracing::info!(%address, name = self.name, "serving");
+        }
+        let mut ready = Vec::new();
+        loop {
+            self.pump();
+            while let Some(alarm) = self.timers.due(self.clock.now()) {
+                self.alarm(alarm);
+                self.pump();
+            }
+            let counter_due = self.counter_tick();
+            self.pump();
+            if self.stopping && self.clients.is_empty() && self.requests.is_empty() {
+                tracing::info!("stopped");
+                return Ok(());
+            }
+            let first = self.timers.first().unwrap_or(f64::INFINITY).min(counter_due);
+            let wait = if first.is_finite() { self.clock.until(first) } else { Duration::from_secs(3600) };
+            self.poller.wait(Some(wait), &mut ready)?;
+            for ready in ready.drain(..) {
+                self.ready(ready);
+                self.pump();
+            }
+        }
+    }
+
+    /// Tells the decisions all that happened, in its order, and carries out what each answers.
+    pub(crate) fn pump(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.decision.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn ready(&mut self, ready: Ready) {
+        match Token::unpack(ready.token) {
+            Token::Listener(at) => self.accept(at),
+            Token::Client(slot, generation) => {
+                if self.clients.get(slot).is_some_and(|c| c.generation & 0x0fff_ffff == generation) {
+                    self.client_ready(slot, ready);
+                }
+            }
+            Token::Node(slot, generation) => {
+                if self.nodes.get(slot).is_some_and(|n| n.generation & 0x0fff_ffff == generation) {
+                    self.node_ready(slot, ready);
+                }
+            }
+            Token::Counter(generation) => self.counter_ready(generation, ready),
+            Token::Signal => {
+                let mut bytes = [0; 16];
+                while std::io::Read::read(&mut self.signal, &mut bytes).is_ok_and(|n| n > 0) {}
+                self.stop();
+            }
+        }
+    }
+
+    fn alarm(&mut self, alarm: Alarm) {
+        match alarm {
+            Alarm::Decision(token) => self.events.push_back(Event::Timer { token }),
+            Alarm::TimeUp(id) => self.tell(id, Input::TimeUp),
+            Alarm::Client(slot, generation) => self.client_time(slot, generation),
+            Alarm::NodeIdle(slot, generation) => self.node_idle_over(slot, generation),
+            Alarm::NodeList => {
+                if let Err(error) = self.look_at_list() {
+                    tracing::error!(%error, "node list not taken, the last one holds");
+                }
+            }
+            Alarm::Stop => {
+                // What is out may be repeated by the decisions: each round ends one attempt more.
+                while !self.requests.is_empty() {
+                    let open: Vec<RequestId> = self.requests.keys().copied().collect();
+                    for id in open {
+                        self.tell(id, Input::TimeUp);
+                    }
+                    self.pump();
+                }
+                let slots: Vec<usize> = self.clients.iter().map(|(slot, _)| slot).collect();
+                slots.into_iter().for_each(|slot| self.drop_client(slot));
+            }
+        }
+    }
+
+    fn stop(&mut self) {
+        if std::mem::replace(&mut self.stopping, true) {
+            return;
+        }
+        tracing::info!(requests = self.requests.len(), clients = self.clients.len(), "stopping");
+        self.listeners.clear();
+        self.timers.set(self.clock.now() + self.config.limits.stop_time, Alarm::Stop);
+        let idle = |c: &Client| {
+            matches!(c.phase, Phase::Head) && c.socket.input.is_empty() && c.socket.pending() == 0
+        };
+        let idle: Vec<usize> = self.clients.iter().filter(|(_, c)| idle(c)).map(|(slot, _)| slot).collect();
+        idle.into_iter().for_each(|slot| self.drop_client(slot));
+    }
+
+    // ---- The node list ----
+
+    fn look_at_list(&mut self) -> anyhow::Result<()> {
+        let Some(list) = &mut self.list else { return Ok(()) };
+        self.timers.set(self.clock.now() + list.poll, Alarm::NodeList);
+        match list.look() {
+            Some(Ok(nodes)) => {
+                tracing::info!(nodes = nodes.len(), "node list taken");
+                self.take_list(&nodes);
+                Ok(())
+            }
+            Some(Err(error)) => Err(anyhow::anyhow!(error)),
+            None => Ok(()),
+        }
+    }
+
+    fn take_list(&mut self, nodes: &[doorcourse_config::Node]) {
+        for slot in self.pools.update(nodes) {
+            self.drop_node(slot);
+        }
+        self.events.push_back(Event::BackendList(entries(nodes)));
+    }
+
+    // ---- Clients ----
+
+    fn accept(&mut self, at: usize) {
+        // Bounded, so that a flood of connections does not hold up those that are open.
+        for _ in 0..64 {
+            let Some(listener) = self.listeners.get(at) else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
+                    // Without a descriptor the listener would stay ready for ever: one kept for this takes the
+                    // connection and closes it.
+                    drop(self.spare.take());
+                    let _ = listener.accept();
+                    self.spare = std::fs::File::open("/dev/null").ok();
+                    continue;
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(_) => continue,
+            };
+            let Ok(mut socket) = Socket::new(stream) else { continue };
+            if self.clients.len() >= self.config.limits.connections {
+                let reply = front::full("too many connections");
+                front::write(socket.output(), &reply, false, None);
+                socket.flush();
+                continue;
+            }
+            self.generation = self.generation.wrapping_add(1);
+            let (generation, limits) = (self.generation, &self.config.limits);
+            let (line, head, fields, body) = (limits.line, limits.head, limits.fields, limits.body);
+            let decoder = Decoder::new(Role::Requests, HttpLimits { line, head, fields, body });
+            let entry = self.clients.vacant_entry();
+            let slot = entry.key();
+            if self.poller.add(&socket, Token::Client(slot, generation).pack(), Interest::READ).is_err() {
+                continue;
+            }
+            let until = self.clock.now() + limits.idle_time.min(limits.head_time);
+            entry.insert(Client {
+                socket,
+                generation,
+                decoder,
+                phase: Phase::Head,
+                body: Vec::new(),
+                head_at: 0.0,
+                keep_alive: true,
+                minor: 1,
+                framing: Framing::None,
+                until,
+                interest: Interest::READ,
+                accounted: 0,
+                closing: false,
+            });
+            self.timers.set(until, Alarm::Client(slot, generation));
+        }
+    }
+
+    /// Sets when the connection's patience ends. An earlier alarm finds the later time and sets itself again.
+    fn client_until(&mut self, slot: usize, after: f64) {
+        let until = self.clock.now() + after;
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        let sooner = until < client.until;
+        client.until = until;
+        if sooner {
+            self.timers.set(until, Alarm::Client(slot, client.generation));
+        }
+    }
+
+    fn client_time(&mut self, slot: usize, generation: u32) {
+        let now = self.clock.now();
+        let Some(client) = self.clients.get_mut(slot).filter(|c| c.generation == generation) else { return };
+        if matches!(client.phase, Phase::Answering(_)) {
+            // The request's own time rules; look again when it can be over.
+            client.until = now + self.config.limits.idle_time;
+        }
+        if client.until > now {
+            return self.timers.set(client.until, Alarm::Client(slot, generation));
+        }
+        let begun = client.decoder.in_message(!client.socket.input.is_empty());
+        match client.phase {
+            Phase::Head | Phase::Body(_) if begun => self.reply(slot, &front::too_slow()),
+            _ => self.drop_client(slot),
+        }
+    }
+
+    fn client_ready(&mut self, slot: usize, ready: Ready) {
+        if ready.read {
+            let Some(client) = self.clients.get_mut(slot) else { return };
+            if let Phase::Lingering = client.phase {
+                client.socket.input.clear();
+            }
+            let idle = client.socket.input.is_empty();
+            let paused = !client.interest.read;
+            let (count, flow) = if paused && ready.broken { (0, Flow::Broken) } else { client.socket.read() };
+            if flow != Flow::Open {
+                // A client that ends its side is taken as gone: it is how a tool that gives up looks.
+                return self.client_gone(slot);
+            }
+            if count > 0 && idle && matches!(client.phase, Phase::Head) {
+                self.client_until(slot, self.config.limits.head_time);
+            }
+            self.client_input(slot);
+        }
+        if ready.write {
+            self.flush_client(slot);
+        }
+        self.settle_client(slot);
+    }
+
+    pub(crate) fn client_gone(&mut self, slot: usize) {
+        let Some(client) = self.clients.get(slot) else { return };
+        let request = if let Phase::Answering(id) = client.phase { Some(id) } else { None };
+        self.drop_client(slot);
+        if let Some(id) = request {
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.client = None;
+            }
+            self.tell(id, Input::ClientGone);
+            self.resume_node(id);
+        }
+    }
+
+    pub(crate) fn drop_client(&mut self, slot: usize) {
+        if let Some(client) = self.clients.try_remove(slot) {
+            self.buffered -= client.accounted as u64;
+        }
+    }
+
+    /// Reads on in what a client sent, until a request is whole or more is needed.
+    pub(crate) fn client_input(&mut self, slot: usize) {
+        loop {
+            let Some(client) = self.clients.get_mut(slot) else { return };
+            if client.closing || matches!(client.phase, Phase::Answering(_) | Phase::Lingering) {
+                return;
+            }
+            let (used, part) = match client.decoder.decode(&client.socket.input) {
+                Ok(found) => found,
+                Err(fault) => return self.reply(slot, &front::malformed(fault)),
+            };
+            match part {
+                None => {
+                    client.socket.consume(used);
+                    return;
+                }
+                Some(Part::Data(data)) => {
+                    client.body.extend_from_slice(data);
+                    client.socket.consume(used);
+                }
+                Some(Part::Head(head)) => {
+                    client.socket.consume(used);
+                    client.keep_alive = head.keep_alive && !self.stopping;
+                    (client.minor, client.head_at) = (head.minor, self.clock.now());
+                    let wants_word = head.expects_continue() && head.framing != Framing::None;
+                    let full = self.buffered > self.config.limits.buffered;
+                    let caller = match front::caller(&self.config, &head) {
+                        Ok(_) if full => Err(front::full("too much is held for clients")),
+                        other => other,
+                    };
+                    let caller = match caller {
+                        Ok(caller) => caller,
+                        Err(reply) => return self.reply(slot, &reply),
+                    };
+                    client.phase = Phase::Body(Box::new(caller));
+                    if wants_word && client.socket.input.is_empty() {
+                        client.socket.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        client.socket.flush();
+                    }
+                    self.client_until(slot, self.config.limits.body_time);
+                }
+                Some(Part::End) => {
+                    client.socket.consume(used);
+                    let body = std::mem::take(&mut client.body);
+                    let Phase::Body(caller) = std::mem::replace(&mut client.phase, Phase::Head) else {
+                        continue;
+                    };
+                    self.request(slot, *caller, body);
+                }
+            }
+        }
+    }
+
+    /// Writes a reply of the gateway's own and makes the connection ready for what comes next.
+    pub(crate) fn reply(&mut self, slot: usize, reply: &Reply) {
+        self.reply_as(slot, reply, None);
+    }
+
+    pub(crate) fn reply_as(&mut self, slot: usize, reply: &Reply, name: Option<&doorcourse::Name>) {
+        let stopping = self.stopping;
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        client.keep_alive &= !stopping;
+        front::write(client.socket.output(), reply, client.keep_alive, name);
+        client.keep_alive &= !reply.close;
+        self.answered(slot);
+    }
+
+    /// A whole answer is in the connection's output.
+    pub(crate) fn answered(&mut self, slot: usize) {
+        let idle = self.config.limits.idle_time;
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        client.phase = Phase::Head;
+        client.closing = !client.keep_alive;
+        self.client_until(slot, idle);
+        self.flush_client(slot);
+        self.settle_client(slot);
+    }
+
+    /// Writes what waits; reads a node on once its client has taken enough.
+    pub(crate) fn flush_client(&mut self, slot: usize) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        if client.socket.flush() == Flow::Broken {
+            return self.client_gone(slot);
+        }
+        let low = client.socket.pending() <= self.config.limits.client_buffer / 2;
+        if let (true, Phase::Answering(id)) = (low, &client.phase) {
+            let id = *id;
+            self.resume_node(id);
+        }
+    }
+
+    /// Brings the connection's registration and accounts in line with its state.
+    pub(crate) fn settle_client(&mut self, slot: usize) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        if client.closing && client.socket.pending() == 0 && !matches!(client.phase, Phase::Lingering) {
+            // Closing with input unread would reset the connection and could destroy our answer on its way
+            // (RFC 9112 section 9.6): end our side, and read over what comes for a while.
+            client.phase = Phase::Lingering;
+            client.socket.end_writing();
+            client.socket.input = Vec::new();
+            self.client_until(slot, LINGER);
+        }
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        let answering = matches!(client.phase, Phase::Answering(_)) || client.closing;
+        let lingering = matches!(client.phase, Phase::Lingering);
+        let read = lingering || !answering || client.socket.input.len() < PIPELINED;
+        let interest = Interest { read, write: client.socket.pending() > 0 };
+        let now = client.socket.input.len() + client.body.len() + client.socket.pending();
+        self.buffered = self.buffered - client.accounted as u64 + now as u64;
+        client.accounted = now;
+        if interest != client.interest {
+            client.interest = interest;
+            let token = Token::Client(slot, client.generation).pack();
+            let _ = self.poller.change(&client.socket, token, interest);
+        }
+    }
+
+    // ---- The counter ----
+
+    fn counter_tick(&mut self) -> f64 {
+        let now = self.clock.now();
+        let CounterSide::Shared { link, due, .. } = &mut self.counter else { return f64::INFINITY };
+        let mut actions = Vec::new();
+        *due = link.tick(now, &mut actions);
+        let due = *due;
+        self.counter_actions(actions);
+        self.counter_flush();
+        due
+    }
+
+    pub(crate) fn counter_actions(&mut self, actions: Vec<LinkAction>) {
+        for action in actions {
+            match action {
+                LinkAction::Connect => self.counter_connect(),
+                LinkAction::Close => {
+                    if let CounterSide::Shared { connection, .. } = &mut self.counter {
+                        *connection = None;
+                    }
+                }
+                LinkAction::Log(line) => tracing::info!(target: "doorcourse::counter", "{line}"),
+                end @ LinkAction::End { .. } => self.events.extend(counted(end)),
+            }
+        }
+    }
+
+    fn counter_connect(&mut self) {
+        self.generation = self.generation.wrapping_add(1);
+        let (generation, now) = (self.generation, self.clock.now());
+        let CounterSide::Shared { settings, link, connection, .. } = &mut self.counter else { return };
+        let interest = Interest { read: true, write: true };
+        let made = connect(settings.address).and_then(|socket| {
+            self.poller.add(&socket, Token::Counter(generation).pack(), interest)?;
+            Ok(CounterConnection { socket, generation, connected: false, interest })
+        });
+        match made {
+            Ok(made) => *connection = Some(made),
+            Err(error) => {
+                let mut actions = Vec::new();
+                link.lost(now, &error.to_string(), &mut actions);
+                self.counter_actions(actions);
+            }
+        }
+    }
+
+    fn counter_ready(&mut self, generation: u32, ready: Ready) {
+        let now = self.clock.now();
+        let CounterSide::Shared { link, connection, .. } = &mut self.counter else { return };
+        let Some(made) = connection.as_mut().filter(|c| c.generation & 0x0fff_ffff == generation) else {
+            return;
+        };
+        let (mut actions, mut lost) = (Vec::new(), None);
+        if !made.connected && (ready.write || ready.broken) {
+            match made.socket.finish_connect() {
+                Ok(()) => {
+                    made.connected = true;
+                    link.connected(now);
+                }
+                Err(error) => lost = Some(error.to_string()),
+            }
+        }
+        if lost.is_none() && made.connected && ready.read {
+            let (_, flow) = made.socket.read();
+            let input = std::mem::take(&mut made.socket.input);
+            if !input.is_empty() {
+                link.input(now, &input, &mut actions);
+            }
+            if flow != Flow::Open && !actions.contains(&LinkAction::Close) {
+                lost = Some("closed by the counter".into());
+            }
+        }
+        if let Some(why) = lost {
+            *connection = None;
+            link.lost(now, &why, &mut actions);
+        }
+        self.counter_actions(actions);
+        self.counter_flush();
+    }
+
+    pub(crate) fn counter_flush(&mut self) {
+        let now = self.clock.now();
+        let CounterSide::Shared { link, connection, .. } = &mut self.counter else { return };
+        let Some(made) = connection.as_mut().filter(|c| c.connected) else { return };
+        made.socket.output().append(&mut link.output);
+        if made.socket.flush() == Flow::Broken {
+            *connection = None;
+            let mut actions = Vec::new();
+            link.lost(now, "broken while writing", &mut actions);
+            return self.counter_actions(actions);
+        }
+        let interest = Interest { read: true, write: made.socket.pending() > 0 };
+        if interest != made.interest {
+            made.interest = interest;
+            let _ = self.poller.change(&made.socket, Token::Counter(made.generation).pack(), interest);
+        }
+    }
+}
+
+impl Token {
+    pub(crate) fn node(slot: usize, generation: u32) -> u64 {
+        Self::Node(slot, generation).pack()
+    }
+}
+
+/// EMFILE and ENFILE.
+fn out_of_descriptors(error: i32) -> bool {
+    [rustix::io::Errno::MFILE, rustix::io::Errno::NFILE].iter().any(|e| e.raw_os_error() == error)
+}
+
+fn chance() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
--- a/crates/graphql/src/lib.rs
+++ b/crates/graphql/src/lib.rs
@@ -19,6 +19,7 @@
 mod prepare;
 mod scan;
 mod schema;
+mod shape;
 mod validate;
 mod variables;
 
@@ -28,6 +29,7 @@
 pub use prepare::Prepared;
 pub use scan::{Counted, Scan};
 pub use schema::Schema;
+pub use shape::Shape;
 pub use validate::validate;
 
 /// Bounds on a document. Each has a default; the greatest depth is [`DEPTH_MOST`].
--- a/crates/graphql/src/plan.rs
+++ b/crates/graphql/src/plan.rs
@@ -130,6 +130,16 @@
         let schema = Arc::clone(&self.schema);
         // On an object the object's own definition counts, also where a fragment asks by an interface.
         let home = if schema.types[on].kind == TypeKind::Object { on } else { parent };
+        if field.name == "__typename" {
+            let (name, key) = (field.name.clone(), field.key().to_owned());
+            let named = schema.find("String").unwrap_or_default();
+            let (weight, count, sets) = (0.0, 1.0, Vec::new());
+            let entry = Entry { name, weight, named, count, counted: false, list: false, sized: None, sets };
+            if node.entries.insert(key.clone(), entry).is_none() {
+                node.order.push(key);
+            }
+            return;
+        }
         let Some(def) = schema.types[home].fields.get(&field.name) else { return };
         if let Some(entry) = node.entries.get_mut(field.key()) {
             entry.sets.extend(field.set.filter(|s| !entry.sets.contains(s)));
@@ -216,10 +226,10 @@
     fn price_node(
         &mut self, node: NodeId, sized: Option<&(f64, Vec<String>)>, known: &mut HashMap<NodeId, (f64, f64)>,
     ) -> (f64, f64) {
-        if sized.is_none() {
-            if let Some(cost) = known.get(&node) {
-                return *cost;
-            }
+        if sized.is_none()
+            && let Some(cost) = known.get(&node)
+        {
+            return *cost;
         }
         let (mut fields, mut types) = (0.0, 0.0);
         for key in self.nodes[node].order.clone() {
--- a/crates/graphql/src/prepare.rs
+++ b/crates/graphql/src/prepare.rs
@@ -61,6 +61,14 @@
         Ok(Self { plan, root, kind, root_fields, cost })
     }
 
+    pub(crate) fn root(&self) -> NodeId {
+        self.root
+    }
+
+    pub(crate) fn plan_mut(&mut self) -> &mut Plan {
+        &mut self.plan
+    }
+
     /// What the operation does.
     #[must_use]
     pub fn kind(&self) -> OperationKind {
--- a/crates/graphql/src/scan.rs
+++ b/crates/graphql/src/scan.rs
@@ -85,6 +85,13 @@
         Self { plan, root, depth, stack, want, next: Place::Answer, word: Vec::new(), counted }
     }
 
+    /// Starts again, for another answer to the same operation.
+    pub fn reset(&mut self) {
+        self.counted = Counted { units: 0.0, whole: false, data: false, errors: false, claim: None };
+        self.stack.clear();
+        (self.want, self.next) = (Want::Value { or_end: false }, Place::Answer);
+    }
+
     /// Reads on.
     pub fn feed(&mut self, bytes: &[u8]) {
         for byte in bytes {
--- a/crates/graphql/src/schema.rs
+++ b/crates/graphql/src/schema.rs
@@ -431,13 +431,14 @@
                         errors.push(fault(field.at, text));
                     }
                 }
-                if let Some(size) = &field.list_size {
-                    if !field.kind.is_list() && size.sized.is_empty() {
-                        errors.push(fault(
-                            field.at,
-                            format!("@listSize: `{name}` is no list and names no sizedFields"),
-                        ));
-                    }
+                if let Some(size) = &field.list_size
+                    && !field.kind.is_list()
+                    && size.sized.is_empty()
+                {
+                    errors.push(fault(
+                        field.at,
+                        format!("@listSize: `{name}` is no list and names no sizedFields"),
+                    ));
                 }
             }
         }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -106,6 +106,11 @@
         let _ = sockopt::set_socket_linger(&self.stream, Some(std::time::Duration::ZERO));
     }
 
+    /// Ends our direction: the peer reads what was written and then an end.
+    pub fn end_writing(&self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+
     /// Whether a connection that was begun is made; called once the socket can be written.
     ///
     /// # Errors
