--- /dev/null
+++ b/crates/cli/src/load.rs
@@ -0,0 +1,71 @@
+//! `load`: an open loop of a fixed rate.
+
+use anyhow::Context;
+use clap::Args;
+use doorcourse_net::Clock;
+use doorcourse_standins::{Crowd, Load as Rate};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex};
+
+/// Sends one query over and over at a fixed rate. Latencies count from the time at which each request was due.
+#[derive(Args, Debug)]
+#[command(after_help = "Example:
+  doorcourse load --to 127.0.0.1:8080 --key KEY --rate 500 --seconds 10 --query query.graphql
+
+Exit code 1 when nothing was served.")]
+pub struct Load {
+    /// The address of a gateway, or of a node.
+    #[arg(long)]
+    to: SocketAddr,
+    /// The key for Authorization: Bearer.
+    #[arg(long, default_value = "")]
+    key: String,
+    /// Requests a second, 0 to 1000000.
+    #[arg(long)]
+    rate: f64,
+    /// For how long, in seconds.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// A file with the GraphQL document.
+    #[arg(long)]
+    query: PathBuf,
+    /// How long a client waits, in ms.
+    #[arg(long, default_value_t = 2000.0)]
+    patience: f64,
+    /// Print one JSON object.
+    #[arg(long)]
+    json: bool,
+}
+
+pub fn run(load: &Load) -> anyhow::Result<ExitCode> {
+    let query = std::fs::read_to_string(&load.query).with_context(|| load.query.display().to_string())?;
+    let clock = Clock::default();
+    let body = json!({"query": query}).to_string();
+    let start = clock.now();
+    let mut rate = Rate::new(body, load.key.clone(), load.rate, load.seconds, load.patience, start)?;
+    let mut crowd = Crowd::new(clock, Arc::new(Mutex::new(vec![load.to])), None, 100.0)?;
+    crowd.run(&mut rate)?;
+    let report = rate.report();
+    let served = report.served.len();
+    let seconds = ((report.ended - start) / 1000.0).max(load.seconds);
+    let at = |q: f64| report.served.value_at_quantile(q) as f64 / 1000.0;
+    let [refused, failed, lost, gave_up] = report.others;
+    if load.json {
+        let told = json!({"served": served, "refused": refused, "failed": failed, "lost": lost, "gave_up": gave_up,
+            "per_second": served as f64 / seconds, "p50_ms": at(0.5), "p99_ms": at(0.99), "p999_ms": at(0.999)});
+        println!("{told}");
+    } else {
+        println!("served {served}, refused {refused}, failed {failed}, lost {lost}, given up {gave_up}");
+        println!(
+            "{:.1} served a second; p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms",
+            served as f64 / seconds,
+            at(0.5),
+            at(0.99),
+            at(0.999)
+        );
+    }
+    Ok(if served > 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,9 @@
 //! The doorcourse command: arguments, exit codes and the log's set-up; nothing else.
 
+mod load;
 mod query;
 mod serve;
+mod standin;
 
 use clap::{Parser, Subcommand};
 use std::io::IsTerminal;
@@ -45,6 +47,11 @@
     /// Parse, validate and price GraphQL documents.
     #[command(subcommand)]
     Query(query::Query),
+    /// Send a fixed rate of requests, whatever comes back, and tell the latencies.
+    Load(load::Load),
+    /// Run a stand-in for what surrounds a gateway, on loopback.
+    #[command(subcommand)]
+    Standin(standin::Standin),
 }
 
 fn main() -> ExitCode {
@@ -66,6 +73,8 @@
         Command::Serve { config, seed } => serve::serve(&config, seed),
         Command::Check { file } => serve::check(&file),
         Command::Query(command) => query::run(command),
+        Command::Load(load) => load::run(&load),
+        Command::Standin(standin) => standin::run(&standin),
     };
     match done {
         Ok(code) => code,
--- /dev/null
+++ b/crates/cli/src/standin.rs
@@ -0,0 +1,73 @@
+//! `standin`: a stand-in node or counter by itself, for a tour and for trials.
+
+use clap::Subcommand;
+use doorcourse_net::Clock;
+use doorcourse_standins::{CATALOGUE, NodeSpec, Recorder, World, WorldSpec};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+#[derive(Subcommand, Debug)]
+pub enum Standin {
+    /// A node that serves the music catalogue, until it is ended; prints its address.
+    Node {
+        /// Where it listens; port 0 takes a free one.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// How many requests it works on at once.
+        #[arg(long, default_value_t = 2)]
+        cores: usize,
+        /// How many may wait.
+        #[arg(long, default_value_t = 64)]
+        queue: usize,
+        /// Times by which its work is quicker than the catalogue's.
+        #[arg(long, default_value_t = 1.0)]
+        speed: f64,
+    },
+    /// A counter that speaks RESP, until it is ended; prints its address.
+    Counter,
+    /// Print the catalogue's schema.
+    Schema,
+}
+
+pub fn run(standin: &Standin) -> anyhow::Result<ExitCode> {
+    let clock = Clock::default();
+    let (seed, spread, password) = (1, 0.0, None);
+    match standin {
+        Standin::Schema => print!("{CATALOGUE}"),
+        Standin::Counter => {
+            let spec = WorldSpec {
+                nodes: Vec::new(),
+                listen: None,
+                counter: true,
+                password,
+                seed,
+                spread,
+                quiet: true,
+                speed: 1.0,
+            };
+            let world = World::start(&spec, clock, Recorder::new(clock))?;
+            println!("counter on {}", world.counter.map_or(String::new(), |a| a.to_string()));
+            world.wait();
+        }
+        Standin::Node { listen, cores, queue, speed } => {
+            let node = NodeSpec {
+                name: "node".into(),
+                cell: 0,
+                cores: *cores,
+                queue: *queue,
+                cold_share: 1.0,
+                warm: 1.0,
+                fall_multiple: 100.0,
+                fall_time: 1000.0,
+                memory: 4000.0,
+            };
+            let (nodes, listen, speed) = (vec![node], Some(*listen), *speed);
+            let spec =
+                WorldSpec { nodes, listen, counter: false, password, seed, spread, quiet: true, speed };
+            let world = World::start(&spec, clock, Recorder::new(clock))?;
+            println!("node on {}", world.nodes[0]);
+            world.wait();
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/standins/src/catalogue.rs
@@ -0,0 +1,46 @@
+//! What the stand-in clients ask for.
+
+/// The catalogue's schema.
+pub const CATALOGUE: &str = include_str!("../catalogue.graphql");
+
+/// One kind of operation.
+#[derive(Clone, Debug)]
+pub struct Operation {
+    /// Its name in drills.
+    pub name: &'static str,
+    /// The class it belongs to in the drills' settings.
+    pub class: &'static str,
+    /// The document.
+    pub query: String,
+    /// What a node's core does for it, in ms at full speed.
+    pub work: f64,
+}
+
+/// The operations of the catalogue's clients.
+#[must_use]
+pub fn operations() -> Vec<Operation> {
+    let one = |name, class, query: &str, work| Operation { name, class, query: query.into(), work };
+    vec![
+        one("preview", "preview", "{ preview(id: \"7\") { id title url } }", 12.0),
+        one("previews", "preview", "{ previews(first: 4) { id title url } }", 20.0),
+        one("search", "search", "{ search(text: \"kolo\") { hits { id title } total } }", 10.0),
+        // Returns ten where it is priced as two: its true cost is five times the declared one.
+        one("similar", "search", "{ similar(id: \"7\") { id title url } }", 16.0),
+        // Returns two where it is priced as ten.
+        one("shelf", "search", "{ shelf(id: \"7\") { id title } }", 10.0),
+        one(
+            "playlist",
+            "playlist",
+            "mutation { savePlaylist(name: \"set\", tracks: [\"1\", \"2\"]) { id name } }",
+            14.0,
+        ),
+        one("licence", "licence", "mutation { orderLicence(track: \"7\") { id number } }", 10.0),
+        one("forty", "preview", &forty(), 160.0),
+    ]
+}
+
+/// Forty previews and a save's worth of fields in one query.
+fn forty() -> String {
+    let fields: String = (0..40).map(|n| format!("p{n}: preview(id: \"{n}\") {{ id title url }} ")).collect();
+    format!("{{ {fields}}}")
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,20 @@
-//! To come.
+//! Stand-ins for what surrounds a gateway: nodes that serve a music catalogue, the shared counter, the list of
+//! nodes, and clients. All on loopback, each with faults to order, each writing a traffic record.
+
+mod catalogue;
+mod counter;
+mod crowd;
+mod list;
+mod load;
+mod node;
+mod record;
+mod world;
+
+pub use catalogue::{CATALOGUE, Operation, operations};
+pub use counter::CounterFault;
+pub use crowd::{Crowd, End, Shot, Source};
+pub use list::{ListSource, ListedNode};
+pub use load::{Load, LoadReport};
+pub use node::{NodeFault, NodeSpec};
+pub use record::Recorder;
+pub use world::{Command, World, WorldSpec};
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,93 @@
+//! An open loop of a fixed rate: each request is due at its own time, and its latency counts from then, so a
+//! gateway that stalls is charged for all that should have been sent meanwhile (no coordinated omission).
+
+use crate::crowd::{End, Shot, Source};
+use doorcourse_verdict::Kind;
+use hdrhistogram::Histogram;
+
+/// What to send.
+#[derive(Debug)]
+pub struct Load {
+    body: String,
+    key: String,
+    /// Between two requests, in ms.
+    step: f64,
+    patience: f64,
+    next: f64,
+    left: u64,
+    sent: u64,
+    targets: usize,
+    report: LoadReport,
+}
+
+/// What came back.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// Latencies of served requests, in microseconds.
+    pub served: Histogram<u64>,
+    /// Refused, failed, cut or lost, given up.
+    pub others: [u64; 4],
+    /// When the last one ended, in ms.
+    pub ended: f64,
+}
+
+impl Load {
+    /// A load that begins at a time: so many requests a second for so long.
+    ///
+    /// # Errors
+    /// When a figure is out of its range.
+    pub fn new(
+        body: String, key: String, rate: f64, seconds: f64, patience: f64, start: f64,
+    ) -> anyhow::Result<Self> {
+        anyhow::ensure!(rate > 0.0 && rate <= 1e6, "a rate above 0 and up to 1000000 a second is wanted");
+        anyhow::ensure!(seconds > 0.0 && seconds <= 86_400.0, "a length above 0 and up to 86400 s is wanted");
+        // A minute with three digits: what lies above is counted as a minute.
+        let served = Histogram::new_with_bounds(1, 60_000_000, 3)?;
+        let report = LoadReport { served, others: [0; 4], ended: start };
+        let left = (rate * seconds).ceil() as u64;
+        Ok(Self { body, key, step: 1000.0 / rate, patience, next: start, left, sent: 0, targets: 1, report })
+    }
+
+    /// What came back so far.
+    #[must_use]
+    pub fn report(&self) -> &LoadReport {
+        &self.report
+    }
+}
+
+impl Source for Load {
+    fn due(&mut self) -> Option<f64> {
+        if self.left > 0 { Some(self.next) } else { None }
+    }
+
+    fn take(&mut self, _: f64) -> Vec<Shot> {
+        let at = self.next;
+        self.next += self.step;
+        self.left -= 1;
+        self.sent += 1;
+        vec![Shot {
+            id: format!("load-{}", self.sent),
+            at,
+            gateway: self.sent as usize % self.targets,
+            body: self.body.clone(),
+            key: self.key.clone(),
+            idempotency: None,
+            patience: self.patience,
+            leave: None,
+            ask: None,
+        }]
+    }
+
+    fn ended(&mut self, now: f64, shot: &Shot, end: &End) {
+        self.report.ended = now;
+        match end {
+            End::Answer { kind: Kind::Served, .. } => {
+                self.report.served.saturating_record(((now - shot.at) * 1000.0).max(1.0) as u64);
+            }
+            End::Answer { kind: Kind::Refused, .. } => self.report.others[0] += 1,
+            End::Answer { kind: Kind::Failed, .. } => self.report.others[1] += 1,
+            End::Cut | End::Lost => self.report.others[2] += 1,
+            End::GaveUp | End::Left => self.report.others[3] += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/world.rs
@@ -0,0 +1,582 @@
+//! The nodes and the counter on sockets: one thread, one event loop, faults by command.
+
+use crate::catalogue::{CATALOGUE, operations};
+use crate::counter::{Counter, CounterFault, Session};
+use crate::node::{Job, Manner, Memory, Node, NodeAction, NodeFault, NodeSpec};
+use crate::record::Recorder;
+use doorcourse_graphql::{Limits, Prepared, Schema, Shape};
+use doorcourse_http::{
+    Decoder, Framing, Head, Limits as HttpLimits, Part, Role, chunk, chunk_end, response_head,
+};
+use doorcourse_net::{Clock, Flow, Interest, Poller, Socket, Timers, Waker, listen};
+use doorcourse_resp::{decode, encode};
+use doorcourse_verdict::Event;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slab::Slab;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::sync::{Arc, mpsc};
+
+/// What a world is made of.
+#[derive(Clone, Debug)]
+pub struct WorldSpec {
+    /// Its nodes.
+    pub nodes: Vec<NodeSpec>,
+    /// Where the nodes listen; port 0 by default.
+    pub listen: Option<SocketAddr>,
+    /// Whether there is a counter.
+    pub counter: bool,
+    /// What the counter asks for with AUTH.
+    pub password: Option<String>,
+    /// The seed of all chance.
+    pub seed: u64,
+    /// The spread of service times: 0 for none; each is multiplied by e to a number of this deviation.
+    pub spread: f64,
+    /// Times by which the nodes are quicker than the catalogue's figures.
+    pub speed: f64,
+    /// Write no record: it would grow without end.
+    pub quiet: bool,
+}
+
+/// What a world may be told.
+#[derive(Clone, Copy, Debug)]
+pub enum Command {
+    /// A node's fault.
+    Node(usize, NodeFault),
+    /// The counter's fault.
+    Counter(CounterFault),
+    /// The end.
+    Stop,
+}
+
+/// A running world.
+#[derive(Debug)]
+pub struct World {
+    /// Where each node listens, also while it is down.
+    pub nodes: Vec<SocketAddr>,
+    /// Where the counter listens.
+    pub counter: Option<SocketAddr>,
+    sender: mpsc::Sender<Command>,
+    waker: Waker,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl World {
+    /// Binds all listeners and starts the thread.
+    ///
+    /// # Errors
+    /// When a socket cannot be had.
+    pub fn start(spec: &WorldSpec, clock: Clock, recorder: Recorder) -> anyhow::Result<Self> {
+        let (sender, receiver) = mpsc::channel();
+        let (waker, signal) = Waker::pair()?;
+        let (told, addresses) = mpsc::channel();
+        let spec = spec.clone();
+        let recorder = if spec.quiet { Recorder::none(clock) } else { recorder };
+        let thread = std::thread::Builder::new().name("world".into()).spawn(move || {
+            match Running::new(&spec, clock, recorder, receiver, signal) {
+                Ok(mut running) => {
+                    let _ = told.send(Ok((running.addresses.clone(), running.counter_address)));
+                    running.run();
+                }
+                Err(error) => drop(told.send(Err(error))),
+            }
+        })?;
+        let (nodes, counter) = addresses.recv()??;
+        Ok(Self { nodes, counter, sender, waker, thread: Some(thread) })
+    }
+
+    /// Tells the world something.
+    pub fn tell(&self, command: Command) {
+        let _ = self.sender.send(command);
+        self.waker.wake();
+    }
+
+    /// Waits until the world ends, which it does not by itself.
+    pub fn wait(mut self) {
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.tell(Command::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+enum Kind {
+    Node { node: usize, life: u32, decoder: Box<Decoder>, head: Option<Head>, body: Vec<u8> },
+    Counter { session: Session, due: Vec<u8> },
+}
+
+struct Connection {
+    socket: Socket,
+    kind: Kind,
+    /// The attempts that are out on it.
+    attempts: Vec<u64>,
+    writing: bool,
+    /// Close once all is written.
+    closing: bool,
+    keep_alive: bool,
+}
+
+struct Pending {
+    connection: usize,
+    node: usize,
+    life: u32,
+    prepared: Prepared,
+}
+
+enum Due {
+    Finished(u64),
+    Counter(usize, Vec<u8>),
+}
+
+struct Running {
+    clock: Clock,
+    recorder: Recorder,
+    poller: Poller,
+    timers: Timers<Due>,
+    receiver: mpsc::Receiver<Command>,
+    signal: UnixStream,
+    nodes: Vec<Node>,
+    /// What the cells remember of keys.
+    memory: Memory,
+    /// How often each node was started: work of an earlier life is void.
+    lives: Vec<u32>,
+    listeners: Vec<Option<TcpListener>>,
+    addresses: Vec<SocketAddr>,
+    counter: Counter,
+    counter_listener: Option<TcpListener>,
+    counter_address: Option<SocketAddr>,
+    connections: Slab<Connection>,
+    pending: HashMap<u64, Pending>,
+    attempts: u64,
+    schema: Arc<Schema>,
+    works: HashMap<String, f64>,
+    random: ChaCha8Rng,
+    spread: f64,
+    speed: f64,
+}
+
+const SIGNAL: u64 = 1;
+const COUNTER: u64 = 2;
+const LISTENERS: u64 = 1 << 32;
+const CONNECTIONS: u64 = 1 << 33;
+
+impl Running {
+    fn new(
+        spec: &WorldSpec, clock: Clock, recorder: Recorder, receiver: mpsc::Receiver<Command>,
+        signal: UnixStream,
+    ) -> anyhow::Result<Self> {
+        let poller = Poller::new()?;
+        poller.add(&signal, SIGNAL, Interest::READ)?;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (mut nodes, mut listeners, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
+        for (at, node) in spec.nodes.iter().enumerate() {
+            let listener = listen(spec.listen.unwrap_or(any))?;
+            poller.add(&listener, LISTENERS + at as u64, Interest::READ)?;
+            addresses.push(listener.local_addr()?);
+            listeners.push(Some(listener));
+            nodes.push(Node::new(node.clone()));
+        }
+        let counter_listener = if spec.counter { Some(listen(any)?) } else { None };
+        if let Some(listener) = &counter_listener {
+            poller.add(listener, COUNTER, Interest::READ)?;
+        }
+        let counter_address = counter_listener.as_ref().map(TcpListener::local_addr).transpose()?;
+        let schema = Schema::parse(CATALOGUE).map_err(|e| anyhow::anyhow!("catalogue: {e:?}"))?;
+        let works = operations().into_iter().map(|o| (o.query, o.work)).collect();
+        let running = Self {
+            clock,
+            recorder,
+            poller,
+            timers: Timers::default(),
+            receiver,
+            signal,
+            lives: vec![0; nodes.len()],
+            nodes,
+            memory: Memory::new(),
+            listeners,
+            addresses,
+            counter: Counter::new(spec.password.clone()),
+            counter_listener,
+            counter_address,
+            connections: Slab::new(),
+            pending: HashMap::new(),
+            attempts: 0,
+            schema: schema.into(),
+            works,
+            random: ChaCha8Rng::seed_from_u64(spec.seed),
+            spread: spec.spread,
+            speed: spec.speed.max(1e-6),
+        };
+        (0..running.nodes.len()).for_each(|at| running.tell_up(at, false));
+        Ok(running)
+    }
+
+    fn tell_up(&self, at: usize, cold: bool) {
+        let spec = &self.nodes[at].spec;
+        let (node, cell, share, warm) = (spec.name.clone(), spec.cell, spec.cold_share, spec.warm);
+        let capacity = spec.cores as f64;
+        self.recorder.write(Event::NodeUp { node, cell, cold, share, warm, capacity });
+    }
+
+    fn run(&mut self) {
+        let mut ready = Vec::new();
+        loop {
+            while let Some(due) = self.timers.due(self.clock.now()) {
+                match due {
+                    Due::Finished(attempt) => self.finished(attempt),
+                    Due::Counter(slot, bytes) => {
+                        if let Some(connection) = self.connections.get_mut(slot) {
+                            connection.socket.output().extend_from_slice(&bytes);
+                            self.flush(slot);
+                        }
+                    }
+                }
+            }
+            let wait = self.timers.first().map(|t| self.clock.until(t));
+            if self.poller.wait(wait, &mut ready).is_err() {
+                return;
+            }
+            for event in ready.drain(..) {
+                match event.token {
+                    SIGNAL => {
+                        let mut bytes = [0; 64];
+                        while std::io::Read::read(&mut self.signal, &mut bytes).is_ok_and(|n| n > 0) {}
+                        while let Ok(command) = self.receiver.try_recv() {
+                            match command {
+                                Command::Stop => return,
+                                Command::Counter(fault) => self.counter_fault(fault),
+                                Command::Node(node, fault) => self.fault(node, fault),
+                            }
+                        }
+                    }
+                    COUNTER => self.accept(None),
+                    token if token >= CONNECTIONS => {
+                        self.connection_ready((token - CONNECTIONS) as usize, event.write)
+                    }
+                    token => self.accept(Some((token - LISTENERS) as usize)),
+                }
+            }
+        }
+    }
+
+    fn fault(&mut self, at: usize, fault: NodeFault) {
+        let mut out = Vec::new();
+        let now = self.clock.now();
+        match fault {
+            NodeFault::Kill => self.down(at),
+            NodeFault::Start { cold } => {
+                self.lives[at] += 1;
+                if let Ok(listener) = listen(self.addresses[at]) {
+                    let _ = self.poller.add(&listener, LISTENERS + at as u64, Interest::READ);
+                    self.listeners[at] = Some(listener);
+                }
+                self.tell_up(at, cold);
+            }
+            _ => {}
+        }
+        self.nodes[at].fault(now, fault, &mut self.memory, &mut out);
+        self.carry_out(at, out);
+    }
+
+    /// A node stops: its listener goes, and its connections break.
+    fn down(&mut self, at: usize) {
+        self.listeners[at] = None;
+        let node = self.nodes[at].spec.name.clone();
+        self.recorder.write(Event::NodeDown { node });
+        let of = |c: &Connection| matches!(c.kind, Kind::Node { node, .. } if node == at);
+        let slots: Vec<usize> = self.connections.iter().filter(|(_, c)| of(c)).map(|(s, _)| s).collect();
+        for slot in slots {
+            let connection = self.connections.remove(slot);
+            connection.socket.reset_on_close();
+            connection.attempts.iter().for_each(|a| drop(self.pending.remove(a)));
+        }
+    }
+
+    fn accept(&mut self, node: Option<usize>) {
+        let listener = match node {
+            Some(at) => self.listeners.get(at).and_then(Option::as_ref),
+            None => self.counter_listener.as_ref(),
+        };
+        let Some(listener) = listener else { return };
+        let mut streams = Vec::new();
+        while let Ok((stream, _)) = listener.accept() {
+            streams.push(stream);
+        }
+        for stream in streams {
+            let Ok(socket) = Socket::new(stream) else { continue };
+            let kind = match node {
+                Some(node) => {
+                    let limits = HttpLimits { body: 64 << 20, ..HttpLimits::default() };
+                    let decoder = Box::new(Decoder::new(Role::Requests, limits));
+                    Kind::Node { node, life: self.lives[node], decoder, head: None, body: Vec::new() }
+                }
+                None => Kind::Counter { session: Session::default(), due: Vec::new() },
+            };
+            let entry = self.connections.vacant_entry();
+            if self.poller.add(&socket, CONNECTIONS + entry.key() as u64, Interest::READ).is_ok() {
+                let attempts = Vec::new();
+                entry.insert(Connection {
+                    socket,
+                    kind,
+                    attempts,
+                    writing: false,
+                    closing: false,
+                    keep_alive: true,
+                });
+            }
+        }
+    }
+
+    fn connection_ready(&mut self, slot: usize, write: bool) {
+        if write {
+            self.flush(slot);
+        }
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let (_, flow) = connection.socket.read();
+        match connection.kind {
+            Kind::Node { .. } => self.node_input(slot),
+            Kind::Counter { .. } => self.counter_input(slot),
+        }
+        if flow != Flow::Open {
+            self.close(slot);
+        }
+    }
+
+    fn close(&mut self, slot: usize) {
+        let Some(connection) = self.connections.try_remove(slot) else { return };
+        for attempt in connection.attempts {
+            self.recorder.write(Event::Closed { attempt });
+        }
+    }
+
+    fn flush(&mut self, slot: usize) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        if connection.socket.flush() == Flow::Broken {
+            return self.close(slot);
+        }
+        let writing = connection.socket.pending() > 0;
+        if !writing && connection.closing {
+            return self.close(slot);
+        }
+        if writing != connection.writing {
+            connection.writing = writing;
+            let interest = Interest { read: true, write: writing };
+            let _ = self.poller.change(&connection.socket, CONNECTIONS + slot as u64, interest);
+        }
+    }
+
+    // ---- Nodes ----
+
+    fn node_input(&mut self, slot: usize) {
+        loop {
+            let Some(connection) = self.connections.get_mut(slot) else { return };
+            let Kind::Node { node, life, decoder, head, body } = &mut connection.kind else { return };
+            let (node, life) = (*node, *life);
+            let Ok((used, part)) = decoder.decode(&connection.socket.input) else { return self.close(slot) };
+            match part {
+                None => return connection.socket.consume(used),
+                Some(Part::Head(found)) => {
+                    connection.keep_alive = found.keep_alive;
+                    *head = Some(*found);
+                }
+                Some(Part::Data(data)) => body.extend_from_slice(data),
+                Some(Part::End) => {
+                    let (head, body) = (head.take(), std::mem::take(body));
+                    connection.socket.consume(used);
+                    if let Some(head) = head {
+                        self.got(slot, node, life, &head, &body);
+                    }
+                    continue;
+                }
+            }
+            connection.socket.consume(used);
+        }
+    }
+
+    fn got(&mut self, slot: usize, node: usize, life: u32, head: &Head, body: &[u8]) {
+        self.attempts += 1;
+        let attempt = self.attempts;
+        let id = head.field("x-request-id").unwrap_or("").to_owned();
+        let request: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+        let query = request["query"].as_str().unwrap_or("");
+        let work = self.works.get(query).copied().unwrap_or(10.0);
+        // A log-normal spread with a mean near 1: a few are costly.
+        let normal: f64 = (0..12).map(|_| self.random.random::<f64>()).sum::<f64>() - 6.0;
+        let work = work / self.speed * (self.spread * normal - self.spread * self.spread / 2.0).exp();
+        let name = self.nodes[node].spec.name.clone();
+        self.recorder.write(Event::Got { id: id.clone(), node: name, attempt, work });
+        if let Some(connection) = self.connections.get_mut(slot) {
+            connection.attempts.push(attempt);
+        }
+        let limits = Limits { tokens: 100_000, aliases: 10_000, expansion: 1_000_000, ..Limits::default() };
+        let variables = request["variables"].as_object();
+        let operation = request["operationName"].as_str();
+        let prepared = match Prepared::new(Arc::clone(&self.schema), query, operation, variables, limits) {
+            Ok(prepared) => prepared,
+            Err(errors) => {
+                let message = errors.first().map_or(String::new(), ToString::to_string);
+                let answer = serde_json::json!({"errors": [{"message": message}]}).to_string();
+                return self.reply(slot, attempt, 400, &answer, 0.0);
+            }
+        };
+        self.pending.insert(attempt, Pending { connection: slot, node, life, prepared });
+        let key = head.field("idempotency-key").map(str::to_owned);
+        let mut out = Vec::new();
+        self.nodes[node].got(self.clock.now(), Job { attempt, id, key, work }, &mut self.memory, &mut out);
+        self.carry_out(node, out);
+    }
+
+    fn carry_out(&mut self, node: usize, out: Vec<NodeAction>) {
+        for action in out {
+            let name = self.nodes[node].spec.name.clone();
+            match action {
+                NodeAction::Began { job, dropped, after } => {
+                    self.recorder.write(Event::Ran { id: job.id, node: name, dropped });
+                    self.timers.set(self.clock.now() + after, Due::Finished(job.attempt));
+                }
+                NodeAction::Full { attempt } => {
+                    if let Some(pending) = self.pending.remove(&attempt) {
+                        let answer = r#"{"errors":[{"message":"full"}]}"#;
+                        self.reply(pending.connection, attempt, 429, answer, 0.0);
+                    }
+                }
+                NodeAction::Fell => {
+                    self.recorder.write(Event::NodeFell { node: name });
+                    self.down(node);
+                }
+            }
+        }
+    }
+
+    fn finished(&mut self, attempt: u64) {
+        let Some(mut pending) = self.pending.remove(&attempt) else { return };
+        if self.lives[pending.node] != pending.life {
+            return;
+        }
+        let (mut out, node) = (Vec::new(), &mut self.nodes[pending.node]);
+        let manner = node.finished(self.clock.now(), &mut self.random, &mut self.memory, &mut out);
+        let mut answer = String::from("{\"data\":");
+        pending.prepared.write_data(&mut Archive { oversize: node.oversize }, &mut answer);
+        let mut scan = pending.prepared.scan(100);
+        scan.feed(answer.as_bytes());
+        scan.feed(b"}");
+        let units = scan.counted().units;
+        let claim = units * node.claim;
+        answer += &format!(",\"extensions\":{{\"cost\":{{\"actualCost\":{claim}}}}}}}");
+        let at = pending.node;
+        match manner {
+            Manner::Whole => self.reply(pending.connection, attempt, 200, &answer, units),
+            Manner::Malformed => {
+                let half = answer.len() / 2;
+                self.reply(pending.connection, attempt, 200, &answer[..half], 0.0);
+            }
+            Manner::Reset => {
+                if let Some(connection) = self.connections.get_mut(pending.connection) {
+                    let out = connection.socket.output();
+                    response_head(out, 200, &[("content-type", JSON)], Framing::Length(answer.len() as u64));
+                    out.extend_from_slice(&answer.as_bytes()[..answer.len() / 2]);
+                    connection.socket.flush();
+                    self.close(pending.connection);
+                }
+            }
+        }
+        self.carry_out(at, out);
+    }
+
+    fn reply(&mut self, slot: usize, attempt: u64, status: u16, answer: &str, units: f64) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        connection.attempts.retain(|a| *a != attempt);
+        self.recorder.write(Event::Replied { attempt, status, units });
+        let mut fields = vec![("content-type", JSON)];
+        if !connection.keep_alive {
+            fields.push(("connection", "close"));
+            connection.closing = true;
+        }
+        let out = connection.socket.output();
+        if answer.len() > CHUNKED {
+            response_head(out, status, &fields, Framing::Chunked);
+            answer.as_bytes().chunks(CHUNKED).for_each(|piece| chunk(out, piece));
+            chunk_end(out);
+        } else {
+            response_head(out, status, &fields, Framing::Length(answer.len() as u64));
+            out.extend_from_slice(answer.as_bytes());
+        }
+        self.flush(slot);
+    }
+
+    // ---- The counter ----
+
+    fn counter_fault(&mut self, fault: CounterFault) {
+        self.counter.fault(fault);
+        let of = |c: &Connection| matches!(c.kind, Kind::Counter { .. });
+        let slots: Vec<usize> = self.connections.iter().filter(|(_, c)| of(c)).map(|(s, _)| s).collect();
+        for slot in slots {
+            // What was read in a silence is worked through behind it, late; a restart breaks the connections.
+            if fault == CounterFault::Empty { self.close(slot) } else { self.counter_input(slot) }
+        }
+    }
+
+    fn counter_input(&mut self, slot: usize) {
+        if self.counter.silent {
+            return;
+        }
+        let now = self.clock.now();
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let Kind::Counter { session, due } = &mut connection.kind else { return };
+        let input = std::mem::take(&mut connection.socket.input);
+        let mut at = 0;
+        loop {
+            match decode(&input[at..]) {
+                Ok(Some((words, used))) => {
+                    at += used;
+                    encode(due, &self.counter.command(now, session, &words));
+                }
+                Ok(None) => break,
+                Err(_) => return self.close(slot),
+            }
+        }
+        connection.socket.input.extend_from_slice(&input[at..]);
+        let replies = std::mem::take(due);
+        if self.counter.slow > 0.0 && !replies.is_empty() {
+            return self.timers.set(now + self.counter.slow, Due::Counter(slot, replies));
+        }
+        connection.socket.output().extend_from_slice(&replies);
+        self.flush(slot);
+    }
+}
+
+const JSON: &str = "application/graphql-response+json; charset=utf-8";
+/// Answers above this go out in chunks of this size.
+const CHUNKED: usize = 32 << 10;
+
+/// The archive's data: `similar` finds five times what it is priced as, a `shelf` a fifth.
+struct Archive {
+    oversize: usize,
+}
+
+impl Shape for Archive {
+    fn length(&mut self, field: &str, sized: f64) -> usize {
+        match field {
+            "similar" => sized as usize * 5,
+            "shelf" => sized as usize / 5,
+            _ => sized as usize,
+        }
+    }
+
+    fn text(&mut self, field: &str, out: &mut String) {
+        out.push_str(field);
+        if field == "waveform" || self.oversize > 0 {
+            out.extend(std::iter::repeat_n('~', self.oversize.max(64)));
+        }
+    }
+}
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -1,1 +1,13 @@
-//! To come.
+//! The five rules, checked from traffic records alone. It knows nothing of the gateway's insides: what crossed
+//! the sockets, as the stand-ins on both sides wrote it down, must be enough.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod record;
+mod report;
+mod rules;
+
+pub use record::{Anew, Bounds, Event, Kind, PlanBounds, Record, Rule, read};
+pub use report::{Answers, Report, summary};
+pub use rules::{Breach, judge};
--- /dev/null
+++ b/crates/verdict/src/report.rs
@@ -0,0 +1,157 @@
+//! What happened, for people: answers by phase and kind, worth by plan, use by account.
+
+use crate::record::{Event, Kind, Record, Rule};
+use crate::rules::{Breach, judge};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// Answers of one phase.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Answers {
+    /// Requests sent.
+    pub asked: u64,
+    /// Data, whole.
+    pub served: u64,
+    /// Of these, after the aim.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Broken off in the middle.
+    pub cut: u64,
+    /// Lost with a gateway.
+    pub lost: u64,
+    /// Left or given up by the client.
+    pub left: u64,
+}
+
+/// One account's use.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Account {
+    /// Its plan.
+    pub plan: String,
+    /// Units asked for.
+    pub asked: f64,
+    /// Units sent on, by their price.
+    pub sent: f64,
+    /// Units that the nodes' answers were worth.
+    pub true_units: f64,
+    /// What its quota grants over the run: its burst and its rate.
+    pub quota: f64,
+}
+
+/// A whole run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// Whether every rule was kept.
+    pub kept: bool,
+    /// Breaches by rule; a rule without any was kept.
+    pub rules: BTreeMap<Rule, Vec<Breach>>,
+    /// Answers by phase, in their order.
+    pub phases: Vec<(String, Answers)>,
+    /// Worth answered in time and worth asked for, by plan.
+    pub worth: BTreeMap<String, (f64, f64)>,
+    /// Answers by code.
+    pub codes: BTreeMap<String, u64>,
+    /// Use by account.
+    pub accounts: BTreeMap<String, Account>,
+    /// Attempts at nodes, and how many were repeats.
+    pub attempts: (u64, u64),
+    /// From the first record to the last, in ms.
+    pub length: f64,
+}
+
+/// Sums a run up and judges it.
+#[must_use]
+pub fn summary(records: &[Record]) -> Report {
+    let mut sorted: Vec<&Record> = records.iter().collect();
+    sorted.sort_by(|a, b| a.t.total_cmp(&b.t));
+    let mut report = Report::default();
+    let all = [
+        Rule::OneAnswer,
+        Rule::NoEffectTwice,
+        Rule::DrainsKept,
+        Rule::ColdNodes,
+        Rule::Ceilings,
+        Rule::Quotas,
+    ];
+    report.rules = all.iter().map(|r| (*r, Vec::new())).collect();
+    for breach in judge(records) {
+        report.rules.entry(breach.rule).or_default().push(breach);
+    }
+    report.kept = report.rules.values().all(Vec::is_empty);
+    report.length = sorted.last().map_or(0.0, |r| r.t) - sorted.first().map_or(0.0, |r| r.t);
+    report.phases.push(("start".into(), Answers::default()));
+    // Each request belongs to the phase that it was asked in.
+    // Phase, time, customer, plan, units, worth, aim.
+    type Asked<'a> = (usize, f64, &'a str, &'a str, f64, f64, f64);
+    let mut asked: HashMap<&str, Asked> = HashMap::new();
+    let (mut got, mut attempt_of): (HashSet<&str>, HashMap<u64, &str>) = Default::default();
+    let mut plans = BTreeMap::new();
+    for record in sorted {
+        let phase = report.phases.len() - 1;
+        match &record.event {
+            Event::Bounds(bounds) => plans = bounds.plans.clone(),
+            Event::Phase { name } => report.phases.push((name.clone(), Answers::default())),
+            Event::Ask { id, customer, plan, units, worth, aim, .. } => {
+                report.phases[phase].1.asked += 1;
+                asked.insert(id, (phase, record.t, customer, plan, *units, *worth, *aim));
+                report.worth.entry(plan.clone()).or_default().1 += worth;
+                let account = report.accounts.entry(customer.clone()).or_default();
+                account.plan.clone_from(plan);
+                account.asked += units;
+            }
+            Event::Answer { id, kind, code, .. } => {
+                let Some((phase, t, _, plan, _, worth, aim)) = asked.get(id.as_str()) else { continue };
+                let answers = &mut report.phases[*phase].1;
+                match kind {
+                    Kind::Served => {
+                        answers.served += 1;
+                        if record.t > t + aim {
+                            answers.late += 1;
+                        } else {
+                            report.worth.entry((*plan).to_owned()).or_default().0 += worth;
+                        }
+                    }
+                    Kind::Refused => answers.refused += 1,
+                    Kind::Failed => answers.failed += 1,
+                }
+                if !code.is_empty() {
+                    *report.codes.entry(code.clone()).or_default() += 1;
+                }
+            }
+            Event::Cut { id } | Event::Lost { id } | Event::Left { id } | Event::GaveUp { id } => {
+                let Some((phase, ..)) = asked.get(id.as_str()) else { continue };
+                let answers = &mut report.phases[*phase].1;
+                match record.event {
+                    Event::Cut { .. } => answers.cut += 1,
+                    Event::Lost { .. } => answers.lost += 1,
+                    _ => answers.left += 1,
+                }
+            }
+            Event::Got { id, attempt, .. } => {
+                attempt_of.insert(*attempt, id);
+                report.attempts.0 += 1;
+                let Some((_, _, customer, _, units, ..)) = asked.get(id.as_str()) else { continue };
+                if got.insert(id) {
+                    report.accounts.entry((*customer).to_owned()).or_default().sent += units;
+                } else {
+                    report.attempts.1 += 1;
+                }
+            }
+            Event::Replied { attempt, units, .. } => {
+                let customer = attempt_of.get(attempt).and_then(|id| asked.get(id)).map(|a| a.2);
+                if let Some(customer) = customer {
+                    report.accounts.entry(customer.to_owned()).or_default().true_units += units;
+                }
+            }
+            _ => {}
+        }
+    }
+    for account in report.accounts.values_mut() {
+        let plan = plans.get(&account.plan);
+        account.quota = plan.map_or(0.0, |p| p.burst + p.rate * report.length / 1000.0);
+    }
+    report
+}
--- /dev/null
+++ b/crates/verdict/src/rules.rs
@@ -0,0 +1,391 @@
+//! The rules as statements about records. Each breach names the request or the node and what was seen.
+
+use crate::record::{Anew, Bounds, Event, Kind, PlanBounds, Record, Rule};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    /// Which rule.
+    pub rule: Rule,
+    /// When, in ms.
+    pub t: f64,
+    /// What was seen.
+    pub what: String,
+}
+
+/// How long what happened at one stand-in may be written after what followed from it at another, in ms: they
+/// share a clock and take turns reading their sockets.
+const TURN: f64 = 30.0;
+/// How long after a gateway's end its clients still notice, in ms.
+const NOTICE: f64 = 1500.0;
+/// What chance may add to a cold node's share, in pieces of work of the largest size: the budget is of an even
+/// part of the sends, which comes by chance.
+const COLD_CHANCE: f64 = 2.0;
+
+struct Asked<'a> {
+    t: f64,
+    gateway: usize,
+    customer: &'a str,
+    plan: &'a str,
+    anew: Anew,
+    memory: f64,
+    units: f64,
+    patience: f64,
+    ended: Option<(f64, &'a Event)>,
+}
+
+struct Attempt<'a> {
+    t: f64,
+    node: &'a str,
+    /// When it was surely over, with the status if it was answered.
+    over: Option<(f64, u16)>,
+}
+
+/// Judges a run: all breaches, in the order of the rules.
+#[must_use]
+pub fn judge(records: &[Record]) -> Vec<Breach> {
+    let mut sorted: Vec<&Record> = records.iter().collect();
+    sorted.sort_by(|a, b| a.t.total_cmp(&b.t));
+    let mut breaches = Vec::new();
+    let Some(bounds) =
+        sorted.iter().find_map(|r| if let Event::Bounds(b) = &r.event { Some(b) } else { None })
+    else {
+        let what = "the record holds no bounds to judge by".into();
+        return vec![Breach { rule: Rule::OneAnswer, t: 0.0, what }];
+    };
+    answers(&sorted, bounds, &mut breaches);
+    effects(&sorted, &mut breaches);
+    drains(&sorted, bounds, &mut breaches);
+    cold(&sorted, bounds, &mut breaches);
+    accounts(&sorted, bounds, &mut breaches);
+    breaches
+}
+
+fn asks<'a>(records: &[&'a Record]) -> HashMap<&'a str, Asked<'a>> {
+    let mut asks = HashMap::new();
+    for record in records {
+        if let Event::Ask { id, gateway, customer, plan, anew, memory, units, patience, .. } = &record.event {
+            let (t, gateway, anew, memory) = (record.t, *gateway, *anew, *memory);
+            let (units, patience, ended) = (*units, *patience, None);
+            asks.insert(
+                id.as_str(),
+                Asked { t, gateway, customer, plan, anew, memory, units, patience, ended },
+            );
+        }
+    }
+    asks
+}
+
+/// Rule 1: one final answer for each request, before the client's time is up, nothing after it.
+fn answers(records: &[&Record], bounds: &Bounds, breaches: &mut Vec<Breach>) {
+    let mut asks = asks(records);
+    // When each gateway was not there: a request to it may be lost.
+    let mut down: BTreeMap<usize, Vec<(f64, f64)>> = BTreeMap::new();
+    for record in records {
+        match &record.event {
+            Event::GatewayDown { gateway } => {
+                down.entry(*gateway).or_default().push((record.t, f64::INFINITY))
+            }
+            Event::GatewayUp { gateway } => {
+                if let Some(last) = down.entry(*gateway).or_default().last_mut() {
+                    last.1 = record.t;
+                }
+            }
+            _ => {}
+        }
+    }
+    let gone = |gateway: usize, from: f64, to: f64| {
+        let spans = down.get(&gateway).into_iter().flatten();
+        spans.clone().any(|(start, end)| {
+            from <= *end + TURN && to >= *start - TURN && to <= *end + NOTICE.max(to - from)
+        })
+    };
+    let mut breach = |t, what| breaches.push(Breach { rule: Rule::OneAnswer, t, what });
+    for record in records {
+        let t = record.t;
+        let id = match &record.event {
+            Event::Answer { id, .. } | Event::Cut { id } | Event::Lost { id } => id,
+            Event::GaveUp { id } | Event::Left { id } | Event::Extra { id } => id,
+            _ => continue,
+        };
+        let Some(ask) = asks.get_mut(id.as_str()) else {
+            breach(t, format!("{id}: an end without a request"));
+            continue;
+        };
+        if ask.ended.is_some() || matches!(record.event, Event::Extra { .. }) {
+            breach(t, format!("{id}: something more was sent after the final answer"));
+            continue;
+        }
+        ask.ended = Some((t, &record.event));
+        let late = t > ask.t + ask.patience + bounds.answer_slack;
+        match &record.event {
+            Event::Answer { .. } | Event::Cut { .. } if late => {
+                breach(
+                    t,
+                    format!("{id}: answered {:.0} ms after the client's time", t - ask.t - ask.patience),
+                );
+            }
+            Event::GaveUp { .. } if !gone(ask.gateway, ask.t, t) => {
+                breach(t, format!("{id}: no answer from gateway {} in {:.0} ms", ask.gateway, ask.patience));
+            }
+            Event::Lost { .. } if !gone(ask.gateway, ask.t, t) => {
+                breach(t, format!("{id}: gateway {} broke off without an answer", ask.gateway));
+            }
+            _ => {}
+        }
+    }
+    let end = records.last().map_or(0.0, |r| r.t);
+    for (id, ask) in asks.iter().filter(|(_, a)| a.ended.is_none()) {
+        if ask.t + ask.patience + bounds.answer_slack < end {
+            breach(ask.t, format!("{id}: the record tells no end"));
+        }
+    }
+}
+
+/// Rule 2: no effect twice, repeats as the classes allow, never two attempts at once.
+fn effects<'a>(records: &[&'a Record], breaches: &mut Vec<Breach>) {
+    let asks = asks(records);
+    let mut attempts: HashMap<&str, Vec<u64>> = HashMap::new();
+    let mut by_number: HashMap<u64, Attempt<'a>> = HashMap::new();
+    let mut cells: HashMap<&str, u64> = HashMap::new();
+    let mut ran: HashMap<&str, u32> = HashMap::new();
+    let mut breach = |t, what| breaches.push(Breach { rule: Rule::NoEffectTwice, t, what });
+    for record in records {
+        let t = record.t;
+        match &record.event {
+            Event::NodeUp { node, cell, .. } => drop(cells.insert(node, *cell)),
+            Event::NodeDown { node } | Event::NodeFell { node } => {
+                let open = by_number.values_mut().filter(|a| a.node == node && a.over.is_none());
+                open.for_each(|a| a.over = Some((t, 0)));
+            }
+            Event::Replied { attempt, status, .. } => {
+                if let Some(a) = by_number.get_mut(attempt) {
+                    a.over = a.over.or(Some((t, *status)));
+                }
+            }
+            Event::Closed { attempt } => {
+                if let Some(a) = by_number.get_mut(attempt) {
+                    a.over = a.over.or(Some((t, 0)));
+                }
+            }
+            Event::Got { id, node, attempt, .. } => {
+                let Some(ask) = asks.get(id.as_str()) else {
+                    breach(t, format!("{id}: {node} got a request that no client sent"));
+                    continue;
+                };
+                let earlier = attempts.entry(id).or_default();
+                for number in earlier.iter() {
+                    let Some(other) = by_number.get(number) else { continue };
+                    // One still out: the nodes' turns may write its end after this.
+                    if other.over.is_none() && !closes_soon(records, *number, t) {
+                        breach(t, format!("{id}: {node} got it while {} still had it", other.node));
+                    }
+                    if matches!(other.over, Some((_, 429))) {
+                        continue; // Turned away unseen.
+                    }
+                    match ask.anew {
+                        Anew::Safe => {}
+                        Anew::Unsafe => breach(
+                            t,
+                            format!("{id}: sent again to {node} after {} may have run it", other.node),
+                        ),
+                        Anew::Keyed if cells.get(other.node) != cells.get(node.as_str()) => {
+                            breach(t, format!("{id}: repeated at {node}, another cell than {}", other.node));
+                        }
+                        Anew::Keyed if t > other.t + ask.memory => {
+                            breach(
+                                t,
+                                format!(
+                                    "{id}: repeated at {node} {:.0} ms later, past the memory",
+                                    t - other.t
+                                ),
+                            );
+                        }
+                        Anew::Keyed => {}
+                    }
+                }
+                earlier.push(*attempt);
+                by_number.insert(*attempt, Attempt { t, node, over: None });
+            }
+            Event::Ran { id, dropped: false, .. } => {
+                let count = ran.entry(id).or_default();
+                *count += 1;
+                if *count > 1 && asks.get(id.as_str()).is_some_and(|a| a.anew != Anew::Safe) {
+                    breach(t, format!("{id}: its effect happened {count} times"));
+                }
+            }
+            Event::Answer { id, kind: Kind::Refused, .. } => {
+                // A refusal promises that trying again is harmless.
+                let may_have_run = attempts
+                    .get(id.as_str())
+                    .into_iter()
+                    .flatten()
+                    .any(|n| by_number.get(n).is_some_and(|a| !matches!(a.over, Some((_, 429)))));
+                let strict = asks.get(id.as_str()).is_some_and(|a| a.anew != Anew::Safe);
+                if may_have_run && strict {
+                    breach(t, format!("{id}: refused after a node may have run it"));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn closes_soon(records: &[&Record], number: u64, t: f64) -> bool {
+    let from = records.partition_point(|r| r.t < t);
+    let near = records[from..].iter().take_while(|r| r.t <= t + TURN);
+    near.into_iter().any(|r| match &r.event {
+        Event::Closed { attempt } | Event::Replied { attempt, .. } => *attempt == number,
+        _ => false,
+    })
+}
+
+/// Rule 3: nothing new to a node that the list calls draining or gone, after the grace.
+fn drains(records: &[&Record], bounds: &Bounds, breaches: &mut Vec<Breach>) {
+    let mut told: HashMap<&str, f64> = HashMap::new();
+    for record in records {
+        match &record.event {
+            Event::Listed { node, ready: false } => drop(told.entry(node).or_insert(record.t)),
+            Event::Listed { node, ready: true } => drop(told.remove(node.as_str())),
+            Event::Got { id, node, .. } => {
+                let late = told.get(node.as_str()).map(|at| record.t - at - bounds.drain_grace);
+                if let Some(late) = late.filter(|l| *l > 0.0) {
+                    let what = format!("{id}: sent to {node} {late:.0} ms after the grace of its drain");
+                    breaches.push(Breach { rule: Rule::DrainsKept, t: record.t, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Rule 4: no cold node is pushed over. Judged by the work sent, in every window, and by what fell.
+fn cold(records: &[&Record], bounds: &Bounds, breaches: &mut Vec<Breach>) {
+    struct Cold {
+        start: f64,
+        share: f64,
+        warm: f64,
+        capacity: f64,
+        got: Vec<(f64, f64)>,
+        told: bool,
+    }
+    let mut nodes: HashMap<&str, Cold> = HashMap::new();
+    for record in records {
+        let t = record.t;
+        match &record.event {
+            Event::NodeUp { node, cold: true, share, warm, capacity, .. } => {
+                let (share, warm, capacity) = (*share, *warm, *capacity);
+                nodes.insert(node, Cold { start: t, share, warm, capacity, got: Vec::new(), told: false });
+            }
+            Event::NodeUp { node, cold: false, .. } | Event::NodeDown { node } => {
+                drop(nodes.remove(node.as_str()))
+            }
+            Event::NodeFell { node } => {
+                let what = format!(
+                    "{node} fell over {:.0} ms after its start",
+                    nodes.get(node.as_str()).map_or(0.0, |c| t - c.start)
+                );
+                breaches.push(Breach { rule: Rule::ColdNodes, t, what });
+            }
+            Event::Got { node, work, .. } => {
+                let Some(cold) = nodes.get_mut(node.as_str()).filter(|c| t <= c.start + c.warm) else {
+                    continue;
+                };
+                cold.got.push((t, *work));
+                cold.got.retain(|(at, _)| *at > t - bounds.fall_time);
+                let sent: f64 = cold.got.iter().map(|(_, work)| work).sum();
+                let largest = cold.got.iter().map(|(_, work)| *work).fold(0.0, f64::max);
+                // The capacity at the window's start: it only rises.
+                let age = ((t - bounds.fall_time - cold.start) / cold.warm).max(0.0);
+                let present = cold.capacity * (cold.share + (1.0 - cold.share) * age);
+                let most = bounds.fall_multiple * present * bounds.fall_time + COLD_CHANCE * largest;
+                if sent > most && !std::mem::replace(&mut cold.told, true) {
+                    let what = format!(
+                        "{node}: sent {sent:.0} ms of work in {:.0} ms, cold, at most {most:.0}",
+                        bounds.fall_time
+                    );
+                    breaches.push(Breach { rule: Rule::ColdNodes, t, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A store that fills at a rate: how far below nothing it has been, by all that was taken.
+struct Store {
+    held: f64,
+    most: f64,
+    rate: f64,
+    at: f64,
+}
+
+impl Store {
+    fn new(most: f64, rate: f64, at: f64) -> Self {
+        Self { held: most, most, rate, at }
+    }
+
+    fn take(&mut self, t: f64, units: f64) -> f64 {
+        self.held = (self.held + self.rate * (t - self.at) / 1000.0).min(self.most);
+        self.at = t;
+        self.held = (self.held - units).min(self.most);
+        self.held
+    }
+}
+
+/// Rule 5, and the quotas: what all gateways sent on for each account. A ceiling goes by the price; a quota by the
+/// price when it is sent on and by the true units once the answer told them.
+fn accounts(records: &[&Record], bounds: &Bounds, breaches: &mut Vec<Breach>) {
+    let asks = asks(records);
+    let none = PlanBounds::default();
+    let mut ceilings: BTreeMap<&str, Store> = BTreeMap::new();
+    let mut quotas: BTreeMap<&str, Store> = BTreeMap::new();
+    let mut first: HashSet<&str> = HashSet::new();
+    let mut of_attempt: HashMap<u64, &str> = HashMap::new();
+    let (mut told_ceiling, mut told_quota): (HashSet<&str>, HashSet<&str>) = Default::default();
+    for record in records {
+        let t = record.t;
+        match &record.event {
+            Event::Got { id, attempt, .. } => {
+                of_attempt.insert(*attempt, id);
+                let Some(ask) = asks.get(id.as_str()) else { continue };
+                if !first.insert(id) {
+                    continue;
+                }
+                let plan = bounds.plans.get(ask.plan).unwrap_or(&none);
+                if plan.ceiling_rate > 0.0 {
+                    let fresh = || Store::new(plan.ceiling_burst, plan.ceiling_rate, t);
+                    let held = ceilings.entry(ask.customer).or_insert_with(fresh).take(t, ask.units);
+                    if held < -plan.ceiling_slack - 1e-6 && told_ceiling.insert(ask.customer) {
+                        let what = format!(
+                            "{}: {:.1} units below its ceiling, at most {}",
+                            ask.customer, -held, plan.ceiling_slack
+                        );
+                        breaches.push(Breach { rule: Rule::Ceilings, t, what });
+                    }
+                }
+                if plan.rate > 0.0 {
+                    let fresh = || Store::new(plan.burst * bounds.bursts, plan.rate, t);
+                    let held = quotas.entry(ask.customer).or_insert_with(fresh).take(t, ask.units);
+                    if held < -bounds.most_units - 1e-6 && told_quota.insert(ask.customer) {
+                        let what = format!(
+                            "{}: {:.1} units beyond {} bursts and its rate",
+                            ask.customer, -held, bounds.bursts
+                        );
+                        breaches.push(Breach { rule: Rule::Quotas, t, what });
+                    }
+                }
+            }
+            Event::Replied { attempt, status: 200, units } => {
+                let ask = of_attempt.get(attempt).and_then(|id| asks.get(id));
+                if let Some((ask, store)) = ask.and_then(|a| Some((a, quotas.get_mut(a.customer)?))) {
+                    // Only what comes back is settled here: what ran beyond its price was let in by its price.
+                    store.take(t, (units - ask.units).min(0.0));
+                }
+            }
+            _ => {}
+        }
+    }
+}
