--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The doorcourse command: arguments, exit codes and the log's set-up; nothing else.
 
+mod drill;
 mod load;
 mod query;
 mod serve;
@@ -24,6 +25,7 @@
 const EXAMPLES: &str = "Examples:
   doorcourse check settings.txtpb            every fault of the settings, with file, line and field
   doorcourse serve --config settings.txtpb   the gateway, until SIGTERM or SIGINT
+  doorcourse drill bad-day --short           a scripted bad day on loopback, judged by its traffic
   doorcourse query cost --schema catalogue.graphql query.graphql
 
 Exit codes: 0 good, 1 refused or failed, 2 wrong use or unreadable files.";
@@ -47,6 +49,9 @@
     /// Parse, validate and price GraphQL documents.
     #[command(subcommand)]
     Query(query::Query),
+    /// Rehearse trouble with a small fleet on loopback.
+    #[command(subcommand)]
+    Drill(drill::Drill),
     /// Send a fixed rate of requests, whatever comes back, and tell the latencies.
     Load(load::Load),
     /// Run a stand-in for what surrounds a gateway, on loopback.
@@ -73,6 +78,7 @@
         Command::Serve { config, seed } => serve::serve(&config, seed),
         Command::Check { file } => serve::check(&file),
         Command::Query(command) => query::run(command),
+        Command::Drill(drill) => drill::run(drill),
         Command::Load(load) => load::run(&load),
         Command::Standin(standin) => standin::run(&standin),
     };
--- /dev/null
+++ b/crates/drill/src/clients.rs
@@ -0,0 +1,348 @@
+//! The clients of a drill: customers on plans, a mix of operations, retries, and moods that the script changes.
+
+use doorcourse_graphql::{Limits, Prepared, Schema};
+use doorcourse_standins::{CATALOGUE, End, Operation, Shot, Source, operations};
+use doorcourse_verdict::{Anew, Event, Kind, PlanBounds};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::{Arc, Mutex};
+
+/// A class of the drill's settings.
+pub struct DrillClass {
+    pub name: &'static str,
+    pub aim: f64,
+    pub give_up: f64,
+    pub worth: f64,
+    pub anew: Anew,
+    pub queries: &'static [&'static str],
+    pub mutations: &'static [&'static str],
+}
+
+/// For how long the cells remember keys, in ms.
+pub const MEMORY: f64 = 4000.0;
+
+impl DrillClass {
+    /// In the words of the settings.
+    pub fn effect(&self) -> String {
+        match self.anew {
+            Anew::Safe => "effect: SAFE".into(),
+            Anew::Keyed => format!("effect: KEYED group: CELL memory_ms: {MEMORY}"),
+            Anew::Unsafe => "effect: UNSAFE".into(),
+        }
+    }
+}
+
+pub const CLASSES: &[DrillClass] = &[
+    DrillClass {
+        name: "preview",
+        aim: 800.0,
+        give_up: 2500.0,
+        worth: 2.0,
+        anew: Anew::Safe,
+        queries: &["preview", "previews"],
+        mutations: &[],
+    },
+    DrillClass {
+        name: "search",
+        aim: 1000.0,
+        give_up: 3000.0,
+        worth: 1.0,
+        anew: Anew::Safe,
+        queries: &["search", "similar", "shelf"],
+        mutations: &[],
+    },
+    DrillClass {
+        name: "playlist",
+        aim: 800.0,
+        give_up: 2000.0,
+        worth: 3.0,
+        anew: Anew::Keyed,
+        queries: &[],
+        mutations: &["savePlaylist"],
+    },
+    DrillClass {
+        name: "licence",
+        aim: 500.0,
+        give_up: 1200.0,
+        worth: 5.0,
+        anew: Anew::Unsafe,
+        queries: &[],
+        mutations: &["orderLicence"],
+    },
+];
+
+/// A plan of the drill's settings, and how many customers it has.
+pub struct DrillPlan {
+    pub name: &'static str,
+    pub rate: f64,
+    pub burst: f64,
+    pub ceiling_rate: f64,
+    pub ceiling_burst: f64,
+    pub slack: f64,
+    pub customers: usize,
+}
+
+pub const PLANS: &[DrillPlan] = &[
+    DrillPlan {
+        name: "basic",
+        rate: 4.0,
+        burst: 24.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        slack: 0.0,
+        customers: 10,
+    },
+    DrillPlan {
+        name: "studio",
+        rate: 20.0,
+        burst: 80.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        slack: 0.0,
+        customers: 5,
+    },
+    DrillPlan {
+        name: "publisher",
+        rate: 50.0,
+        burst: 100.0,
+        ceiling_rate: 90.0,
+        ceiling_burst: 180.0,
+        slack: 18.0,
+        customers: 3,
+    },
+];
+
+/// The plans in the words of the verdict.
+pub fn plan_bounds() -> BTreeMap<String, PlanBounds> {
+    let one = |p: &DrillPlan| {
+        let (rate, burst, ceiling_rate) = (p.rate, p.burst, p.ceiling_rate);
+        let bounds =
+            PlanBounds { rate, burst, ceiling_rate, ceiling_burst: p.ceiling_burst, ceiling_slack: p.slack };
+        (p.name.to_owned(), bounds)
+    };
+    PLANS.iter().map(one).collect()
+}
+
+/// The customers: name, plan, key.
+pub fn customers() -> Vec<(String, &'static str, String)> {
+    let of = |p: &'static DrillPlan| (0..p.customers).map(move |n| (format!("{}-{n}", p.name), p.name));
+    PLANS.iter().flat_map(of).map(|(name, plan)| (name.clone(), plan, format!("key-of-{name}"))).collect()
+}
+
+/// What the script changes.
+#[derive(Clone, Debug)]
+pub struct Mood {
+    /// One customer asks for this many times its quota.
+    pub flood: Option<(usize, f64)>,
+    /// This share of the clients leaves midway.
+    pub leaving: f64,
+    /// A factor on all patience.
+    pub patience: f64,
+    /// This share asks what truly costs five times its price; as many what costs a fifth.
+    pub odd_costs: f64,
+    /// The day is over: nothing new is asked.
+    pub over: bool,
+}
+
+impl Default for Mood {
+    fn default() -> Self {
+        Self { flood: None, leaving: 0.0, patience: 1.0, odd_costs: 0.04, over: false }
+    }
+}
+
+struct Asked {
+    operation: Operation,
+    units: f64,
+    weight: f64,
+}
+
+/// The clients as a source of shots.
+pub struct Clients {
+    customers: Vec<(String, &'static DrillPlan, String)>,
+    operations: Vec<Asked>,
+    gateways: usize,
+    random: ChaCha8Rng,
+    mood: Arc<Mutex<Mood>>,
+    /// The next time of each customer, in micros so that it can be ordered.
+    next: BinaryHeap<Reverse<(u64, usize)>>,
+    again: BinaryHeap<Reverse<(u64, u64)>>,
+    repeats: BTreeMap<u64, (usize, usize, String)>,
+    count: u64,
+    /// What each name was: its customer, operation, first try and whether it is a repeat itself.
+    known: BTreeMap<String, (usize, usize, String, bool)>,
+    /// The share of its quota that a customer asks for on an ordinary day.
+    load: f64,
+}
+
+impl Clients {
+    /// The customers of the drill, from a time on.
+    pub fn new(seed: u64, gateways: usize, mood: Arc<Mutex<Mood>>, start: f64) -> anyhow::Result<Self> {
+        let schema = Arc::new(Schema::parse(CATALOGUE).map_err(|e| anyhow::anyhow!("{e:?}"))?);
+        let weight = |name: &str| match name {
+            "preview" => 0.36,
+            "previews" => 0.06,
+            "search" => 0.08,
+            "playlist" => 0.22,
+            "licence" => 0.2,
+            _ => 0.0,
+        };
+        let mut asked = Vec::new();
+        for operation in operations() {
+            let prepared =
+                Prepared::new(Arc::clone(&schema), &operation.query, None, None, Limits::default());
+            let units = prepared.map_err(|e| anyhow::anyhow!("{}: {e:?}", operation.name))?.cost().units;
+            asked.push(Asked { weight: weight(operation.name), operation, units });
+        }
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let plan = |name: &str| PLANS.iter().find(|p| p.name == name);
+        let customers: Vec<_> =
+            customers().into_iter().filter_map(|(n, p, k)| Some((n, plan(p)?, k))).collect();
+        let first = |at| Reverse(((start * 1000.0 + random.random::<f64>() * 3e5) as u64, at));
+        let next = (0..customers.len()).map(first).collect();
+        let (again, repeats, known) = Default::default();
+        let (count, load) = (0, 0.6);
+        Ok(Self {
+            customers,
+            operations: asked,
+            gateways,
+            random,
+            mood,
+            next,
+            again,
+            repeats,
+            count,
+            known,
+            load,
+        })
+    }
+
+    fn mood(&self) -> Mood {
+        self.mood.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -(1.0 - self.random.random::<f64>()).ln() * mean
+    }
+
+    fn pick(&mut self, mood: &Mood) -> usize {
+        let named = |name: &str| self.operations.iter().position(|a| a.operation.name == name).unwrap_or(0);
+        let (similar, shelf) = (named("similar"), named("shelf"));
+        let chance: f64 = self.random.random();
+        if chance < mood.odd_costs {
+            return similar;
+        }
+        if chance < 2.0 * mood.odd_costs {
+            return shelf;
+        }
+        let total: f64 = self.operations.iter().map(|a| a.weight).sum();
+        let mut left = self.random.random::<f64>() * total;
+        for (at, asked) in self.operations.iter().enumerate() {
+            left -= asked.weight;
+            if left < 0.0 {
+                return at;
+            }
+        }
+        0
+    }
+
+    /// The busiest gateway of a customer gets three fifths of what it asks.
+    fn gateway(&mut self, customer: usize) -> usize {
+        let chance: f64 = self.random.random();
+        let other = 1 + (chance * 1000.0) as usize % (self.gateways - 1).max(1);
+        if chance < 0.6 || self.gateways == 1 {
+            customer % self.gateways
+        } else {
+            (customer + other) % self.gateways
+        }
+    }
+
+    fn shot(
+        &mut self, now: f64, customer: usize, operation: usize, first: Option<String>, mood: &Mood,
+    ) -> Option<Shot> {
+        self.count += 1;
+        let id = format!("q{}", self.count);
+        let gateway = self.gateway(customer);
+        let asked = &self.operations[operation];
+        let (units, class) = (asked.units, asked.operation.class);
+        let class = CLASSES.iter().find(|c| c.name == class)?;
+        let body = json!({"query": asked.operation.query}).to_string();
+        let (name, plan, key) = self.customers[customer].clone();
+        let patience = class.give_up * (0.5 + 0.5 * self.random.random::<f64>()) * mood.patience;
+        let leave = if self.random.random::<f64>() < mood.leaving {
+            Some(self.random.random::<f64>() * 60.0)
+        } else {
+            None
+        };
+        let key_of = first.clone().unwrap_or_else(|| id.clone());
+        self.known.insert(id.clone(), (customer, operation, key_of.clone(), first.is_some()));
+        let ask = Event::Ask {
+            id: id.clone(),
+            gateway,
+            customer: name,
+            plan: plan.name.into(),
+            class: class.name.into(),
+            anew: class.anew,
+            memory: MEMORY,
+            units,
+            worth: class.worth,
+            aim: class.aim,
+            patience,
+            first,
+        };
+        let idempotency = if class.anew == Anew::Keyed { Some(key_of) } else { None };
+        Some(Shot { id, at: now, gateway, body, key, idempotency, patience, leave, ask: Some(ask) })
+    }
+}
+
+impl Source for Clients {
+    fn due(&mut self) -> Option<f64> {
+        if self.mood().over {
+            return None;
+        }
+        let first = self.next.peek().map(|r| r.0.0);
+        let again = self.again.peek().map(|r| r.0.0);
+        first.into_iter().chain(again).min().map(|t| t as f64 / 1000.0)
+    }
+
+    fn take(&mut self, now: f64) -> Vec<Shot> {
+        let (mood, mut shots) = (self.mood(), Vec::new());
+        while self.again.peek().is_some_and(|r| r.0.0 as f64 / 1000.0 <= now) {
+            let Some(Reverse((_, number))) = self.again.pop() else { break };
+            let Some((customer, operation, first)) = self.repeats.remove(&number) else { continue };
+            shots.extend(self.shot(now, customer, operation, Some(first), &mood));
+        }
+        while self.next.peek().is_some_and(|r| r.0.0 as f64 / 1000.0 <= now) {
+            let Some(Reverse((at, customer))) = self.next.pop() else { break };
+            let operation = self.pick(&mood);
+            let flood = mood.flood.filter(|(c, _)| *c == customer).map(|(_, times)| times);
+            let rate = self.customers[customer].1.rate * flood.unwrap_or(self.load);
+            // In units: what costs more is asked for more seldom.
+            let wait = self.exponential(self.operations[operation].units / rate * 1e6);
+            self.next.push(Reverse((at + wait.min(20e6) as u64, customer)));
+            shots.extend(self.shot(now, customer, operation, None, &mood));
+        }
+        shots
+    }
+
+    fn ended(&mut self, now: f64, shot: &Shot, end: &End) {
+        let Some((customer, operation, first, repeat)) = self.known.remove(&shot.id) else { return };
+        let class = self.operations[operation].operation.class;
+        let anew = CLASSES.iter().find(|c| c.name == class).map_or(Anew::Unsafe, |c| c.anew);
+        // A client tries once more: anything safe, the rest only where it was told that this is harmless.
+        let wait = match end {
+            End::Answer { kind: Kind::Refused, retry_after, .. } => retry_after.unwrap_or(500.0),
+            End::Answer { kind: Kind::Failed, .. } | End::Cut | End::Lost if anew == Anew::Safe => 200.0,
+            _ => return,
+        };
+        if repeat || self.random.random::<f64>() < 0.5 {
+            return;
+        }
+        self.count += 1;
+        let at = now + wait * (1.0 + 0.3 * self.random.random::<f64>());
+        self.again.push(Reverse(((at * 1000.0) as u64, self.count)));
+        self.repeats.insert(self.count, (customer, operation, first));
+    }
+}
--- /dev/null
+++ b/crates/drill/src/fleet.rs
@@ -0,0 +1,211 @@
+//! A small fleet: gateway processes of this same binary, and the stand-ins around them.
+
+use crate::clients::{CLASSES, PLANS};
+use anyhow::{Context, bail};
+use doorcourse_net::Clock;
+use doorcourse_standins::{
+    CATALOGUE, Command as Order, ListSource, ListedNode, NodeFault, NodeSpec, Recorder, World, WorldSpec,
+};
+use doorcourse_verdict::Event;
+use sha2::{Digest, Sha256};
+use std::fmt::Write;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
+
+/// How a fleet is made.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// The gateway's binary.
+    pub binary: PathBuf,
+    /// Where settings, the list and logs lie.
+    pub folder: PathBuf,
+    pub gateways: usize,
+    pub nodes: usize,
+    pub seed: u64,
+    /// How long a cold node takes to warm, in ms.
+    pub warm: f64,
+    /// The customers: name, plan, key.
+    pub customers: Vec<(String, &'static str, String)>,
+}
+
+/// What a cold node starts with, and what fells it.
+pub const COLD_SHARE: f64 = 0.25;
+pub const FALL_MULTIPLE: f64 = 2.0;
+pub const FALL_TIME: f64 = 1000.0;
+/// How often gateways look at the list, and the grace of a drain behind that, in ms.
+pub const POLL: f64 = 100.0;
+pub const GRACE: f64 = 250.0;
+const MARGIN: f64 = 60.0;
+
+/// A running fleet.
+pub struct Fleet {
+    spec: FleetSpec,
+    pub clock: Clock,
+    pub recorder: Recorder,
+    pub world: World,
+    pub list: ListSource,
+    /// Where each gateway listens; a restarted one has a new port.
+    pub addresses: Arc<Mutex<Vec<SocketAddr>>>,
+    gateways: Vec<Option<Child>>,
+}
+
+impl Fleet {
+    /// Starts stand-ins and gateways, and waits until every gateway serves.
+    pub fn start(spec: FleetSpec) -> anyhow::Result<Self> {
+        std::fs::create_dir_all(&spec.folder).with_context(|| spec.folder.display().to_string())?;
+        let clock = Clock::default();
+        let recorder = Recorder::new(clock);
+        let node = |at: usize| NodeSpec {
+            name: format!("node-{at}"),
+            cell: (at % 2) as u64,
+            cores: 2,
+            queue: 40,
+            cold_share: COLD_SHARE,
+            warm: spec.warm,
+            fall_multiple: FALL_MULTIPLE,
+            fall_time: FALL_TIME,
+            memory: 4000.0,
+        };
+        let nodes: Vec<NodeSpec> = (0..spec.nodes).map(node).collect();
+        let world = WorldSpec {
+            nodes: nodes.clone(),
+            listen: None,
+            counter: true,
+            password: Some("drill".into()),
+            seed: spec.seed,
+            spread: 0.3,
+            speed: 1.0,
+            quiet: false,
+        };
+        let world = World::start(&world, clock, recorder.clone())?;
+        let listed = nodes.iter().zip(&world.nodes).map(|(node, address)| ListedNode {
+            name: node.name.clone(),
+            address: *address,
+            cell: node.cell,
+            present: true,
+            draining: false,
+            started: None,
+        });
+        let list = ListSource::new(spec.folder.join("nodes.txtpb"), listed.collect(), recorder.clone());
+        list.write()?;
+        std::fs::write(spec.folder.join("catalogue.graphql"), CATALOGUE)?;
+        let none = SocketAddr::from(([127, 0, 0, 1], 9));
+        let addresses = Arc::new(Mutex::new(vec![none; spec.gateways]));
+        let gateways = (0..spec.gateways).map(|_| None).collect();
+        let mut fleet = Self { spec, clock, recorder, world, list, addresses, gateways };
+        (0..fleet.gateways.len()).try_for_each(|at| fleet.start_gateway(at))?;
+        Ok(fleet)
+    }
+
+    fn settings(&self, number: usize) -> anyhow::Result<PathBuf> {
+        let counter = self.world.counter.context("the fleet's counter has no address")?;
+        let mut text = format!(
+            "fleet {{ gateways: {} number: {number} }}\nlisten: \"127.0.0.1:0\"\n\
+             counter {{ address: \"{counter}\" password: \"drill\" timeout_ms: 50 dead_after_ms: 400 longest_wait_ms: 400 }}\n\
+             node_list {{ file: \"nodes.txtpb\" poll_ms: {POLL} }}\n\
+             graphql {{ schema_file: \"catalogue.graphql\" }}\n\
+             cold_nodes {{ share: {COLD_SHARE} warm_ms: {} fall_multiple: {FALL_MULTIPLE} fall_ms: {FALL_TIME} }}\n\
+             limits {{ answer_margin_ms: {MARGIN} stop_ms: 2000 }}\n\
+             attempts {{ most: 3 longest_advice_ms: 2000 }}\n",
+            self.spec.gateways, self.spec.warm
+        );
+        for class in CLASSES {
+            let effect = class.effect();
+            let (name, aim, give_up, worth) = (class.name, class.aim, class.give_up, class.worth);
+            write!(
+                text,
+                "classes {{ name: \"{name}\" aim_ms: {aim} give_up_ms: {give_up} worth: {worth} {effect}"
+            )?;
+            class.queries.iter().try_for_each(|f| write!(text, " query_fields: \"{f}\""))?;
+            class.mutations.iter().try_for_each(|f| write!(text, " mutation_fields: \"{f}\""))?;
+            text.push_str(" }\n");
+        }
+        for plan in PLANS {
+            let (name, rate, burst, slack) = (plan.name, plan.rate, plan.burst, plan.slack);
+            let (ceiling, most) = (plan.ceiling_rate, plan.ceiling_burst);
+            writeln!(
+                text,
+                "plans {{ name: \"{name}\" rate: {rate} burst: {burst} ceiling_rate: {ceiling} \
+                ceiling_burst: {most} ceiling_slack: {slack} }}"
+            )?;
+        }
+        for (name, plan, key) in &self.spec.customers {
+            let digest: String = Sha256::digest(key).iter().map(|b| format!("{b:02x}")).collect();
+            writeln!(text, "customers {{ name: \"{name}\" plan: \"{plan}\" key_sha256: \"{digest}\" }}")?;
+        }
+        let path = self.spec.folder.join(format!("gateway-{number}.txtpb"));
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    /// Starts a gateway and waits until it tells where it serves.
+    pub fn start_gateway(&mut self, at: usize) -> anyhow::Result<()> {
+        let settings = self.settings(at)?;
+        // No two share a seed, and a restarted one takes a fresh one.
+        let seed = self.spec.seed.wrapping_mul(1000) + at as u64 + self.clock.now() as u64 % 997 * 10;
+        let mut child = Command::new(&self.spec.binary)
+            .args(["serve", "--seed", &seed.to_string(), "--config"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .with_context(|| self.spec.binary.display().to_string())?;
+        let log = self.spec.folder.join(format!("gateway-{at}.log"));
+        let lines = child.stderr.take().context("a gateway without a log")?;
+        let (told, address) = mpsc::channel();
+        std::thread::spawn(move || copy_log(&log, BufReader::new(lines), &told));
+        self.gateways[at] = Some(child);
+        let Ok(address) = address.recv_timeout(Duration::from_secs(20)) else {
+            bail!("gateway {at} did not come to serve; see its log in {}", self.spec.folder.display());
+        };
+        self.addresses.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[at] = address;
+        self.recorder.write(Event::GatewayUp { gateway: at });
+        Ok(())
+    }
+
+    /// Kills a gateway outright.
+    pub fn kill_gateway(&mut self, at: usize) -> anyhow::Result<()> {
+        self.recorder.write(Event::GatewayDown { gateway: at });
+        if let Some(mut child) = self.gateways[at].take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Tells a node something.
+    pub fn node(&self, at: usize, fault: NodeFault) {
+        self.world.tell(Order::Node(at, fault));
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for mut child in self.gateways.iter_mut().filter_map(Option::take) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Copies a gateway's log to its file and tells the address in it.
+fn copy_log(path: &Path, lines: impl BufRead, told: &mpsc::Sender<SocketAddr>) {
+    use std::io::Write as _;
+    let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+    let Ok(mut file) = file else { return };
+    for line in lines.lines() {
+        let Ok(line) = line else { return };
+        let _ = writeln!(file, "{line}");
+        let json: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+        if json["message"] == "serving" {
+            if let Some(address) = json["address"].as_str().and_then(|a| a.parse().ok()) {
+                let _ = told.send(address);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/show.rs
@@ -0,0 +1,68 @@
+//! A report as text.
+
+use doorcourse_verdict::{Report, Rule};
+use std::fmt::Write;
+
+fn rule(rule: Rule) -> &'static str {
+    match rule {
+        Rule::OneAnswer => "one final answer, in time",
+        Rule::NoEffectTwice => "no effect twice",
+        Rule::DrainsKept => "drains kept",
+        Rule::ColdNodes => "no cold node pushed over",
+        Rule::Ceilings => "ceilings kept",
+        Rule::Quotas => "quotas within their bound",
+    }
+}
+
+/// The report for a person: phases, answers, worth, accounts, and each rule's verdict.
+#[must_use]
+pub fn show(report: &Report) -> String {
+    let mut out = String::new();
+    let _ = writeln!(
+        out,
+        "{:<42} {:>6} {:>7} {:>5} {:>8} {:>7} {:>5} {:>5} {:>5}",
+        "phase", "asked", "served", "late", "refused", "failed", "cut", "lost", "left"
+    );
+    for (name, a) in report.phases.iter().filter(|(_, a)| a.asked > 0) {
+        let _ = writeln!(
+            out,
+            "{name:<42} {:>6} {:>7} {:>5} {:>8} {:>7} {:>5} {:>5} {:>5}",
+            a.asked, a.served, a.late, a.refused, a.failed, a.cut, a.lost, a.left
+        );
+    }
+    let _ = writeln!(out, "\nworth answered in time, of what was asked for:");
+    for (plan, (got, asked)) in &report.worth {
+        let _ = writeln!(out, "  {plan:<12} {:>5.1}%  of {asked:.0}", 100.0 * got / asked.max(1e-9));
+    }
+    let _ = writeln!(out, "\nanswers that were not data, by code:");
+    for (code, count) in &report.codes {
+        let _ = writeln!(out, "  {code:<20} {count}");
+    }
+    let _ = writeln!(
+        out,
+        "\naccounts (units):\n  {:<14} {:>8} {:>8} {:>8} {:>10}",
+        "account", "asked", "sent on", "true", "quota"
+    );
+    for (name, a) in &report.accounts {
+        let _ = writeln!(
+            out,
+            "  {name:<14} {:>8.0} {:>8.0} {:>8.0} {:>10.0}",
+            a.asked, a.sent, a.true_units, a.quota
+        );
+    }
+    let (attempts, repeats) = report.attempts;
+    let _ = writeln!(
+        out,
+        "\n{attempts} attempts at nodes, {repeats} of them repeats; {:.1} s\n",
+        report.length / 1000.0
+    );
+    for (which, breaches) in &report.rules {
+        let verdict =
+            if breaches.is_empty() { "kept".into() } else { format!("BROKEN {} times", breaches.len()) };
+        let _ = writeln!(out, "{:<28} {verdict}", rule(*which));
+        for breach in breaches.iter().take(5) {
+            let _ = writeln!(out, "    at {:.3} s: {}", breach.t / 1000.0, breach.what);
+        }
+    }
+    out
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -22,7 +22,7 @@
 }
 
 impl Media {
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Response => "application/graphql-response+json; charset=utf-8",
             Self::Json => "application/json; charset=utf-8",
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -2,6 +2,7 @@
 
 use rustix::event::{Timespec, epoll};
 use std::io;
+use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
 use std::time::Duration;
 
@@ -42,7 +43,6 @@
 /// An epoll instance.
 pub struct Poller {
     epoll: OwnedFd,
-    buffer: Vec<epoll::Event>,
 }
 
 impl Poller {
@@ -51,7 +51,7 @@
     /// # Errors
     /// When the system has no descriptor left.
     pub fn new() -> io::Result<Self> {
-        Ok(Self { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?, buffer: Vec::with_capacity(256) })
+        Ok(Self { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)? })
     }
 
     /// Registers a descriptor.
@@ -82,18 +82,18 @@
     ///
     /// # Errors
     /// When the system fails.
-    pub fn wait(&mut self, most: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
+    pub fn wait(&self, most: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
         ready.clear();
-        self.buffer.clear();
+        let mut room = [const { MaybeUninit::<epoll::Event>::uninit() }; 256];
         // Rounded up to the next ms by hand: a wait that ends too early would spin.
         let most = most.map(|m| m + Duration::from_micros(200));
         let most = most.map(|m| Timespec { tv_sec: m.as_secs() as i64, tv_nsec: m.subsec_nanos().into() });
-        let room = rustix::buffer::spare_capacity(&mut self.buffer);
-        match epoll::wait(&self.epoll, room, most.as_ref()) {
-            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+        let found = match epoll::wait(&self.epoll, &mut room, most.as_ref()) {
+            Ok((found, _)) => found,
+            Err(rustix::io::Errno::INTR) => return Ok(()),
             Err(error) => return Err(error.into()),
-        }
-        ready.extend(self.buffer.iter().map(|event| {
+        };
+        ready.extend(found.iter().map(|event| {
             let flags = event.flags;
             Ready {
                 token: event.data.u64(),
