--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -41,6 +41,7 @@
     };
     let folder = file.parent().unwrap_or(Path::new(""));
     let mut gateway = Gateway::new(Start { config, folder, seed })?;
+    gateway.stop_at_signals()?;
     gateway.run()?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/drill/src/bad_day.rs
+++ b/crates/drill/src/bad_day.rs
@@ -34,6 +34,8 @@
 const NODES: usize = 10;
 /// By the bound of docs/design.md: one burst, and a second one after a counter that came back empty.
 const BURSTS: f64 = 2.0;
+/// The customer that floods: one under a ceiling, by its place in `customers()`.
+const FLOODING: usize = 16;
 const MOST_UNITS: f64 = 10.0;
 /// How much later than its time a client still notices an answer, in ms: what this machine's load may add.
 const SLACK: f64 = 150.0;
@@ -98,7 +100,7 @@
     (0.56, "a gateway is killed", |day| day.fleet.kill_gateway(1)),
     (0.63, "the gateway is back", |day| day.fleet.start_gateway(1)),
     (0.67, "an account floods", |day| {
-        day.mood(|m| m.flood = Some((12, 8.0)));
+        day.mood(|m| m.flood = Some((FLOODING, 8.0)));
         Ok(())
     }),
     (0.76, "clients leave, costs are not as declared", |day| {
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -159,6 +159,9 @@
     weight: f64,
 }
 
+/// A flood that falls behind its schedule by more than this, in ms, does not catch up.
+const FLOOD_BEHIND: f64 = 20.0;
+
 /// The clients as a source of shots.
 pub struct Clients {
     customers: Vec<(String, &'static DrillPlan, String)>,
@@ -175,6 +178,8 @@
     known: BTreeMap<String, (usize, usize, String, bool)>,
     /// The share of its quota that a customer asks for on an ordinary day.
     load: f64,
+    /// When a flood's next request is due, in ms.
+    flood_next: f64,
 }
 
 impl Clients {
@@ -216,6 +221,7 @@
             count,
             known,
             load,
+            flood_next: start,
         })
     }
 
@@ -299,12 +305,14 @@
 
 impl Source for Clients {
     fn due(&mut self) -> Option<f64> {
-        if self.mood().over {
+        let mood = self.mood();
+        if mood.over {
             return None;
         }
         let first = self.next.peek().map(|r| r.0.0);
         let again = self.again.peek().map(|r| r.0.0);
-        first.into_iter().chain(again).min().map(|t| t as f64 / 1000.0)
+        let ordinary = first.into_iter().chain(again).min().map(|t| t as f64 / 1000.0);
+        ordinary.into_iter().chain(mood.flood.map(|_| self.flood_next)).reduce(f64::min)
     }
 
     fn take(&mut self, now: f64) -> Vec<Shot> {
@@ -317,13 +325,20 @@
         while self.next.peek().is_some_and(|r| r.0.0 as f64 / 1000.0 <= now) {
             let Some(Reverse((at, customer))) = self.next.pop() else { break };
             let operation = self.pick(&mood);
-            let flood = mood.flood.filter(|(c, _)| *c == customer).map(|(_, times)| times);
-            let rate = self.customers[customer].1.rate * flood.unwrap_or(self.load);
+            let rate = self.customers[customer].1.rate * self.load;
             // In units: what costs more is asked for more seldom.
             let wait = self.exponential(self.operations[operation].units / rate * 1e6);
             self.next.push(Reverse((at + wait.min(20e6) as u64, customer)));
             shots.extend(self.shot(now, customer, operation, None, &mood));
         }
+        // A flood comes on top of the customer's ordinary use.
+        self.flood_next = self.flood_next.max(now - FLOOD_BEHIND);
+        while let Some((customer, times)) = mood.flood.filter(|_| self.flood_next <= now) {
+            let operation = self.pick(&mood);
+            let rate = self.customers[customer].1.rate * times;
+            self.flood_next += self.exponential(self.operations[operation].units / rate * 1000.0);
+            shots.extend(self.shot(now, customer, operation, None, &mood));
+        }
         shots
     }
 
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -202,10 +202,10 @@
         let Ok(line) = line else { return };
         let _ = writeln!(file, "{line}");
         let json: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
-        if json["message"] == "serving" {
-            if let Some(address) = json["address"].as_str().and_then(|a| a.parse().ok()) {
-                let _ = told.send(address);
-            }
+        if json["message"] == "serving"
+            && let Some(address) = json["address"].as_str().and_then(|a| a.parse().ok())
+        {
+            let _ = told.send(address);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,4 +8,4 @@
 mod serve;
 
 pub use front::{DEADLINE_FIELD, REQUEST_ID_FIELD};
-pub use run::{Gateway, Start};
+pub use run::{Gateway, Start, Stopper};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -148,10 +148,22 @@
     /// Bytes held for clients.
     pub(crate) buffered: u64,
     signal: UnixStream,
+    wake: UnixStream,
     pub(crate) stopping: bool,
     spare: Option<std::fs::File>,
 }
 
+/// Stops a gateway that runs in another thread.
+#[derive(Debug)]
+pub struct Stopper(UnixStream);
+
+impl Stopper {
+    /// Stops it in order: what is out is answered first, as far as its time allows.
+    pub fn stop(&self) {
+        let _ = std::io::Write::write(&mut &self.0, &[1]);
+    }
+}
+
 /// Input of one client that is held while its request is answered: pipelining, but not without bound.
 const PIPELINED: usize = 16 << 10;
 /// How long a client that was told to go may still talk, in ms.
@@ -178,9 +190,6 @@
         let (wake, signal) = UnixStream::pair()?;
         signal.set_nonblocking(true)?;
         wake.set_nonblocking(true)?;
-        for number in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-            signal_hook::low_level::pipe::register(number, wake.try_clone()?)?;
-        }
         poller.add(&signal, Token::Signal.pack(), Interest::READ)?;
         let counter = match &config.counter {
             None => CounterSide::Own(Own::default()),
@@ -210,6 +219,7 @@
             claims_told: HashSet::new(),
             buffered: 0,
             signal,
+            wake,
             stopping: false,
             spare: std::fs::File::open("/dev/null").ok(),
             config,
@@ -223,6 +233,25 @@
         Ok(gateway)
     }
 
+    /// Stops in order at SIGTERM and SIGINT.
+    ///
+    /// # Errors
+    /// When the system refuses.
+    pub fn stop_at_signals(&self) -> std::io::Result<()> {
+        for number in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            signal_hook::low_level::pipe::register(number, self.wake.try_clone()?)?;
+        }
+        Ok(())
+    }
+
+    /// A handle that stops the gateway in order from another thread.
+    ///
+    /// # Errors
+    /// When the system has no descriptor left.
+    pub fn stopper(&self) -> std::io::Result<Stopper> {
+        Ok(Stopper(self.wake.try_clone()?))
+    }
+
     /// Where clients are served.
     ///
     /// # Errors
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -151,6 +151,9 @@
         let now = self.clock.now();
         let Some(request) = self.requests.get_mut(&id) else { return };
         (request.backend, request.sent_at) = (backend.clone(), now);
+        // Nothing of an earlier attempt's answer may colour this one's.
+        (request.head, request.whole) = (None, false);
+        request.held.clear();
         request.scan.reset();
         request.exchange.handle(Input::Sent, &mut Vec::new());
         let Some(pool) = self.pools.get_mut(&backend) else {
--- /dev/null
+++ b/crates/gateway/tests/sockets.rs
@@ -0,0 +1,376 @@
+//! The hard cases over real sockets.
+
+mod helper;
+
+use doorcourse_net::Clock;
+use doorcourse_standins::{Command, NodeFault, NodeSpec, Recorder, World, WorldSpec};
+use doorcourse_verdict::Event;
+use helper::*;
+use std::io::{Read, Write};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+fn world(nodes: usize) -> (World, Recorder) {
+    let clock = Clock::default();
+    let recorder = Recorder::new(clock);
+    let node = |at: usize| NodeSpec {
+        name: format!("n{at}"),
+        cell: at as u64 % 2,
+        cores: 2,
+        queue: 50,
+        cold_share: 1.0,
+        warm: 1.0,
+        fall_multiple: 100.0,
+        fall_time: 1000.0,
+        memory: 4000.0,
+    };
+    let nodes = (0..nodes).map(node).collect();
+    let (password, seed) = (None, 1);
+    let spec = WorldSpec {
+        nodes,
+        listen: None,
+        counter: false,
+        password,
+        seed,
+        spread: 0.0,
+        speed: 4.0,
+        quiet: false,
+    };
+    (World::start(&spec, clock, recorder.clone()).expect("a world"), recorder)
+}
+
+fn got(recorder: &Recorder) -> usize {
+    recorder.records().iter().filter(|r| matches!(r.event, Event::Got { .. })).count()
+}
+
+#[test]
+fn forty_previews_are_refused_as_a_whole_before_any_node() {
+    let (world, recorder) = world(2);
+    let door = Door::new(&world.nodes, "");
+    let many: String = (0..40).map(|n| format!("p{n}: preview(id: {n}) {{ id }} ")).collect();
+    let answer = door.ask("ten", &format!("{{ {many} }}"));
+    assert_eq!((answer.status, answer.code().as_str()), (429, "COST_EXCEEDS_PLAN"));
+    assert!(!answer.has("retry-after"), "waiting does not help: {}", answer.head);
+    assert_eq!(got(&recorder), 0);
+    assert_eq!(door.ask("ten", PREVIEW).status, 200, "it cost the account nothing");
+}
+
+#[test]
+fn an_account_ends_with_what_its_answers_were_worth() {
+    let (world, _) = world(2);
+    let door = Door::new(&world.nodes, "");
+    // Priced as ten, worth two: eight come back.
+    assert_eq!(door.ask("ten", "{ shelf(id: 1) { id } }").status, 200);
+    assert_eq!(door.ask("ten", "{ previews(first: 8) { id } }").status, 200);
+    let refused = door.ask("ten", PREVIEW);
+    assert_eq!((refused.status, refused.code().as_str()), (429, "QUOTA_EXCEEDED"));
+    assert!(refused.has("retry-after: 2"), "{}", refused.head);
+}
+
+#[test]
+fn a_true_cost_above_the_price_is_charged_too() {
+    let (world, _) = world(2);
+    let door = Door::new(&world.nodes, "");
+    // Priced as two, worth ten: the account has nothing left.
+    assert_eq!(door.ask("ten", "{ similar(id: 1) { id } }").status, 200);
+    assert_eq!(door.ask("ten", PREVIEW).code(), "QUOTA_EXCEEDED");
+}
+
+#[test]
+fn an_answer_that_fails_or_never_comes_leaves_the_price() {
+    for fault in [NodeFault::Reset(1.0), NodeFault::Malformed(1.0), NodeFault::Stall(true)] {
+        let (world, _) = world(2);
+        (0..2).for_each(|n| world.tell(Command::Node(n, fault)));
+        let door = Door::new(&world.nodes, "");
+        let mut client = door.client();
+        client.send("ten", "{ shelf(id: 1) { id } }", "doorcourse-deadline-ms: 400\r\n");
+        let failed = client.answer().expect("an answer");
+        assert!(failed.status >= 500, "{fault:?}: {failed:?}");
+        // A safe request may be refused where a repeat found no room; it is charged once, by its price.
+        (0..2).for_each(|n| world.tell(Command::Node(n, NodeFault::Reset(0.0))));
+        assert_eq!(door.ask("ten", PREVIEW).code(), "QUOTA_EXCEEDED", "{fault:?}");
+    }
+}
+
+#[test]
+fn a_connection_that_dies_before_the_request_is_written_lets_any_class_go_elsewhere() {
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = dead.local_addr().expect("an address");
+    drop(dead);
+    let node = script(vec![good(), good(), good(), good(), good(), good()]);
+    let door = Door::new(&[address, node.address], "");
+    for query in [PREVIEW, LICENCE, PLAYLIST, LICENCE] {
+        assert_eq!(door.ask("free", query).status, 200, "{query}");
+    }
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_as_its_class_allows() {
+    // (query, served in the end, requests that reached nodes); nodes 0 and 2 are one cell, 1 and 3 the other.
+    for (query, served, count) in [(PREVIEW, true, 2), (PLAYLIST, true, 2), (LICENCE, false, 1)] {
+        let nodes: Vec<Script> = (0..4).map(|_| script(vec![])).collect();
+        drop(nodes);
+        let (tell, told) = mpsc::channel();
+        let turn = std::sync::Arc::new(std::sync::atomic::AtomicU32::new(0));
+        let act = |at: usize| -> Act {
+            let (turn, tell) = (turn.clone(), tell.clone());
+            Box::new(move |stream| {
+                let _ = tell.send(at);
+                let first = turn.fetch_add(1, std::sync::atomic::Ordering::SeqCst) == 0;
+                !first && stream.write_all(&answer(GOOD)).is_ok()
+            })
+        };
+        let nodes: Vec<Script> = (0..4).map(|at| script(vec![act(at), act(at)])).collect();
+        let addresses: Vec<_> = nodes.iter().map(|n| n.address).collect();
+        let door = Door::new(&addresses, "");
+        let found = door.ask("free", query);
+        let reached: Vec<usize> = told.try_iter().collect();
+        assert_eq!(reached.len(), count, "{query}: {reached:?}");
+        if served {
+            assert_eq!(found.status, 200, "{query}: {found:?}");
+        } else {
+            assert_eq!((found.status, found.code().as_str()), (502, "NODE_FAILED"), "{query}");
+        }
+        if query == PLAYLIST {
+            assert_eq!(reached[0] % 2, reached[1] % 2, "repeated in another cell: {reached:?}");
+            let keys: Vec<String> = nodes.iter().flat_map(|n| n.got.try_iter().collect::<Vec<_>>()).collect();
+            let key = |r: &String| r.lines().find(|l| l.starts_with("idempotency-key")).map(str::to_owned);
+            assert!(key(&keys[0]).is_some() && key(&keys[0]) == key(&keys[1]), "{keys:?}");
+        }
+    }
+}
+
+#[test]
+fn a_pooled_connection_closed_just_as_a_licence_was_written_may_have_run_it() {
+    let node = script(vec![good(), breaks(), good()]);
+    let door = Door::new(&[node.address], "");
+    assert_eq!(door.ask("free", PREVIEW).status, 200);
+    let found = door.ask("free", LICENCE);
+    assert_eq!((found.status, found.code().as_str()), (502, "NODE_FAILED"));
+    assert_eq!(node.got.try_iter().count(), 2, "it was not sent again");
+}
+
+#[test]
+fn the_deadline_comes_while_a_node_is_silent_and_its_late_answer_is_not_passed_on() {
+    let (go, until) = mpsc::channel();
+    let node = script(vec![waits(until), good()]);
+    let door = Door::new(&[node.address], "");
+    let mut client = door.client();
+    let start = Instant::now();
+    client.send("free", LICENCE, "doorcourse-deadline-ms: 300\r\n");
+    let found = client.answer().expect("an answer");
+    assert_eq!((found.status, found.code().as_str()), (504, "DEADLINE_EXCEEDED"));
+    assert!(start.elapsed() >= Duration::from_millis(200), "not before its time");
+    go.send(()).expect("the node waits");
+    // The connection serves on, and the next answer is its own.
+    client.send("free", PREVIEW, "");
+    let next = client.answer().expect("an answer");
+    assert!(next.status == 200 || next.status == 503, "{next:?}");
+    assert!(!next.body.contains("orderLicence"));
+}
+
+#[test]
+fn the_deadline_comes_with_half_the_answer_passed_on() {
+    let (stop, until) = mpsc::channel::<()>();
+    let act: Act = Box::new(move |stream| {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 100000\r\n\r\n{\"data\":{\"x\":\"";
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(&[b'y'; 40_000]);
+        let _ = until.recv();
+        false
+    });
+    let node = script(vec![act]);
+    let door = Door::new(&[node.address], "");
+    let mut client = door.client();
+    client.send("free", PREVIEW, "doorcourse-deadline-ms: 400\r\n");
+    assert_eq!(client.answer(), None, "cut, and not taken for the whole");
+    assert!(!client.ends(), "a part had come");
+    drop(stop);
+}
+
+#[test]
+fn the_deadline_comes_while_held_for_a_block_and_while_held_for_room() {
+    // A counter that accepts and says nothing: who waits for a block falls to the silence rule, in time.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let counter =
+        format!("counter {{ address: \"{}\" timeout_ms: 5000 }}", silent.local_addr().expect("an address"));
+    let node = script(vec![good(), good()]);
+    let door = Door::new(&[node.address], &counter);
+    let mut client = door.client();
+    client.send("ten", PREVIEW, "doorcourse-deadline-ms: 150\r\n");
+    assert_eq!(client.answer().expect("an answer").status, 200);
+    // Nodes that are out: what is held for room gets its answer in its time, and it promises a harmless repeat.
+    let (_go, until) = mpsc::channel();
+    let node = script(vec![waits(until)]);
+    let door = Door::new(&[node.address], "");
+    let mut clients: Vec<Client> = (0..12).map(|_| door.client()).collect();
+    clients.iter_mut().for_each(|c| c.send("free", LICENCE, "doorcourse-deadline-ms: 500\r\n"));
+    let answers: Vec<Answer> = clients.iter_mut().map(|c| c.answer().expect("an answer")).collect();
+    let busy = answers.iter().filter(|a| a.code() == "BUSY" && a.has("retry-after")).count();
+    let timed = answers.iter().filter(|a| a.code() == "DEADLINE_EXCEEDED").count();
+    assert!(busy > 0 && timed > 0 && busy + timed == 12, "{answers:?}");
+}
+
+#[test]
+fn a_refused_attempt_does_not_colour_the_answer_that_follows() {
+    let full: Act = Box::new(|stream| {
+        stream.write_all(b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 4\r\n\r\nfull").is_ok()
+    });
+    let large: Act = Box::new(|stream| {
+        let body = format!("{{\"data\":{{\"preview\":{{\"id\":\"{}\"}}}}}}", "y".repeat(200_000));
+        let _ =
+            stream.write_all(format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len()).as_bytes());
+        let (first, rest) = body.as_bytes().split_at(50_000);
+        stream.write_all(first).is_ok() && stream.write_all(rest).is_ok()
+    });
+    let (one, two) = (script(vec![full]), script(vec![large, good()]));
+    let door = Door::new(&[one.address, two.address], "");
+    let mut client = door.client();
+    client.send("free", PREVIEW, "");
+    let found = client.answer().expect("an answer");
+    assert_eq!((found.status, found.body.len()), (200, 200_000 + GOOD.len() - 1));
+    client.send("free", PREVIEW, "");
+    assert_eq!(client.answer().map(|a| a.body).as_deref(), Some(GOOD));
+}
+
+#[test]
+fn a_client_that_reads_nothing_holds_bounded_memory_and_is_cut() {
+    let (tell, told) = mpsc::channel();
+    let act: Act = Box::new(move |stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 268435456\r\n\r\n");
+        let mut written = 0u64;
+        while let Ok(n) = stream.write(&[b' '; 65536]) {
+            written += n as u64;
+        }
+        let _ = tell.send(written);
+        false
+    });
+    let node = script(vec![act]);
+    let door = Door::new(&[node.address], "");
+    let mut client = door.client();
+    client.send("free", PREVIEW, "doorcourse-deadline-ms: 700\r\n");
+    let written = told.recv_timeout(LIMIT).expect("the node was stopped");
+    // The rest is what the system's own buffers between three sockets take.
+    assert!(written < 32 << 20, "{written} bytes were taken for a client that reads nothing");
+    let mut all = Vec::new();
+    let ended = client.stream.read_to_end(&mut all);
+    assert!(ended.is_err() || all.len() < 268_435_456, "cut");
+}
+
+#[test]
+fn two_thousand_connections_that_send_a_byte_at_a_time_hold_nobody_up() {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let raised = rustix::process::Rlimit { current: limit.maximum, maximum: limit.maximum };
+    rustix::process::setrlimit(rustix::process::Resource::Nofile, raised).expect("descriptors");
+    let count = limit.maximum.map_or(2000, |m| (m.saturating_sub(200) / 2).min(2000));
+    let node = script(vec![good(), good()]);
+    let door = Door::new(&[node.address], "limits { head_ms: 1500 connections: 5000 }");
+    let request = post("free", PREVIEW, "");
+    let mut slow: Vec<Client> = (0..count).map(|_| door.client()).collect();
+    for at in 0..3 {
+        slow.iter_mut().for_each(|c| c.write(&request[at..=at]));
+        if at == 1 {
+            assert_eq!(door.ask("free", PREVIEW).status, 200);
+        }
+    }
+    for client in &mut slow {
+        assert_eq!(client.answer().map(|a| a.status), Some(408));
+    }
+}
+
+#[test]
+fn floods_of_heads_and_bodies_meet_their_limits() {
+    let node = script(vec![good()]);
+    let door =
+        Door::new(&[node.address], "limits { head_bytes: 2000 body_bytes: 500 line_bytes: 300 fields: 20 }");
+    let first = "POST /graphql HTTP/1.1\r\nhost: a\r\nauthorization: Bearer free\r\ncontent-type: application/json\r\n";
+    for (flood, status) in [
+        (format!("GET /{} HTTP/1.1\r\n", "a".repeat(400)), 414),
+        (format!("{first}x: {}\r\n", "a".repeat(3000)), 431),
+        (format!("{first}{}", "x: 1\r\n".repeat(40)), 431),
+        (format!("{first}content-length: 501\r\n\r\n"), 413),
+        (format!("{first}transfer-encoding: chunked\r\n\r\n1f5\r\n"), 413),
+        (format!("{first}transfer-encoding: chunked\r\ncontent-length: 1\r\n\r\n"), 400),
+        ("nonsense\r\n\r\n".into(), 400),
+    ] {
+        let mut client = door.client();
+        client.write(flood.as_bytes());
+        assert_eq!(client.answer().map(|a| a.status), Some(status), "{flood:.60}");
+        assert!(client.ends(), "and a close");
+    }
+    assert_eq!(door.ask("free", PREVIEW).status, 200);
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order_one_at_a_time() {
+    let (world, _) = world(2);
+    let mut door = Door::new(&world.nodes, "");
+    let mut client = door.client();
+    let queries = ["{ preview(id: 1) { id } }", "{ nope }", "{ preview(id: 1) { url } }"];
+    let all: Vec<u8> = queries.iter().flat_map(|q| post("free", q, "")).collect();
+    client.write(&all);
+    let bodies: Vec<String> = (0..3).map(|_| client.answer().expect("an answer").body).collect();
+    assert!(
+        bodies[0].contains("\"id\"")
+            && bodies[1].contains("no field `nope`")
+            && bodies[2].contains("\"url\"")
+    );
+    door.stop();
+    assert!(client.ends(), "an idle connection is closed at a stop");
+}
+
+#[test]
+fn graphql_over_http_statuses() {
+    let (world, _) = world(1);
+    let door = Door::new(&world.nodes, "");
+    let raw = |text: String| {
+        let mut client = door.client();
+        client.write(text.as_bytes());
+        client.answer().expect("an answer")
+    };
+    let body = |body: &str, fields: &str| {
+        raw(format!(
+            "POST /graphql HTTP/1.1\r\nhost: a\r\nauthorization: bearer free\r\n{fields}content-length: {}\r\n\r\n{body}",
+            body.len()
+        ))
+    };
+    let json = "content-type: application/json\r\n";
+    let new = "content-type: application/json\r\naccept: application/graphql-response+json\r\n";
+    let get = |query: &str| {
+        raw(format!("GET /graphql?{query} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer free\r\n\r\n"))
+    };
+    let bad = r#"{"query":"{ nope }"}"#;
+    let named = r#"{"query":"query A { preview(id: 1) { id } } query B { nope }","operationName":"C"}"#;
+    for (answer, status, code) in [
+        (body(bad, json), 200, "GRAPHQL_VALIDATION_FAILED"),
+        (body(bad, new), 400, "GRAPHQL_VALIDATION_FAILED"),
+        (body(named, new), 400, "GRAPHQL_VALIDATION_FAILED"),
+        (body("[]", json), 400, "BATCH_UNSUPPORTED"),
+        (body("{", json), 400, "BAD_REQUEST"),
+        (body(r#"{"query":1}"#, json), 400, "BAD_REQUEST"),
+        (body(r#"{"query":"{a}","variables":[]}"#, json), 400, "BAD_REQUEST"),
+        (body(r#"{"query":"{ __schema { types { name } } }"}"#, new), 400, "INTROSPECTION_DISABLED"),
+        (body(bad, "content-type: text/plain\r\n"), 415, "UNSUPPORTED_MEDIA_TYPE"),
+        (body(bad, "content-type: application/json\r\naccept: text/html\r\n"), 406, "NOT_ACCEPTABLE"),
+        (body(bad, "content-type: application/json\r\ndoorcourse-deadline-ms: x\r\n"), 400, "BAD_DEADLINE"),
+        (get("query=%7Bpreview(id:1)%7Bid%7D%7D"), 200, ""),
+        (get("query=query(%24i:ID!)%7Bpreview(id:%24i)%7Bid%7D%7D&variables=%7B%22i%22:%221%22%7D"), 200, ""),
+        (get("query=mutation%7BorderLicence(track:1)%7Bid%7D%7D"), 405, "MUTATION_BY_GET"),
+        (get("query=%zz"), 400, "BAD_REQUEST"),
+        (raw("GET /other HTTP/1.1\r\nhost: a\r\n\r\n".into()), 404, "NOT_FOUND"),
+        (raw("PUT /graphql HTTP/1.1\r\nhost: a\r\n\r\n".into()), 405, "METHOD_NOT_ALLOWED"),
+        // An unknown key is told before the body is there.
+        (
+            raw(
+                "POST /graphql HTTP/1.1\r\nhost: a\r\nauthorization: Bearer x\r\ncontent-length: 900\r\n\r\n"
+                    .into(),
+            ),
+            401,
+            "UNAUTHENTICATED",
+        ),
+    ] {
+        assert_eq!((answer.status, answer.code().as_str()), (status, code), "{answer:?}");
+    }
+    let expects = format!("{json}expect: 100-continue\r\n");
+    assert_eq!(body(r#"{"query":"{ preview(id: 1) { id } }"}"#, &expects).status, 200);
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -729,8 +729,11 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
         if let Some(true_units) = end.true_units.filter(|_| outcome == Outcome::Served) {
-            customer.owed += true_units - request.units;
-            customer.store -= true_units - request.units;
+            // A ceiling goes by the guess: under one, nothing comes back that could be sent on again above it.
+            let least =
+                if self.settings.plans[request.plan].ceiling_rate > 0.0 { 0.0 } else { f64::NEG_INFINITY };
+            let more = (true_units - request.units).max(least);
+            (customer.owed, customer.store) = (customer.owed + more, customer.store - more);
         }
         if end.finished || outcome == Outcome::Served {
             return self.forget(id);
--- a/tests/counter_silence.rs
+++ b/tests/counter_silence.rs
@@ -142,3 +142,35 @@
     }
     assert!(gone_on <= 5 && total <= 5.0, "only the own slice of the silence: {gone_on} sent, {total} added");
 }
+
+/// A host prices a request before it runs. Under a ceiling that goes by the price, what comes back by the true
+/// units must not be sent on again: the quota has room for it, the ceiling has not.
+#[test]
+fn what_settles_below_its_price_does_not_pass_the_ceiling() {
+    let mut settings = settings();
+    (settings.gateways, settings.settles) = (1, true);
+    let plan = settings.plans[1].clone();
+    let mut door = Door::new(settings, &["a1", "a2", "a3", "a4"]);
+    let (mut left, mut total, mut lowest) = (plan.ceiling_burst, 0.0, f64::INFINITY);
+    let mut window = 0;
+    for id in 1..2000 {
+        door.now += 10.0;
+        left = (left + plan.ceiling_rate * 0.01).min(plan.ceiling_burst);
+        let mut did = door.tell(Event::Timer { token: 1 });
+        did.extend(door.ask(id, "c", "ceiling", "safe"));
+        while let Some((name, amount)) = count(&did) {
+            if name != window {
+                (window, total) = (name, 0.0);
+            }
+            total += amount;
+            did.retain(|a| !matches!(a, Action::Count { .. }));
+            did.extend(door.total(name, total));
+        }
+        if let Some((id, backend)) = sent(&did) {
+            left -= 1.0;
+            lowest = lowest.min(left);
+            door.answer(id, &backend, 0.1);
+        }
+    }
+    assert!(lowest > -plan.ceiling_slack, "{:.1} units below the ceiling", -lowest);
+}
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -133,6 +133,14 @@
         }))
     }
 
+    /// A first attempt is served, and tells its true units.
+    pub fn answer(&mut self, id: RequestId, backend: &Name, units: f64) -> Vec<Action> {
+        let (attempt, backend, true_units) = (0, backend.clone(), Some(units));
+        let (outcome, latency, finished, load) = (Outcome::Served, 100.0, true, None);
+        let end = AttemptEnd { id, attempt, backend, outcome, latency, true_units, finished, load };
+        self.tell(Event::AttemptEnded(end))
+    }
+
     /// Answers a counter call with a total.
     pub fn total(&mut self, name: u64, total: f64) -> Vec<Action> {
         self.tell(Event::Counted { name, outcome: CountOutcome::Total(total), latency: 2.0 })
