What settles beyond the store is paid from the block in hand

Cause: a true cost far above its price left the block in hand to spend: an account of ten units that had used ten went on. Change: what the store cannot bear comes out of the block, which is counted already; the rest is owed as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -733,6 +733,11 @@
             let least =
                 if self.settings.plans[request.plan].ceiling_rate > 0.0 { 0.0 } else { f64::NEG_INFINITY };
             let more = (true_units - request.units).max(least);
+            // What the store cannot bear comes out of the block in hand, which is counted already: no block is
+            // spent while the account is below nothing. Guards against prices that are far too low.
+            let paid = (more - customer.store.max(0.0)).clamp(0.0, customer.lease.max(0.0));
+            let more = more - paid;
+            customer.lease -= paid;
             (customer.owed, customer.store) = (customer.owed + more, customer.store - more);
         }
         if end.finished || outcome == Outcome::Served {
