drill compare: the gateway beside the way straight to the node; system calls counted

Need: what a request costs in time, processor, system calls and memory must come from a command in the repository. Change: counts of system calls in doorcourse-net, told at a stop; drill compare runs by turns and counts from each due time.

--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod bad_day;
 mod clients;
+mod compare;
 mod fleet;
 mod show;
 
 pub use bad_day::{Options, Outcome, bad_day};
+pub use compare::compare;
 pub use show::show;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -278,7 +278,11 @@
             let counter_due = self.counter_tick();
             self.pump();
             if self.stopping && self.clients.is_empty() && self.requests.is_empty() {
-                tracing::info!("stopped");
+                let c = doorcourse_net::counts();
+                let (reads, writes, waits, changes, connects) =
+                    (c.reads, c.writes, c.waits, c.changes, c.connects);
+                let requests = self.next_request;
+                tracing::info!(requests, reads, writes, waits, changes, connects, "stopped");
                 return Ok(());
             }
             let first = self.timers.first().unwrap_or(f64::INFINITY).min(counter_due);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,11 +1,13 @@
 //! What the event loops share: readiness by epoll, buffered sockets, timers and the clock. No decision is here.
 
 mod clock;
+mod counts;
 mod poll;
 mod socket;
 mod timers;
 
 pub use clock::Clock;
+pub use counts::{Counts, counts};
 pub use poll::{Interest, Poller, Ready, Waker};
 pub use socket::{Flow, Socket, connect, listen};
 pub use timers::Timers;
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -1,5 +1,6 @@
 //! Readiness by epoll, level-triggered: what is left unread is told again.
 
+use crate::counts::count;
 use rustix::event::{Timespec, epoll};
 use std::io;
 use std::mem::MaybeUninit;
@@ -59,6 +60,7 @@
     /// # Errors
     /// When the system refuses.
     pub fn add(&self, fd: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
+        count(|c| c.changes += 1);
         Ok(epoll::add(&self.epoll, fd, epoll::EventData::new_u64(token), interest.flags())?)
     }
 
@@ -67,6 +69,7 @@
     /// # Errors
     /// When the system refuses.
     pub fn change(&self, fd: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
+        count(|c| c.changes += 1);
         Ok(epoll::modify(&self.epoll, fd, epoll::EventData::new_u64(token), interest.flags())?)
     }
 
@@ -75,6 +78,7 @@
     /// # Errors
     /// When the system refuses.
     pub fn remove(&self, fd: impl AsFd) -> io::Result<()> {
+        count(|c| c.changes += 1);
         Ok(epoll::delete(&self.epoll, fd)?)
     }
 
@@ -88,6 +92,7 @@
         // Rounded up to the next ms by hand: a wait that ends too early would spin.
         let most = most.map(|m| m + Duration::from_micros(200));
         let most = most.map(|m| Timespec { tv_sec: m.as_secs() as i64, tv_nsec: m.subsec_nanos().into() });
+        count(|c| c.waits += 1);
         let found = match epoll::wait(&self.epoll, &mut room, most.as_ref()) {
             Ok((found, _)) => found,
             Err(rustix::io::Errno::INTR) => return Ok(()),
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -1,5 +1,6 @@
 //! Non-blocking TCP sockets with buffers on both sides.
 
+use crate::counts::count;
 use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -44,6 +45,7 @@
     pub fn read(&mut self) -> (usize, Flow) {
         let held = self.input.len();
         self.input.resize(held + READ, 0);
+        count(|c| c.reads += 1);
         let result = self.stream.read(&mut self.input[held..]);
         let (count, flow) = match result {
             Ok(0) => (0, Flow::Ended),
@@ -83,6 +85,7 @@
     /// Writes as much as the peer takes.
     pub fn flush(&mut self) -> Flow {
         while self.sent < self.output.len() {
+            count(|c| c.writes += 1);
             match self.stream.write(&self.output[self.sent..]) {
                 Ok(0) => return Flow::Broken,
                 Ok(n) => self.sent += n,
@@ -145,6 +148,7 @@
     let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
     let fd = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    count(|c| c.connects += 1);
     match rustix::net::connect(&fd, &address) {
         Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Socket::new(TcpStream::from(fd)),
         Err(error) => Err(error.into()),
