Eleven drills as scripts; quiet connections wait at a drain; compare its own command

Need: whoever is on call rehearses reloads, stops, takeovers and losses before the night; a drill must be data, not code. Change: drills in protobuf text format (checked whole, faults placed), a player with expectations, rolling takeovers, reloads good and bad, spoiled state files; at a drain idle connections stay until they are quiet; files are written beside as NAME.new.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -54,9 +54,8 @@
     #[command(subcommand)]
     Query(query::Query),
     Ctl(ctl::Ctl),
-    /// Rehearse trouble with a small fleet on loopback.
-    #[command(subcommand)]
     Drill(drill::Drill),
+    Compare(drill::Compare),
     /// Send a fixed rate of requests, whatever comes back, and tell the latencies.
     Load(load::Load),
     /// Run a stand-in for what surrounds a gateway, on loopback.
@@ -84,7 +83,8 @@
         Command::Check { file } => serve::check(&file),
         Command::Query(command) => query::run(command),
         Command::Ctl(ctl) => ctl::run(&ctl),
-        Command::Drill(drill) => drill::run(drill),
+        Command::Drill(drill) => drill::run(&drill),
+        Command::Compare(wanted) => drill::run_compare(&wanted),
         Command::Load(load) => load::run(&load),
         Command::Standin(standin) => standin::run(&standin),
     };
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -64,12 +64,21 @@
     }
 }
 
-/// Parses a message of the schema from text; the library's error already names line and column.
 fn parse<M: prost::Message + Default>(name: &str, file: &str, text: &str) -> Result<M, Vec<Fault>> {
+    parse_text(DESCRIPTORS, &format!("doorcourse.settings.{name}"), file, text)
+}
+
+/// Parses a message of some schema from its text form; a fault names line and column.
+///
+/// # Errors
+/// The first fault.
+pub fn parse_text<M: prost::Message + Default>(
+    descriptors: &[u8], name: &str, file: &str, text: &str,
+) -> Result<M, Vec<Fault>> {
     let fault =
         |message: String, line| vec![Fault { file: file.into(), line, field: String::new(), message }];
-    let pool = DescriptorPool::decode(DESCRIPTORS).map_err(|e| fault(e.to_string(), None))?;
-    let Some(descriptor) = pool.get_message_by_name(&format!("doorcourse.settings.{name}")) else {
+    let pool = DescriptorPool::decode(descriptors).map_err(|e| fault(e.to_string(), None))?;
+    let Some(descriptor) = pool.get_message_by_name(name) else {
         return Err(fault(format!("no message {name} in the schema"), None));
     };
     let parsed = DynamicMessage::parse_text_format(descriptor, text).map_err(|error| {
@@ -239,6 +248,7 @@
         notice: check.figure("life.notice_ms", life.notice_ms.unwrap_or(0.0), 0.0..=6e5),
         drain: check.figure("life.drain_ms", life.drain_ms.unwrap_or(5000.0), 0.0..=6e5),
         handover: check.figure("life.handover_ms", life.handover_ms.unwrap_or(10_000.0), 100.0..=6e5),
+        quiet: check.figure("life.quiet_ms", life.quiet_ms.unwrap_or(1000.0), 0.0..=6e5),
         give_back: check.figure("life.give_back_ms", life.give_back_ms.unwrap_or(500.0), 0.0..=6e4),
     };
     let schema = schema?;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,7 +11,8 @@
 mod locate;
 
 pub use change::{Change, compare};
-pub use check::{read, read_nodes};
+pub use check::{parse_text, read, read_nodes};
+pub use locate::Places;
 
 use doorcourse::{BackendEntry, Name};
 use doorcourse_graphql::{Limits as QueryLimits, OperationKind, Schema};
@@ -112,6 +113,8 @@
     pub drain: f64,
     /// A process that takes over has this long to serve.
     pub handover: f64,
+    /// Connections on which nothing was heard for this long at a drain are closed.
+    pub quiet: f64,
     /// Blocks have this long to go back.
     pub give_back: f64,
 }
--- a/crates/drill/src/clients.rs
+++ b/crates/drill/src/clients.rs
@@ -1,4 +1,4 @@
-//! The clients of a drill: customers on plans, a mix of operations, retries, and moods that the script changes.
+//! The clients of a drill: customers on plans, a mix of operations, retries, and manners that the script changes.
 
 use doorcourse_graphql::{Limits, Prepared, Schema};
 use doorcourse_standins::{CATALOGUE, End, Operation, Shot, Source, operations};
@@ -115,12 +115,12 @@
     },
 ];
 
-/// The plans in the words of the verdict.
-pub fn plan_bounds() -> BTreeMap<String, PlanBounds> {
+/// The plans in the words of the verdict, with all figures so many times.
+pub fn plan_bounds(times: f64) -> BTreeMap<String, PlanBounds> {
     let one = |p: &DrillPlan| {
-        let (rate, burst, ceiling_rate) = (p.rate, p.burst, p.ceiling_rate);
-        let bounds =
-            PlanBounds { rate, burst, ceiling_rate, ceiling_burst: p.ceiling_burst, ceiling_slack: p.slack };
+        let (rate, burst, ceiling_rate) = (p.rate * times, p.burst * times, p.ceiling_rate * times);
+        let (ceiling_burst, ceiling_slack) = (p.ceiling_burst * times, p.slack);
+        let bounds = PlanBounds { rate, burst, ceiling_rate, ceiling_burst, ceiling_slack };
         (p.name.to_owned(), bounds)
     };
     PLANS.iter().map(one).collect()
@@ -134,7 +134,7 @@
 
 /// What the script changes.
 #[derive(Clone, Debug)]
-pub struct Mood {
+pub struct Manner {
     /// One customer asks for this many times its quota.
     pub flood: Option<(usize, f64)>,
     /// This share of the clients leaves midway.
@@ -143,13 +143,25 @@
     pub patience: f64,
     /// This share asks what truly costs five times its price; as many what costs a fifth.
     pub odd_costs: f64,
+    /// A factor on what all ask for.
+    pub rate: f64,
+    /// The share of licence orders, where it is not the ordinary one.
+    pub licences: Option<f64>,
     /// The day is over: nothing new is asked.
     pub over: bool,
 }
 
-impl Default for Mood {
+impl Default for Manner {
     fn default() -> Self {
-        Self { flood: None, leaving: 0.0, patience: 1.0, odd_costs: 0.04, over: false }
+        Self {
+            flood: None,
+            leaving: 0.0,
+            patience: 1.0,
+            odd_costs: 0.04,
+            rate: 1.0,
+            licences: None,
+            over: false,
+        }
     }
 }
 
@@ -166,9 +178,10 @@
 pub struct Clients {
     customers: Vec<(String, &'static DrillPlan, String)>,
     operations: Vec<Asked>,
-    gateways: usize,
+    /// Which gateways want clients, as whoever routes clients to them hears.
+    open: Arc<Mutex<Vec<bool>>>,
     random: ChaCha8Rng,
-    mood: Arc<Mutex<Mood>>,
+    manner: Arc<Mutex<Manner>>,
     /// The next time of each customer, in micros so that it can be ordered.
     next: BinaryHeap<Reverse<(u64, usize)>>,
     again: BinaryHeap<Reverse<(u64, u64)>>,
@@ -184,7 +197,9 @@
 
 impl Clients {
     /// The customers of the drill, from a time on.
-    pub fn new(seed: u64, gateways: usize, mood: Arc<Mutex<Mood>>, start: f64) -> anyhow::Result<Self> {
+    pub fn new(
+        seed: u64, open: Arc<Mutex<Vec<bool>>>, manner: Arc<Mutex<Manner>>, start: f64, load: f64,
+    ) -> anyhow::Result<Self> {
         let schema = Arc::new(Schema::parse(CATALOGUE).map_err(|e| anyhow::anyhow!("{e:?}"))?);
         let weight = |name: &str| match name {
             "preview" => 0.36,
@@ -208,13 +223,13 @@
         let first = |at| Reverse(((start * 1000.0 + random.random::<f64>() * 3e5) as u64, at));
         let next = (0..customers.len()).map(first).collect();
         let (again, repeats, known) = Default::default();
-        let (count, load) = (0, 0.6);
+        let count = 0;
         Ok(Self {
             customers,
             operations: asked,
-            gateways,
+            open,
             random,
-            mood,
+            manner,
             next,
             again,
             repeats,
@@ -225,24 +240,27 @@
         })
     }
 
-    fn mood(&self) -> Mood {
-        self.mood.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    fn manner(&self) -> Manner {
+        self.manner.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
     }
 
     fn exponential(&mut self, mean: f64) -> f64 {
         -(1.0 - self.random.random::<f64>()).ln() * mean
     }
 
-    fn pick(&mut self, mood: &Mood) -> usize {
+    fn pick(&mut self, manner: &Manner) -> usize {
         let named = |name: &str| self.operations.iter().position(|a| a.operation.name == name).unwrap_or(0);
         let (similar, shelf) = (named("similar"), named("shelf"));
         let chance: f64 = self.random.random();
-        if chance < mood.odd_costs {
+        if chance < manner.odd_costs {
             return similar;
         }
-        if chance < 2.0 * mood.odd_costs {
+        if chance < 2.0 * manner.odd_costs {
             return shelf;
         }
+        if let Some(share) = manner.licences {
+            return named(if self.random.random::<f64>() < share { "licence" } else { "preview" });
+        }
         let total: f64 = self.operations.iter().map(|a| a.weight).sum();
         let mut left = self.random.random::<f64>() * total;
         for (at, asked) in self.operations.iter().enumerate() {
@@ -254,19 +272,18 @@
         0
     }
 
-    /// The busiest gateway of a customer gets three fifths of what it asks.
+    /// The busiest gateway of a customer gets three fifths of what it asks; one that wants no clients is passed
+    /// over.
     fn gateway(&mut self, customer: usize) -> usize {
-        let chance: f64 = self.random.random();
-        let other = 1 + (chance * 1000.0) as usize % (self.gateways - 1).max(1);
-        if chance < 0.6 || self.gateways == 1 {
-            customer % self.gateways
-        } else {
-            (customer + other) % self.gateways
-        }
+        let open = self.open.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let (count, chance) = (open.len(), self.random.random::<f64>());
+        let other = 1 + (chance * 1000.0) as usize % (count - 1).max(1);
+        let first = if chance < 0.6 || count == 1 { customer % count } else { (customer + other) % count };
+        (0..count).map(|n| (first + n) % count).find(|g| open[*g]).unwrap_or(first)
     }
 
     fn shot(
-        &mut self, now: f64, customer: usize, operation: usize, first: Option<String>, mood: &Mood,
+        &mut self, now: f64, customer: usize, operation: usize, first: Option<String>, manner: &Manner,
     ) -> Option<Shot> {
         self.count += 1;
         let id = format!("q{}", self.count);
@@ -276,8 +293,8 @@
         let class = CLASSES.iter().find(|c| c.name == class)?;
         let body = json!({"query": asked.operation.query}).to_string();
         let (name, plan, key) = self.customers[customer].clone();
-        let patience = class.give_up * (0.5 + 0.5 * self.random.random::<f64>()) * mood.patience;
-        let leave = if self.random.random::<f64>() < mood.leaving {
+        let patience = class.give_up * (0.5 + 0.5 * self.random.random::<f64>()) * manner.patience;
+        let leave = if self.random.random::<f64>() < manner.leaving {
             Some(self.random.random::<f64>() * 60.0)
         } else {
             None
@@ -305,39 +322,39 @@
 
 impl Source for Clients {
     fn due(&mut self) -> Option<f64> {
-        let mood = self.mood();
-        if mood.over {
+        let manner = self.manner();
+        if manner.over {
             return None;
         }
         let first = self.next.peek().map(|r| r.0.0);
         let again = self.again.peek().map(|r| r.0.0);
         let ordinary = first.into_iter().chain(again).min().map(|t| t as f64 / 1000.0);
-        ordinary.into_iter().chain(mood.flood.map(|_| self.flood_next)).reduce(f64::min)
+        ordinary.into_iter().chain(manner.flood.map(|_| self.flood_next)).reduce(f64::min)
     }
 
     fn take(&mut self, now: f64) -> Vec<Shot> {
-        let (mood, mut shots) = (self.mood(), Vec::new());
+        let (manner, mut shots) = (self.manner(), Vec::new());
         while self.again.peek().is_some_and(|r| r.0.0 as f64 / 1000.0 <= now) {
             let Some(Reverse((_, number))) = self.again.pop() else { break };
             let Some((customer, operation, first)) = self.repeats.remove(&number) else { continue };
-            shots.extend(self.shot(now, customer, operation, Some(first), &mood));
+            shots.extend(self.shot(now, customer, operation, Some(first), &manner));
         }
         while self.next.peek().is_some_and(|r| r.0.0 as f64 / 1000.0 <= now) {
             let Some(Reverse((at, customer))) = self.next.pop() else { break };
-            let operation = self.pick(&mood);
-            let rate = self.customers[customer].1.rate * self.load;
+            let operation = self.pick(&manner);
+            let rate = self.customers[customer].1.rate * self.load * manner.rate.max(1e-3);
             // In units: what costs more is asked for more seldom.
             let wait = self.exponential(self.operations[operation].units / rate * 1e6);
             self.next.push(Reverse((at + wait.min(20e6) as u64, customer)));
-            shots.extend(self.shot(now, customer, operation, None, &mood));
+            shots.extend(self.shot(now, customer, operation, None, &manner));
         }
         // A flood comes on top of the customer's ordinary use.
         self.flood_next = self.flood_next.max(now - FLOOD_BEHIND);
-        while let Some((customer, times)) = mood.flood.filter(|_| self.flood_next <= now) {
-            let operation = self.pick(&mood);
+        while let Some((customer, times)) = manner.flood.filter(|_| self.flood_next <= now) {
+            let operation = self.pick(&manner);
             let rate = self.customers[customer].1.rate * times;
             self.flood_next += self.exponential(self.operations[operation].units / rate * 1000.0);
-            shots.extend(self.shot(now, customer, operation, None, &mood));
+            shots.extend(self.shot(now, customer, operation, None, &manner));
         }
         shots
     }
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -7,10 +7,12 @@
     CATALOGUE, Command as Order, ListSource, ListedNode, NodeFault, NodeSpec, Recorder, World, WorldSpec,
 };
 use doorcourse_verdict::Event;
+use rustix::process::{Pid, Signal, kill_process};
 use sha2::{Digest, Sha256};
 use std::fmt::Write;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, mpsc};
@@ -28,6 +30,9 @@
     pub seed: u64,
     /// How long a cold node takes to warm, in ms.
     pub warm: f64,
+    /// Between "not ready" and closed listeners, and what is out has, in ms.
+    pub notice: f64,
+    pub drain: f64,
     /// The customers: name, plan, key.
     pub customers: Vec<(String, &'static str, String)>,
 }
@@ -50,7 +55,11 @@
     pub list: ListSource,
     /// Where each gateway listens; a restarted one has a new port.
     pub addresses: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Which gateways want clients.
+    pub open: Arc<Mutex<Vec<bool>>>,
     gateways: Vec<Option<Child>>,
+    /// What all plans' figures are multiplied by.
+    times: f64,
 }
 
 impl Fleet {
@@ -96,7 +105,8 @@
         let none = SocketAddr::from(([127, 0, 0, 1], 9));
         let addresses = Arc::new(Mutex::new(vec![none; spec.gateways]));
         let gateways = (0..spec.gateways).map(|_| None).collect();
-        let mut fleet = Self { spec, clock, recorder, world, list, addresses, gateways };
+        let open = Arc::new(Mutex::new(vec![false; spec.gateways]));
+        let mut fleet = Self { spec, clock, recorder, world, list, addresses, open, gateways, times: 1.0 };
         (0..fleet.gateways.len()).try_for_each(|at| fleet.start_gateway(at))?;
         Ok(fleet)
     }
@@ -109,9 +119,10 @@
              node_list {{ file: \"nodes.txtpb\" poll_ms: {POLL} }}\n\
              graphql {{ schema_file: \"catalogue.graphql\" }}\n\
              cold_nodes {{ share: {COLD_SHARE} warm_ms: {} fall_multiple: {FALL_MULTIPLE} fall_ms: {FALL_TIME} }}\n\
-             limits {{ answer_margin_ms: {MARGIN} }}\nlife {{ drain_ms: 2000 }}\n\
+             limits {{ answer_margin_ms: {MARGIN} }}\nlife {{ notice_ms: {} drain_ms: {} quiet_ms: 300 give_back_ms: 300 }}\n\
+             admin {{ socket: \"gateway-{number}.sock\" }}\nstate {{ file: \"gateway-{number}.state\" every_ms: 200 }}\n\
              attempts {{ most: 3 longest_advice_ms: 2000 }}\n",
-            self.spec.gateways, self.spec.warm
+            self.spec.gateways, self.spec.warm, self.spec.notice, self.spec.drain
         );
         for class in CLASSES {
             let effect = class.effect();
@@ -125,8 +136,9 @@
             text.push_str(" }\n");
         }
         for plan in PLANS {
-            let (name, rate, burst, slack) = (plan.name, plan.rate, plan.burst, plan.slack);
-            let (ceiling, most) = (plan.ceiling_rate, plan.ceiling_burst);
+            let (name, times, slack) = (plan.name, self.times, plan.slack);
+            let (rate, burst) = (plan.rate * times, plan.burst * times);
+            let (ceiling, most) = (plan.ceiling_rate * times, plan.ceiling_burst * times);
             writeln!(
                 text,
                 "plans {{ name: \"{name}\" rate: {rate} burst: {burst} ceiling_rate: {ceiling} \
@@ -144,12 +156,21 @@
 
     /// Starts a gateway and waits until it tells where it serves.
     pub fn start_gateway(&mut self, at: usize) -> anyhow::Result<()> {
+        let child = self.spawn(at, &[])?;
+        self.gateways[at] = Some(child);
+        self.recorder.write(Event::GatewayUp { gateway: at });
+        self.want(at, true);
+        Ok(())
+    }
+
+    fn spawn(&mut self, at: usize, more: &[&str]) -> anyhow::Result<Child> {
         let settings = self.settings(at)?;
         // No two share a seed, and a restarted one takes a fresh one.
         let seed = self.spec.seed.wrapping_mul(1000) + at as u64 + self.clock.now() as u64 % 997 * 10;
         let mut child = Command::new(&self.spec.binary)
             .args(["serve", "--seed", &seed.to_string(), "--config"])
             .arg(&settings)
+            .args(more)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
@@ -159,15 +180,115 @@
         let lines = child.stderr.take().context("a gateway without a log")?;
         let (told, address) = mpsc::channel();
         std::thread::spawn(move || copy_log(&log, BufReader::new(lines), &told));
-        self.gateways[at] = Some(child);
         let Ok(address) = address.recv_timeout(Duration::from_secs(20)) else {
+            let _ = child.kill();
+            let _ = child.wait();
             bail!("gateway {at} did not come to serve; see its log in {}", self.spec.folder.display());
         };
         self.addresses.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[at] = address;
-        self.recorder.write(Event::GatewayUp { gateway: at });
+        Ok(child)
+    }
+
+    fn want(&self, at: usize, wanted: bool) {
+        self.open.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[at] = wanted;
+    }
+
+    fn signal(&self, at: usize, signal: Signal) -> anyhow::Result<()> {
+        let child = self.gateways[at].as_ref().with_context(|| format!("gateway {at} does not run"))?;
+        Ok(kill_process(Pid::from_child(child), signal)?)
+    }
+
+    /// Tells a gateway to stop in order, once or twice, and waits until it ended.
+    pub fn stop_gateway(&mut self, at: usize, times: u32) -> anyhow::Result<()> {
+        // Whoever routes clients hears "not ready" within the notice.
+        self.want(at, false);
+        self.signal(at, Signal::TERM)?;
+        std::thread::sleep(Duration::from_secs_f64(self.spec.notice / 1000.0));
+        self.recorder.write(Event::GatewayDown { gateway: at });
+        for _ in 1..times {
+            self.signal(at, Signal::TERM)?;
+        }
+        self.ended(at)
+    }
+
+    fn ended(&mut self, at: usize) -> anyhow::Result<()> {
+        let mut child = self.gateways[at].take().with_context(|| format!("gateway {at} does not run"))?;
+        self.wait(at, &mut child)
+    }
+
+    fn wait(&self, at: usize, child: &mut Child) -> anyhow::Result<()> {
+        let status = child.wait()?;
+        if !status.success() {
+            bail!("gateway {at} ended with {status}; see its log in {}", self.spec.folder.display());
+        }
+        Ok(())
+    }
+
+    /// A new process takes a gateway's sockets over; the old one drains and is waited for.
+    pub fn take_over(&mut self, at: usize) -> anyhow::Result<()> {
+        let new = self.spawn(at, &["--take-over"])?;
+        let mut old = self.gateways[at].replace(new).with_context(|| format!("gateway {at} does not run"))?;
+        self.wait(at, &mut old)
+    }
+
+    /// All gateways take settings with the plans' figures so many times.
+    pub fn reload(&mut self, times: f64) -> anyhow::Result<()> {
+        self.times = times;
+        for at in 0..self.gateways.len() {
+            self.settings(at)?;
+            let reply = self.call(at, "reload")?;
+            if let Some(why) = reply["error"]["message"].as_str() {
+                bail!("gateway {at} refused its new settings: {why}");
+            }
+        }
+        Ok(())
+    }
+
+    /// All gateways are given settings with a fault, which they must refuse by place.
+    pub fn reload_bad(&mut self) -> anyhow::Result<()> {
+        for at in 0..self.gateways.len() {
+            let path = self.settings(at)?;
+            let good = std::fs::read_to_string(&path)?;
+            std::fs::write(&path, good.replacen("burst: ", "burst: -", 1))?;
+            let reply = self.call(at, "reload")?;
+            std::fs::write(&path, good)?;
+            let why = reply["error"]["message"].as_str().unwrap_or("");
+            if !why.contains("burst") {
+                bail!("gateway {at} took settings with a fault: {reply}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Where a gateway's state file is first written, something is in its way; or no more.
+    pub fn spoil_state(&self, at: usize, spoil: bool) -> anyhow::Result<()> {
+        let beside = self.spec.folder.join(format!("gateway-{at}.state.new"));
+        if spoil {
+            let _ = std::fs::remove_file(&beside);
+            std::fs::create_dir_all(&beside)?;
+        } else if beside.is_dir() {
+            std::fs::remove_dir(&beside)?;
+        }
         Ok(())
     }
 
+    /// The list's file holds nonsense, until it is written again.
+    pub fn spoil_list(&self) -> anyhow::Result<()> {
+        Ok(std::fs::write(self.spec.folder.join("nodes.txtpb"), "nodes { name: ")?)
+    }
+
+    /// One call on a gateway's admin socket.
+    pub fn call(&self, at: usize, method: &str) -> anyhow::Result<serde_json::Value> {
+        use std::io::Write as _;
+        let path = self.spec.folder.join(format!("gateway-{at}.sock"));
+        let mut stream = UnixStream::connect(&path).with_context(|| path.display().to_string())?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        stream.write_all(format!("{{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"{method}\"}}\n").as_bytes())?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line)?;
+        Ok(serde_json::from_str(&line)?)
+    }
+
     /// Kills a gateway outright.
     pub fn kill_gateway(&mut self, at: usize) -> anyhow::Result<()> {
         self.recorder.write(Event::GatewayDown { gateway: at });
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -1,12 +1,15 @@
 //! Drills: a small fleet of gateway processes with stand-ins on loopback, a script of troubles, and a verdict from
 //! the traffic that crossed the sockets.
 
-mod bad_day;
 mod clients;
 mod compare;
 mod fleet;
+mod play;
+mod script;
 mod show;
 
-pub use bad_day::{Options, Outcome, bad_day};
 pub use compare::compare;
+pub use fleet::Fleet;
+pub use play::{Options, Outcome, play};
+pub use script::{DRILLS, Drill, read};
 pub use show::show;
--- /dev/null
+++ b/crates/drill/src/play.rs
@@ -0,0 +1,266 @@
+//! Plays a drill: starts its fleet and clients, carries out its steps in their time, and judges what crossed the
+//! sockets.
+
+use crate::clients::{Clients, Manner, customers, plan_bounds};
+use crate::fleet::{FALL_MULTIPLE, FALL_TIME, Fleet, FleetSpec, GRACE, POLL};
+use crate::script::{Drill, Expect, NodeWhat, What};
+use doorcourse_standins::{Command, CounterFault, Crowd, NodeFault};
+use doorcourse_verdict::{Answers, Bounds, Event, Record, Report, summary};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How a drill is run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The gateway's binary.
+    pub binary: PathBuf,
+    /// The short form, for checks at every landing.
+    pub short: bool,
+    /// The seed of clients, nodes and gateways.
+    pub seed: u64,
+    /// Where settings, logs and the traffic record are kept; else they are removed when all went well.
+    pub keep: Option<PathBuf>,
+}
+
+/// What came of a drill.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The verdict and the figures.
+    pub report: Report,
+    /// What the drill expected and did not see.
+    pub missed: Vec<String>,
+    /// Where the record and the logs are, if they were kept.
+    pub folder: Option<PathBuf>,
+    /// The traffic record.
+    pub records: Vec<Record>,
+}
+
+impl Outcome {
+    /// Whether every rule was kept and every expectation met.
+    #[must_use]
+    pub fn good(&self) -> bool {
+        self.report.kept && self.missed.is_empty()
+    }
+
+    /// Each request's final answer, by its name: how it ended and with which code.
+    #[must_use]
+    pub fn answers(&self) -> BTreeMap<&str, String> {
+        fn one(record: &Record) -> Option<(&str, String)> {
+            match &record.event {
+                Event::Answer { id, kind, code, .. } => {
+                    Some((id.as_str(), format!("{kind:?} {code}").trim().to_lowercase()))
+                }
+                Event::Cut { id } => Some((id.as_str(), "cut".into())),
+                Event::Lost { id } => Some((id.as_str(), "lost".into())),
+                Event::GaveUp { id } => Some((id.as_str(), "gave up".into())),
+                Event::Left { id } => Some((id.as_str(), "left".into())),
+                _ => None,
+            }
+        }
+        self.records.iter().filter_map(one).collect()
+    }
+}
+
+/// By the bound of docs/design.md: one burst, and a second one after a counter that came back empty.
+const BURSTS: f64 = 2.0;
+const MOST_UNITS: f64 = 10.0;
+/// How much later than its time a client still notices an answer, in ms: what this machine's load may add.
+const SLACK: f64 = 150.0;
+
+struct Playing {
+    fleet: Fleet,
+    manner: Arc<Mutex<Manner>>,
+    nodes: usize,
+}
+
+impl Playing {
+    fn act(&mut self, what: &What) -> anyhow::Result<()> {
+        let fleet = &mut self.fleet;
+        let counter = |fault| Command::Counter(fault);
+        match what {
+            What::KillNode(n) => fleet.node(*n as usize, NodeFault::Kill),
+            What::StartNode(n) => fleet.node(*n as usize, NodeFault::Start { cold: true }),
+            What::UnlistNode(n) => fleet.list.change(*n as usize, |node| node.present = false)?,
+            What::ListNode(n) => {
+                let now = fleet.clock.now();
+                fleet.list.change(*n as usize, |node| {
+                    (node.present, node.draining, node.started) = (true, false, Some(now));
+                })?;
+            }
+            What::DrainNode(n) => fleet.list.change(*n as usize, |node| node.draining = true)?,
+            What::UndrainNode(n) => fleet.list.change(*n as usize, |node| node.draining = false)?,
+            What::StallCell(cell) | What::ResumeCell(cell) => {
+                let fault = NodeFault::Stall(matches!(what, What::StallCell(_)));
+                (0..self.nodes).filter(|n| n % 2 == *cell as usize).for_each(|n| fleet.node(n, fault));
+            }
+            What::NodeFault(fault) => {
+                let order = match &fault.what {
+                    Some(NodeWhat::Refuse(on)) => NodeFault::Refuse(*on),
+                    Some(NodeWhat::Slow(times)) => NodeFault::Slow(*times),
+                    Some(NodeWhat::Reset(share)) => NodeFault::Reset(*share),
+                    Some(NodeWhat::Malformed(share)) => NodeFault::Malformed(*share),
+                    Some(NodeWhat::Claim(times)) => NodeFault::Claim(*times),
+                    Some(NodeWhat::Oversize(bytes)) => NodeFault::Oversize(*bytes as usize),
+                    None => anyhow::bail!("a node fault without a fault"),
+                };
+                fleet.node(fault.node as usize, order);
+            }
+            What::CounterSilent(on) => fleet.world.tell(counter(CounterFault::Silent(*on))),
+            What::CounterSlowMs(ms) => fleet.world.tell(counter(CounterFault::Slow(*ms))),
+            What::CounterRestart(_) => fleet.world.tell(counter(CounterFault::Empty)),
+            What::KillGateway(g) => fleet.kill_gateway(*g as usize)?,
+            What::StartGateway(g) => fleet.start_gateway(*g as usize)?,
+            What::StopGateway(g) => fleet.stop_gateway(*g as usize, 1)?,
+            What::StopGatewayTwice(g) => fleet.stop_gateway(*g as usize, 2)?,
+            What::TakeOverGateway(g) => fleet.take_over(*g as usize)?,
+            What::ReloadPlans(times) => fleet.reload(*times)?,
+            What::ReloadBad(_) => fleet.reload_bad()?,
+            What::SpoilState(g) => fleet.spoil_state(*g as usize, true)?,
+            What::MendState(g) => fleet.spoil_state(*g as usize, false)?,
+            What::SpoilList(_) => fleet.spoil_list()?,
+            What::Mood(mood) => {
+                let manner = Manner {
+                    flood: mood.flood_customer.map(|c| (c as usize, mood.flood_times)),
+                    leaving: mood.leaving,
+                    patience: mood.patience.unwrap_or(1.0),
+                    odd_costs: mood.odd_costs.unwrap_or(Manner::default().odd_costs),
+                    rate: mood.rate.unwrap_or(1.0),
+                    licences: mood.licences,
+                    over: false,
+                };
+                self.change(|m| *m = manner);
+            }
+        }
+        Ok(())
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Manner)) {
+        change(&mut self.manner.lock().unwrap_or_else(std::sync::PoisonError::into_inner));
+    }
+}
+
+/// Plays a drill and judges it. `seen` is told of each phase as it begins, with all records so far.
+///
+/// # Errors
+/// When the fleet cannot be started or a step cannot be carried out; a broken rule is no error but in the report.
+pub fn play(
+    drill: &Drill, options: &Options, seen: &mut dyn FnMut(&str, f64, &Fleet),
+) -> anyhow::Result<Outcome> {
+    let length = if options.short { drill.short_s } else { drill.length_s } * 1000.0;
+    let folder = options.keep.clone().unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("doorcourse-drill-{}-{}", std::process::id(), options.seed))
+    });
+    let spec = drill.fleet.unwrap_or_default();
+    let fleet = Fleet::start(FleetSpec {
+        binary: options.binary.clone(),
+        folder: folder.clone(),
+        gateways: drill.gateways(),
+        nodes: drill.nodes(),
+        seed: options.seed,
+        warm: length * spec.warm.unwrap_or(0.15),
+        notice: spec.notice_ms.unwrap_or(100.0),
+        drain: spec.drain_ms.unwrap_or(2000.0),
+        customers: customers(),
+    })?;
+    let recorder = fleet.recorder.clone();
+    // Plans that were raised in service are judged by the largest that the script gives them.
+    let times = drill.steps.iter().flat_map(|s| &s.r#do).filter_map(|a| match a.what {
+        Some(What::ReloadPlans(times)) => Some(times),
+        _ => None,
+    });
+    recorder.write(Event::Bounds(Bounds {
+        plans: plan_bounds(times.fold(1.0, f64::max)),
+        answer_slack: SLACK,
+        drain_grace: POLL + GRACE,
+        bursts: BURSTS,
+        most_units: MOST_UNITS,
+        fall_multiple: FALL_MULTIPLE,
+        fall_time: FALL_TIME,
+    }));
+    let clock = fleet.clock;
+    let start = clock.now();
+    let manner = Arc::new(Mutex::new(Manner::default()));
+    let load = spec.load.unwrap_or(0.6);
+    let mut clients = Clients::new(options.seed, Arc::clone(&fleet.open), Arc::clone(&manner), start, load)?;
+    let mut crowd = Crowd::new(clock, Arc::clone(&fleet.addresses), Some(recorder.clone()), 2.0 * SLACK)?;
+    let crowd = std::thread::Builder::new().name("clients".into()).spawn(move || crowd.run(&mut clients))?;
+    let mut playing = Playing { fleet, manner, nodes: drill.nodes() };
+    let played = steps(drill, &mut playing, start, length, seen);
+    playing.change(|m| m.over = true);
+    let ended = crowd.join().map_err(|_| anyhow::anyhow!("the clients' thread broke down"))?;
+    // What nodes write last may come behind the clients' last word.
+    std::thread::sleep(Duration::from_millis(50));
+    played?;
+    ended?;
+    let records = recorder.records();
+    drop(playing);
+    let report = summary(&records);
+    let missed = drill.expects.iter().flat_map(|e| miss(e, &report)).collect();
+    let mut outcome = Outcome { report, missed, folder: None, records };
+    if options.keep.is_some() || !outcome.good() {
+        recorder.save(&folder.join("traffic.jsonl"))?;
+        outcome.folder = Some(folder);
+    } else {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    Ok(outcome)
+}
+
+fn steps(
+    drill: &Drill, playing: &mut Playing, start: f64, length: f64, seen: &mut dyn FnMut(&str, f64, &Fleet),
+) -> anyhow::Result<()> {
+    let clock = playing.fleet.clock;
+    let mut phase = String::from("start");
+    let mut until = |playing: &Playing, phase: &str, at: f64| {
+        while clock.now() < at {
+            std::thread::sleep(clock.until(at.min(clock.now() + 250.0)));
+            seen(phase, (clock.now() - start) / length, &playing.fleet);
+        }
+    };
+    for step in &drill.steps {
+        until(playing, &phase, start + step.at * length);
+        if !step.phase.is_empty() {
+            phase.clone_from(&step.phase);
+            playing.fleet.recorder.write(Event::Phase { name: phase.clone() });
+        }
+        step.r#do.iter().filter_map(|a| a.what.as_ref()).try_for_each(|what| playing.act(what))?;
+    }
+    until(playing, &phase, start + length);
+    Ok(())
+}
+
+/// What an expectation misses.
+fn miss(expect: &Expect, report: &Report) -> Vec<String> {
+    let mut all = Answers::default();
+    for (_, a) in report.phases.iter().filter(|(name, _)| expect.phase.is_empty() || *name == expect.phase) {
+        all.asked += a.asked;
+        all.served += a.served;
+        all.failed += a.failed + a.cut;
+        all.lost += a.lost;
+    }
+    let place = if expect.phase.is_empty() { "in all".to_owned() } else { format!("in `{}`", expect.phase) };
+    let share = |n: u64| n as f64 / all.asked.max(1) as f64;
+    let mut missed = Vec::new();
+    if let Some(least) = expect.served_at_least.filter(|least| share(all.served) < *least) {
+        missed.push(format!("{place}: {:.3} served, at least {least} expected", share(all.served)));
+    }
+    if let Some(most) = expect.failed_at_most.filter(|most| share(all.failed) > *most) {
+        missed.push(format!("{place}: {:.3} failed, at most {most} expected", share(all.failed)));
+    }
+    if let Some(most) = expect.lost_at_most.filter(|most| all.lost > u64::from(*most)) {
+        missed.push(format!("{place}: {} lost, at most {most} expected", all.lost));
+    }
+    if let Some(least) = expect.worth_at_least {
+        let (got, asked) = report.worth.get(&expect.plan).copied().unwrap_or_default();
+        if got < least * asked {
+            missed.push(format!(
+                "{}: {:.3} of its worth in time, at least {least} expected",
+                expect.plan,
+                got / asked
+            ));
+        }
+    }
+    missed
+}
--- /dev/null
+++ b/crates/drill/src/script.rs
@@ -0,0 +1,157 @@
+//! Drills as data: read from protobuf text format and checked before anything is started.
+
+#[allow(missing_docs, clippy::all)]
+mod raw {
+    include!(concat!(env!("OUT_DIR"), "/doorcourse.drill.rs"));
+}
+
+use crate::clients::{PLANS, customers};
+use doorcourse_config::{Fault, Places, parse_text};
+pub use raw::act::What;
+pub use raw::node_fault::What as NodeWhat;
+pub use raw::{Drill, Expect};
+
+const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/drill.bin"));
+
+/// The drills that come with the program: name and text.
+pub const DRILLS: &[(&str, &str)] = &[
+    ("bad-day", include_str!("../drills/bad-day.txtpb")),
+    ("gateway-killed", include_str!("../drills/gateway-killed.txtpb")),
+    ("rolling-restart", include_str!("../drills/rolling-restart.txtpb")),
+    ("rolling-takeover", include_str!("../drills/rolling-takeover.txtpb")),
+    ("reload-busy-season", include_str!("../drills/reload-busy-season.txtpb")),
+    ("bad-configuration", include_str!("../drills/bad-configuration.txtpb")),
+    ("stop-with-licences", include_str!("../drills/stop-with-licences.txtpb")),
+    ("counter-gone", include_str!("../drills/counter-gone.txtpb")),
+    ("rack-lost", include_str!("../drills/rack-lost.txtpb")),
+    ("disk-full", include_str!("../drills/disk-full.txtpb")),
+    ("flood", include_str!("../drills/flood.txtpb")),
+];
+
+impl Drill {
+    /// How many gateways the drill has.
+    #[must_use]
+    pub fn gateways(&self) -> usize {
+        self.fleet.and_then(|f| f.gateways).unwrap_or(3) as usize
+    }
+
+    /// How many nodes.
+    #[must_use]
+    pub fn nodes(&self) -> usize {
+        self.fleet.and_then(|f| f.nodes).unwrap_or(10) as usize
+    }
+}
+
+/// Reads a drill and checks it whole.
+///
+/// # Errors
+/// Every fault, with file, line and field.
+pub fn read(file: &str, text: &str) -> Result<Drill, Vec<Fault>> {
+    let drill: Drill = parse_text(DESCRIPTORS, "doorcourse.drill.Drill", file, text)?;
+    let places = Places::new(text);
+    let mut faults = Vec::new();
+    let mut fault = |path: &str, message: String| {
+        let (file, line, field) = (file.to_owned(), places.find(path), format!("{path}: "));
+        faults.push(Fault { file, line, field, message });
+    };
+    let mut range = |path: &str, value: f64, low: f64, high: f64| {
+        if !(low..=high).contains(&value) {
+            fault(path, format!("{value} is out of range: allowed is {low} to {high}"));
+        }
+    };
+    range("length_s", drill.length_s, 5.0, 3600.0);
+    range("short_s", drill.short_s, 5.0, 3600.0);
+    let fleet = drill.fleet.unwrap_or_default();
+    range("fleet.gateways", drill.gateways() as f64, 1.0, 16.0);
+    range("fleet.nodes", drill.nodes() as f64, 2.0, 64.0);
+    range("fleet.load", fleet.load.unwrap_or(0.6), 0.01, 4.0);
+    range("fleet.warm", fleet.warm.unwrap_or(0.15), 0.01, 1.0);
+    range("fleet.notice_ms", fleet.notice_ms.unwrap_or(100.0), 0.0, 60_000.0);
+    range("fleet.drain_ms", fleet.drain_ms.unwrap_or(2000.0), 0.0, 60_000.0);
+    let mut before = 0.0;
+    for (at, step) in drill.steps.iter().enumerate() {
+        range(&format!("steps[{at}].at"), step.at, before, 1.0);
+        before = step.at.max(before);
+        for (number, act) in step.r#do.iter().enumerate() {
+            let path = format!("steps[{at}].do[{number}]");
+            let (gateways, nodes) = (drill.gateways() as f64 - 1.0, drill.nodes() as f64 - 1.0);
+            use What::*;
+            match &act.what {
+                Some(
+                    KillNode(n) | StartNode(n) | UnlistNode(n) | ListNode(n) | DrainNode(n) | UndrainNode(n),
+                ) => {
+                    range(&path, f64::from(*n), 0.0, nodes);
+                }
+                Some(StallCell(c) | ResumeCell(c)) => range(&path, f64::from(*c), 0.0, 1.0),
+                Some(NodeFault(n)) => {
+                    range(&format!("{path}.node_fault.node"), f64::from(n.node), 0.0, nodes)
+                }
+                Some(
+                    KillGateway(g) | StartGateway(g) | StopGateway(g) | StopGatewayTwice(g)
+                    | TakeOverGateway(g) | SpoilState(g) | MendState(g),
+                ) => range(&path, f64::from(*g), 0.0, gateways),
+                Some(CounterSlowMs(ms)) => range(&path, *ms, 0.0, 10_000.0),
+                Some(ReloadPlans(times)) => range(&path, *times, 0.1, 10.0),
+                Some(Mood(mood)) => {
+                    let last = customers().len() as f64 - 1.0;
+                    range(
+                        &format!("{path}.mood.flood_customer"),
+                        f64::from(mood.flood_customer.unwrap_or(0)),
+                        0.0,
+                        last,
+                    );
+                    range(&format!("{path}.mood.flood_times"), mood.flood_times, 0.0, 100.0);
+                    range(&format!("{path}.mood.leaving"), mood.leaving, 0.0, 1.0);
+                    range(&format!("{path}.mood.patience"), mood.patience.unwrap_or(1.0), 0.05, 10.0);
+                    range(&format!("{path}.mood.odd_costs"), mood.odd_costs.unwrap_or(0.04), 0.0, 0.5);
+                    range(&format!("{path}.mood.rate"), mood.rate.unwrap_or(1.0), 0.0, 20.0);
+                    range(&format!("{path}.mood.licences"), mood.licences.unwrap_or(0.0), 0.0, 1.0);
+                }
+                Some(CounterSilent(_) | CounterRestart(_) | ReloadBad(_) | SpoilList(_)) => {}
+                None => range(&path, f64::NAN, 0.0, 0.0),
+            }
+        }
+    }
+    for (at, expect) in drill.expects.iter().enumerate() {
+        let known = expect.phase.is_empty() || drill.steps.iter().any(|s| s.phase == expect.phase);
+        if !known {
+            fault(&format!("expects[{at}].phase"), format!("`{}` is no phase of the drill", expect.phase));
+        }
+        if !expect.plan.is_empty() && !PLANS.iter().any(|p| p.name == expect.plan) {
+            fault(&format!("expects[{at}].plan"), format!("`{}` is no plan of the drills", expect.plan));
+        }
+    }
+    if faults.is_empty() { Ok(drill) } else { Err(faults) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_drills_that_come_along_are_good() {
+        for (name, text) in DRILLS {
+            let drill = read(name, text).unwrap_or_else(|f| panic!("{name}: {f:?}"));
+            assert_eq!(drill.name, *name);
+            assert!(!drill.about.is_empty() && !drill.steps.is_empty());
+        }
+        assert!(DRILLS.len() >= 10);
+    }
+
+    #[test]
+    fn faults_name_line_and_field() {
+        let text = "name: 'x' length_s: 1 short_s: 9\nsteps { at: 0.5 do { kill_node: 99 } }\nsteps { at: 0.2 }\n\
+            expects { phase: 'none' }\nexpects { plan: 'gold' }";
+        let faults: Vec<String> = read("d", text).unwrap_err().iter().map(ToString::to_string).collect();
+        for told in [
+            "d:1:11: length_s: 1 is out of range",
+            "d:2:17: steps[0].do[0]: 99 is out",
+            "d:3:9: steps[1].at: 0.2 is",
+            "d:4:11: expects[0].phase: `none` is no phase",
+            "d:5:11: expects[1].plan: `gold`",
+        ] {
+            assert!(faults.iter().any(|f| f.starts_with(told)), "{faults:?} lacks {told}");
+        }
+        assert!(read("d", "nonsense: 1").unwrap_err()[0].to_string().starts_with("d:1:1"));
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -170,6 +170,8 @@
     reload_signal: UnixStream,
     reload_wake: UnixStream,
     pub(crate) life: Life,
+    /// When a client's byte was heard last.
+    spoke_at: f64,
     /// Clients are told to go with their next answer.
     pub(crate) going: bool,
     ended: bool,
@@ -295,6 +297,7 @@
             reload_signal,
             reload_wake,
             life: Life::new(times(&config)),
+            spoke_at: clock.now(),
             going: false,
             ended: false,
             calls_out: 0,
@@ -368,8 +371,9 @@
             }
             let counter_due = self.counter_tick();
             self.pump();
-            let out =
-                Out { requests: self.requests.len(), clients: self.clients.len(), calls: self.calls_out };
+            let (requests, clients) = (self.requests.len(), self.clients.len());
+            let quiet = self.clock.now() - self.spoke_at;
+            let out = Out { requests, clients, calls: self.calls_out, quiet };
             self.life(Input::Tick(out));
             self.pump();
             if self.ended {
@@ -467,13 +471,7 @@
             match output {
                 Output::Ready(ready) => tracing::info!(ready, "readiness"),
                 Output::ClientsGo => self.going = true,
-                Output::CloseListeners => {
-                    self.listeners.clear();
-                    let silent = |c: &Client| matches!(c.phase, Phase::Head) && c.socket.input.is_empty();
-                    let idle = self.clients.iter().filter(|(_, c)| silent(c) && c.socket.pending() == 0);
-                    let idle: Vec<usize> = idle.map(|(slot, _)| slot).collect();
-                    idle.into_iter().for_each(|slot| self.drop_client(slot));
-                }
+                Output::CloseListeners => self.listeners.clear(),
                 Output::Reload => {
                     let told = self.reload();
                     match &told {
@@ -706,6 +704,9 @@
                 // A client that ends its side is taken as gone: it is how a tool that gives up looks.
                 return self.client_gone(slot);
             }
+            if count > 0 {
+                self.spoke_at = self.clock.now();
+            }
             if count > 0 && idle && matches!(client.phase, Phase::Head) {
                 self.client_until(slot, self.config.limits.head_time);
             }
@@ -960,8 +961,8 @@
 }
 
 fn times(config: &Config) -> doorcourse_lifecycle::Settings {
-    let doorcourse_config::Life { notice, drain, handover, give_back } = config.life;
-    doorcourse_lifecycle::Settings { notice, drain, handover, give_back }
+    let doorcourse_config::Life { notice, drain, handover, give_back, quiet } = config.life;
+    doorcourse_lifecycle::Settings { notice, drain, handover, give_back, quiet }
 }
 
 /// EMFILE and ENFILE.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 const VERSION: u64 = 1;
 /// A file larger than this is none of ours.
@@ -21,6 +21,13 @@
     pub number: u32,
 }
 
+/// Where a file is written before it is moved to its place.
+pub(crate) fn beside(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(".new");
+    name.into()
+}
+
 fn digest(text: &str) -> String {
     Sha256::digest(text).iter().map(|b| format!("{b:02x}")).collect()
 }
@@ -34,7 +41,7 @@
         };
         let body = json!({"nodes": nodes.map(node).collect::<Vec<_>>()}).to_string();
         let head = json!({"doorcourse_state": VERSION, "number": self.number, "written_ms": now, "sha256": digest(&body)});
-        let beside = self.path.with_extension("new");
+        let beside = beside(&self.path);
         let mut file = std::fs::File::create(&beside)?;
         file.write_all(format!("{head}\n{body}\n").as_bytes())?;
         // On the disk before it takes the old one's place: a power cut must not leave an empty file there.
@@ -151,7 +158,7 @@
         assert!(told(&file, 2000.0).contains("of version 9, this is 1"));
         // A process that died between the two steps leaves one beside: the old file still holds.
         file.write(1000.0, [view("a")].into_iter()).expect("written");
-        std::fs::write(file.path.with_extension("new"), "half").expect("write");
+        std::fs::write(beside(&file.path), "half").expect("write");
         assert!(file.read(2000.0).is_ok_and(|v| v.is_some()));
     }
 
@@ -160,9 +167,9 @@
         let file = file("full");
         file.write(1000.0, [view("a")].into_iter()).expect("written");
         // Where the file beside cannot be made, as on a full disk, nothing is lost.
-        std::fs::create_dir_all(file.path.with_extension("new")).expect("a folder in its way");
+        std::fs::create_dir_all(beside(&file.path)).expect("a folder in its way");
         assert!(file.write(2000.0, [view("b")].into_iter()).is_err());
         assert_eq!(file.read(2000.0), Ok(Some(vec![view("a")])));
-        std::fs::remove_dir(file.path.with_extension("new")).expect("removed");
+        std::fs::remove_dir(beside(&file.path)).expect("removed");
     }
 }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -23,6 +23,9 @@
     pub handover: f64,
     /// What is held for the counter has this long to go back.
     pub give_back: f64,
+    /// Clients without a request are closed once none spoke for this long: closing one that is just about to
+    /// speak loses its request, and it cannot know whether it ran.
+    pub quiet: f64,
 }
 
 /// Where a process stands.
@@ -71,7 +74,7 @@
 }
 
 /// What is still out, as the host counts it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Out {
     /// Requests not answered, or with an attempt out.
     pub requests: usize,
@@ -79,6 +82,8 @@
     pub clients: usize,
     /// Counter calls.
     pub calls: usize,
+    /// How long no client has spoken, in ms.
+    pub quiet: f64,
 }
 
 /// What the host tells.
@@ -137,9 +142,9 @@
 pub enum Output {
     /// Tell who asks whether this gateway wants new clients.
     Ready(bool),
-    /// Tell clients to go with their next answer, and close those without a request once the listeners are closed.
+    /// Tell clients to go with their next answer.
     ClientsGo,
-    /// Close the listeners and the idle connections.
+    /// Close the listeners.
     CloseListeners,
     /// Read the settings again and take them if they are good.
     Reload,
@@ -302,7 +307,10 @@
                 if now >= until {
                     out.push(Output::AnswerAll);
                     self.give_back(now, out);
-                } else if self.closed && left.requests == 0 && left.clients == 0 {
+                } else if self.closed
+                    && left.requests == 0
+                    && (left.clients == 0 || left.quiet >= self.settings.quiet)
+                {
                     self.give_back(now, out);
                 }
             }
--- a/crates/lifecycle/tests/life.rs
+++ b/crates/lifecycle/tests/life.rs
@@ -2,7 +2,8 @@
 
 use doorcourse_lifecycle::{Input, Life, Out, Output, Refusal, Settings, State};
 
-const SETTINGS: Settings = Settings { notice: 100.0, drain: 1000.0, handover: 500.0, give_back: 200.0 };
+const SETTINGS: Settings =
+    Settings { notice: 100.0, drain: 1000.0, handover: 500.0, give_back: 200.0, quiet: 300.0 };
 
 fn life(inputs: &[(f64, Input)]) -> (Life, Vec<Output>) {
     let (mut life, mut out) = (Life::new(SETTINGS), Vec::new());
@@ -14,7 +15,7 @@
 }
 
 fn out(requests: usize, clients: usize, calls: usize) -> Input {
-    Input::Tick(Out { requests, clients, calls })
+    Input::Tick(Out { requests, clients, calls, quiet: 0.0 })
 }
 
 #[test]
@@ -51,6 +52,15 @@
     assert_eq!(did, [Ready(false), ClientsGo, CloseListeners, Leave, AnswerAll]);
 }
 
+#[test]
+fn clients_that_might_still_speak_are_waited_for_and_quiet_ones_are_not() {
+    let quiet = |quiet| Input::Tick(Out { requests: 0, clients: 5, calls: 1, quiet });
+    let (life_, _) = life(&[(10.0, Input::Drain), (110.0, quiet(50.0)), (200.0, quiet(299.0))]);
+    assert!(matches!(life_.state(), State::Draining { .. }));
+    let (life_, _) = life(&[(10.0, Input::Drain), (110.0, quiet(50.0)), (400.0, quiet(300.0))]);
+    assert!(matches!(life_.state(), State::GivingBack { .. }));
+}
+
 #[test]
 fn reloads_are_refused_by_reason() {
     assert_eq!(life(&[(1.0, Input::Reload)]).1, [Output::Reload]);
