--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -41,7 +41,7 @@
     };
     let folder = file.parent().unwrap_or(Path::new(""));
     let again = file.to_owned();
-    let reread = Box::new(move || match read(&again) {
+    let reread = std::sync::Arc::new(move || match read(&again) {
         Ok(Ok(config)) => Ok(config),
         Ok(Err(faults)) => Err(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")),
         Err(error) => Err(format!("{error:#}")),
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -33,6 +33,8 @@
     /// Between "not ready" and closed listeners, and what is out has, in ms.
     pub notice: f64,
     pub drain: f64,
+    /// Whether gateways keep a state file.
+    pub state: bool,
     /// The customers: name, plan, key.
     pub customers: Vec<(String, &'static str, String)>,
 }
@@ -120,10 +122,13 @@
              graphql {{ schema_file: \"catalogue.graphql\" }}\n\
              cold_nodes {{ share: {COLD_SHARE} warm_ms: {} fall_multiple: {FALL_MULTIPLE} fall_ms: {FALL_TIME} }}\n\
              limits {{ answer_margin_ms: {MARGIN} }}\nlife {{ notice_ms: {} drain_ms: {} quiet_ms: 300 give_back_ms: 300 }}\n\
-             admin {{ socket: \"gateway-{number}.sock\" }}\nstate {{ file: \"gateway-{number}.state\" every_ms: 200 }}\n\
+             admin {{ socket: \"gateway-{number}.sock\" }}\n\
              attempts {{ most: 3 longest_advice_ms: 2000 }}\n",
             self.spec.gateways, self.spec.warm, self.spec.notice, self.spec.drain
         );
+        if self.spec.state {
+            writeln!(text, "state {{ file: \"gateway-{number}.state\" every_ms: 200 }}")?;
+        }
         for class in CLASSES {
             let effect = class.effect();
             let (name, aim, give_up, worth) = (class.name, class.aim, class.give_up, class.worth);
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -162,6 +162,7 @@
         warm: length * spec.warm.unwrap_or(0.15),
         notice: spec.notice_ms.unwrap_or(100.0),
         drain: spec.drain_ms.unwrap_or(2000.0),
+        state: !spec.without_state,
         customers: customers(),
     })?;
     let recorder = fleet.recorder.clone();
--- a/crates/drill/src/show.rs
+++ b/crates/drill/src/show.rs
@@ -53,8 +53,10 @@
     let (attempts, repeats) = report.attempts;
     let _ = writeln!(
         out,
-        "\n{attempts} attempts at nodes, {repeats} of them repeats; {:.1} s\n",
-        report.length / 1000.0
+        "\n{attempts} attempts at nodes, {repeats} of them repeats; {:.1} s; latency p50 {:.1} ms, p99 {:.1} ms\n",
+        report.length / 1000.0,
+        report.latency.0,
+        report.latency.1
     );
     for (which, breaches) in &report.rules {
         let verdict =
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -3,6 +3,7 @@
 
 use crate::run::{Gateway, Token};
 use anyhow::Context;
+use doorcourse_config::Change;
 use doorcourse_lifecycle::Input;
 use doorcourse_net::Interest;
 use rustix::net::{
@@ -27,6 +28,16 @@
     takes_over: bool,
 }
 
+/// Who waits for settings to be read.
+#[derive(Debug)]
+pub(crate) struct Asker {
+    slot: usize,
+    generation: u32,
+    id: Value,
+    /// Whether only the difference is asked for.
+    pub dry_run: bool,
+}
+
 /// The socket and its path.
 #[derive(Debug)]
 pub(crate) struct Admin {
@@ -175,18 +186,10 @@
                 self.life(Input::Drain);
                 result(&id, json!({"state": self.life.state().name()}))
             }
-            "reload" if parameters["dry_run"] == true => match self.reread() {
-                Ok((_, change)) => result(&id, json!({"refused": change.refused, "changes": change.lines})),
-                Err(why) => error(&id, REFUSED, &why),
-            },
             "reload" => {
-                self.reload_told = None;
-                self.life(Input::Reload);
-                match self.reload_told.take() {
-                    Some(Ok(lines)) => result(&id, json!({"changes": lines})),
-                    Some(Err(why)) => error(&id, REFUSED, &why),
-                    None => error(&id, REFUSED, "nothing was done"),
-                }
+                let generation = self.admin.as_ref().and_then(|a| a.peers.get(slot)).map(|p| p.generation)?;
+                self.ask_reload(Asker { slot, generation, id, dry_run: parameters["dry_run"] == true });
+                return None;
             }
             "takeover" => {
                 let peer = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot))?;
@@ -206,6 +209,18 @@
         })
     }
 
+    pub(crate) fn answer_reload(&mut self, asker: &Asker, told: &Result<Change, String>) {
+        let known = self.admin.as_ref().and_then(|a| a.peers.get(asker.slot));
+        if known.is_none_or(|p| p.generation != asker.generation) {
+            return;
+        }
+        let reply = match told {
+            Ok(change) => result(&asker.id, json!({"refused": change.refused, "changes": change.lines})),
+            Err(why) => error(&asker.id, REFUSED, why),
+        };
+        self.peer_write(asker.slot, &reply);
+    }
+
     pub(crate) fn refuse_takeover(&mut self, peer: u64, why: &str) {
         let slot = peer as usize;
         let Some(known) = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot)) else { return };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! The event loop: who is ready, whose time has come, and the clients' connections.
 
-use crate::admin::Admin;
+use crate::admin::{Admin, Asker};
 use crate::counter::{Own, counted, link};
 use crate::front::{self, Caller, Reply};
 use crate::nodes::{ListFile, Pools, entries};
@@ -18,6 +18,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
+use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
 /// What a gateway is started with.
@@ -35,7 +36,10 @@
 }
 
 /// Reads the settings again, or says every fault.
-pub type Reread = Box<dyn Fn() -> Result<Config, String> + Send>;
+pub type Reread = Arc<dyn Fn() -> Result<Config, String> + Send + Sync>;
+
+/// Settings that were read beside the loop, and the difference that they make.
+type Read = Result<(Config, Change), String>;
 
 /// What a registration belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -145,7 +149,7 @@
 
 /// A running gateway.
 pub struct Gateway {
-    pub(crate) config: Config,
+    pub(crate) config: Arc<Config>,
     pub(crate) clock: Clock,
     pub(crate) poller: Poller,
     pub(crate) timers: Timers<Alarm>,
@@ -179,8 +183,14 @@
     pub(crate) calls_out: usize,
     pub(crate) admin: Option<Admin>,
     reread: Option<Reread>,
-    /// What became of the last reload.
-    pub(crate) reload_told: Option<Result<Vec<String>, String>>,
+    /// Settings being read; whoever asked meanwhile has them read once more behind that.
+    reading: Option<mpsc::Receiver<Read>>,
+    read_again: bool,
+    /// What was read and waits for the life cycle's word.
+    read: Option<(Config, Change)>,
+    /// Who waits for this reading, and for the next: connection, the call's id, whether it only asks.
+    askers: Vec<Asker>,
+    next_askers: Vec<Asker>,
     /// Nodes that a person drained here, whatever the list says.
     pub(crate) drained: BTreeSet<Name>,
     listed: Vec<Node>,
@@ -210,6 +220,8 @@
     }
 }
 
+/// What the reading thread writes to the pipe of SIGHUP; signals and `Stopper` write other bytes.
+const READ: u8 = 0xff;
 /// Input of one client that is held while its request is answered: pipelining, but not without bound.
 const PIPELINED: usize = 16 << 10;
 /// How long a client that was told to go may still talk, in ms.
@@ -273,6 +285,7 @@
             }
         };
         let name = format!("g{}-{:x}", config.decisions.number, clock.now() as u64);
+        let config = Arc::new(config);
         let mut gateway = Self {
             clock,
             poller,
@@ -303,7 +316,11 @@
             calls_out: 0,
             admin,
             reread,
-            reload_told: None,
+            reading: None,
+            read_again: false,
+            read: None,
+            askers: Vec::new(),
+            next_askers: Vec::new(),
             drained: BTreeSet::new(),
             listed: Vec::new(),
             state_file,
@@ -434,8 +451,14 @@
             }
             Token::Reload => {
                 let mut bytes = [0; 16];
-                while std::io::Read::read(&mut self.reload_signal, &mut bytes).is_ok_and(|n| n > 0) {}
-                self.life(Input::Reload);
+                let mut asked = false;
+                while let Ok(n @ 1..) = std::io::Read::read(&mut self.reload_signal, &mut bytes) {
+                    asked |= bytes[..n].iter().any(|b| *b != READ);
+                }
+                if asked {
+                    self.life(Input::Reload);
+                }
+                self.reading_over();
             }
             Token::Admin => self.admin_accept(),
             Token::Peer(slot, generation) => {
@@ -472,17 +495,12 @@
                 Output::Ready(ready) => tracing::info!(ready, "readiness"),
                 Output::ClientsGo => self.going = true,
                 Output::CloseListeners => self.listeners.clear(),
-                Output::Reload => {
-                    let told = self.reload();
-                    match &told {
-                        Ok(lines) => tracing::info!(changes = lines.join("; "), "settings reloaded"),
-                        Err(why) => tracing::error!(why, "settings not reloaded, the old ones hold"),
-                    }
-                    self.reload_told = Some(told);
-                }
+                Output::Reload => self.start_reading(),
+                Output::TakeSettings => self.take_settings(),
                 Output::RefuseReload(why) => {
-                    tracing::error!(%why, "settings not reloaded");
-                    self.reload_told = Some(Err(why.to_string()));
+                    let mut waiting = std::mem::take(&mut self.next_askers);
+                    self.askers.append(&mut waiting);
+                    self.reload_over(Err(why.to_string()));
                 }
                 Output::Pass { peer } => self.pass_listeners(peer),
                 Output::RefuseTakeover { peer, why } => self.refuse_takeover(peer, &why.to_string()),
@@ -513,34 +531,92 @@
         slots.into_iter().for_each(|slot| self.drop_client(slot));
     }
 
-    /// Reads the settings again and compares them, without taking them.
-    pub(crate) fn reread(&self) -> Result<(Config, Change), String> {
-        let Some(reread) = &self.reread else {
-            return Err("this gateway cannot read its settings again".into());
+    /// Whoever asks on the admin socket is answered when the settings are read.
+    pub(crate) fn ask_reload(&mut self, asker: Asker) {
+        let (dry_run, busy) = (asker.dry_run, self.reading.is_some());
+        if busy {
+            self.next_askers.push(asker)
+        } else {
+            self.askers.push(asker)
+        }
+        if dry_run { self.start_reading() } else { self.life(Input::Reload) }
+    }
+
+    /// Reads and compares in a thread of its own: thousands of customers must not stop the loop.
+    fn start_reading(&mut self) {
+        if self.reading.is_some() {
+            self.read_again = true;
+            return;
+        }
+        let Some(reread) = self.reread.clone() else {
+            return self.reload_over(Err("this gateway cannot read its settings again".into()));
         };
-        let config = reread()?;
-        let change = compare(&self.config, &config);
-        Ok((config, change))
+        let (told, receiver) = mpsc::channel();
+        let (old, wake) = (Arc::clone(&self.config), self.reload_wake.try_clone());
+        let started = std::thread::Builder::new().name("settings".into()).spawn(move || {
+            let read = reread().map(|config| {
+                let change = compare(&old, &config);
+                (config, change)
+            });
+            let _ = told.send(read);
+            // An empty word: the loop looks at the channel whenever this pipe speaks.
+            let _ = wake.map(|w| std::io::Write::write(&mut &w, &[READ]));
+        });
+        match started {
+            Ok(_) => self.reading = Some(receiver),
+            Err(error) => self.reload_over(Err(error.to_string())),
+        }
     }
 
-    /// Takes changed settings. A request under way keeps the schema that it was priced with.
-    fn reload(&mut self) -> Result<Vec<String>, String> {
-        let (config, change) = self.reread()?;
-        if !change.refused.is_empty() {
-            return Err(change.refused.join("; "));
+    /// The settings are read.
+    fn reading_over(&mut self) {
+        let Some(read) = self.reading.as_ref().and_then(|r| r.try_recv().ok()) else { return };
+        self.reading = None;
+        let dry = !self.askers.is_empty() && self.askers.iter().all(|a| a.dry_run);
+        match read {
+            Err(why) => self.reload_over(Err(why)),
+            Ok((_, change)) if dry => self.reload_over(Ok(change)),
+            Ok((_, change)) if !change.refused.is_empty() => self.reload_over(Err(change.refused.join("; "))),
+            Ok(read) => {
+                self.read = Some(read);
+                self.life(Input::ReloadRead);
+            }
+        }
+        if std::mem::take(&mut self.read_again) {
+            self.askers = std::mem::take(&mut self.next_askers);
+            self.start_reading();
         }
+    }
+
+    /// Takes the settings that were read. A request under way keeps the schema that it was priced with.
+    fn take_settings(&mut self) {
+        let Some((config, change)) = self.read.take() else { return };
+        let start = self.clock.now();
         self.events.push_back(Event::Settings(Box::new(config.decisions.clone())));
         self.life.change(times(&config));
         if let (Some(list), Some((_, poll))) = (&mut self.list, &config.node_list) {
             list.poll = *poll;
         }
         let nodes = config.nodes.clone();
-        self.config = config;
+        self.config = Arc::new(config);
         if self.list.is_none() {
             self.take_list(&nodes);
         }
         self.pump();
-        Ok(change.lines)
+        let stopped_ms = self.clock.now() - start;
+        tracing::info!(changes = change.lines.join("; "), stopped_ms, "settings reloaded");
+        self.reload_over(Ok(change));
+    }
+
+    fn reload_over(&mut self, told: Result<Change, String>) {
+        let dry = !self.askers.is_empty() && self.askers.iter().all(|a| a.dry_run);
+        if let (Err(why), false) = (&told, dry) {
+            tracing::error!(why, "settings not reloaded, the old ones hold");
+        }
+        self.read = None;
+        for asker in std::mem::take(&mut self.askers) {
+            self.answer_reload(&asker, &told);
+        }
     }
 
     /// Takes up what an earlier process of this gateway had learnt.
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -53,7 +53,7 @@
             let at = next.fetch_add(1, std::sync::atomic::Ordering::SeqCst) + 1;
             read(&texts[at % texts.len()])
         };
-        Self::start(config, Some(Box::new(reread)))
+        Self::start(config, Some(std::sync::Arc::new(reread)))
     }
 
     /// All but the plans.
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -68,14 +68,24 @@
     let node = script(vec![waits(until), good()]);
     let first = PLANS.to_string();
     // The new settings have no plan for `ten`'s old figures and another class order.
-    let second = "plans { name: \"ten\" rate: 1 burst: 1 }\nplans { name: \"free\" }\n".to_owned();
+    let second =
+        "plans { name: \"ten\" rate: 1 burst: 1 }\nplans { name: \"free\" }\npath: \"/next\"\n".to_owned();
     let door = Door::changing(&[node.address], &[first, second]);
     let mut client = door.client();
     client.send("ten", PREVIEW, "");
     node.got.recv_timeout(LIMIT).expect("it is out");
     door.stopper.reload();
-    let refused = door.ask("ten", "{ previews(first: 2) { id } }");
-    assert_eq!(refused.code(), "COST_EXCEEDS_PLAN", "the new plan holds one");
+    // The settings are read beside the loop: they are taken once the new path answers.
+    let status = |path: &str, key: &str| {
+        let mut client = door.client();
+        let text = String::from_utf8(post(key, "{ previews(first: 2) { id } }", "")).expect("a text");
+        client.write(text.replace("/graphql", path).as_bytes());
+        client.answer().expect("an answer")
+    };
+    while status("/next", "nobody").status == 404 {
+        std::thread::yield_now();
+    }
+    assert_eq!(status("/next", "ten").code(), "COST_EXCEEDS_PLAN", "the new plan holds one");
     go.send(()).expect("the node waits");
     assert_eq!(client.answer().map(|a| a.status), Some(200));
 }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -97,6 +97,8 @@
     Terminate,
     /// Settings are to be read again.
     Reload,
+    /// They were read, and are good.
+    ReloadRead,
     /// A new process asks for the listening sockets.
     TakeoverAsked {
         /// Its connection.
@@ -146,8 +148,10 @@
     ClientsGo,
     /// Close the listeners.
     CloseListeners,
-    /// Read the settings again and take them if they are good.
+    /// Read the settings again, beside the loop; then tell `ReloadRead`.
     Reload,
+    /// Take the settings that were read.
+    TakeSettings,
     /// Do not: why.
     RefuseReload(Refusal),
     /// Pass the listening sockets.
@@ -234,7 +238,8 @@
                 self.go(State::Serving, out);
             }
             (Input::Reload, State::Serving) => out.push(Output::Reload),
-            (Input::Reload, state) => out.push(Output::RefuseReload(refusal(state))),
+            (Input::ReloadRead, State::Serving) => out.push(Output::TakeSettings),
+            (Input::Reload | Input::ReloadRead, state) => out.push(Output::RefuseReload(refusal(state))),
             (Input::TakeoverAsked { peer }, State::Serving) => {
                 out.push(Output::Pass { peer });
                 self.go(State::HandingOver { peer, until: now + self.settings.handover }, out);
--- a/crates/lifecycle/tests/life.rs
+++ b/crates/lifecycle/tests/life.rs
@@ -64,6 +64,10 @@
 #[test]
 fn reloads_are_refused_by_reason() {
     assert_eq!(life(&[(1.0, Input::Reload)]).1, [Output::Reload]);
+    assert_eq!(life(&[(1.0, Input::Reload), (2.0, Input::ReloadRead)]).1[1], Output::TakeSettings);
+    // A drain that began while they were read: nobody is left to serve by them.
+    let meanwhile = [(1.0, Input::Reload), (2.0, Input::Drain), (3.0, Input::ReloadRead)];
+    assert_eq!(life(&meanwhile).1.last(), Some(&Output::RefuseReload(Refusal::Draining)));
     let during = [(1.0, Input::Drain), (2.0, Input::Reload)];
     assert_eq!(life(&during).1.last(), Some(&Output::RefuseReload(Refusal::Draining)));
     let during = [(1.0, Input::TakeoverAsked { peer: 7 }), (2.0, Input::Reload)];
--- a/crates/verdict/src/report.rs
+++ b/crates/verdict/src/report.rs
@@ -24,6 +24,8 @@
     pub lost: u64,
     /// Left or given up by the client.
     pub left: u64,
+    /// Latency of what was served, in ms: the median and the 99th percentile.
+    pub latency: (f64, f64),
 }
 
 /// One account's use.
@@ -58,6 +60,8 @@
     pub accounts: BTreeMap<String, Account>,
     /// Attempts at nodes, and how many were repeats.
     pub attempts: (u64, u64),
+    /// Latency of all that was served, in ms: the median and the 99th percentile.
+    pub latency: (f64, f64),
     /// From the first record to the last, in ms.
     pub length: f64,
 }
@@ -89,11 +93,15 @@
     let mut asked: HashMap<&str, Asked> = HashMap::new();
     let (mut got, mut attempt_of): (HashSet<&str>, HashMap<u64, &str>) = Default::default();
     let mut plans = BTreeMap::new();
+    let mut latencies: Vec<Vec<f64>> = vec![Vec::new()];
     for record in sorted {
         let phase = report.phases.len() - 1;
         match &record.event {
             Event::Bounds(bounds) => plans = bounds.plans.clone(),
-            Event::Phase { name } => report.phases.push((name.clone(), Answers::default())),
+            Event::Phase { name } => {
+                report.phases.push((name.clone(), Answers::default()));
+                latencies.push(Vec::new());
+            }
             Event::Ask { id, customer, plan, units, worth, aim, .. } => {
                 report.phases[phase].1.asked += 1;
                 asked.insert(id, (phase, record.t, customer, plan, *units, *worth, *aim));
@@ -108,6 +116,7 @@
                 match kind {
                     Kind::Served => {
                         answers.served += 1;
+                        latencies[*phase].push(record.t - t);
                         if record.t > t + aim {
                             answers.late += 1;
                         } else {
@@ -149,9 +158,20 @@
             _ => {}
         }
     }
+    for (phase, found) in report.phases.iter_mut().zip(&mut latencies) {
+        phase.1.latency = quantiles(found);
+    }
+    report.latency = quantiles(&mut latencies.concat());
     for account in report.accounts.values_mut() {
         let plan = plans.get(&account.plan);
         account.quota = plan.map_or(0.0, |p| p.burst + p.rate * report.length / 1000.0);
     }
     report
 }
+
+fn quantiles(found: &mut [f64]) -> (f64, f64) {
+    found.sort_by(f64::total_cmp);
+    let at =
+        |q: f64| found.get(((found.len() as f64 * q) as usize).min(found.len().saturating_sub(1))).copied();
+    (at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0))
+}
