--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -76,6 +76,6 @@
         eprintln!("{why}");
         return Ok(ExitCode::FAILURE);
     }
-    println!("{:#}", reply["result"]);
+    say!("{:#}", reply["result"]);
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -2,8 +2,9 @@
 
 use anyhow::Context;
 use clap::Args;
-use doorcourse_drill::{DRILLS, Options, compare, play, read, show};
+use doorcourse_drill::{DRILLS, Options, View, compare, play, read, show};
 use serde_json::json;
+use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -22,6 +23,12 @@
     /// The drill's short form.
     #[arg(long)]
     short: bool,
+    /// Show the drill while it runs, where there is a terminal.
+    #[arg(long)]
+    view: bool,
+    /// Never show it while it runs, and print the report alone.
+    #[arg(long, conflicts_with = "view")]
+    plain: bool,
     /// The seed of clients, nodes and gateways.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -37,7 +44,7 @@
     let Some(name) = &drill.name else {
         for (name, text) in DRILLS {
             let about = read(name, text).map_or(String::new(), |d| d.about);
-            println!("{name:<20} {about}");
+            say!("{name:<20} {about}");
         }
         return Ok(ExitCode::SUCCESS);
     };
@@ -56,18 +63,27 @@
     };
     let binary = std::env::current_exe().context("this program's own file")?;
     let options = Options { binary, short: drill.short, seed: drill.seed, keep: drill.keep.clone() };
-    let outcome = play(&script, &options, &mut |_, _, _| {})?;
-    print!("{}", show(&outcome.report));
-    outcome.missed.iter().for_each(|m| println!("expected otherwise: {m}"));
+    let shown = (drill.view || !drill.plain) && std::io::stdout().is_terminal();
+    let outcome = match shown {
+        false => play(&script, &options, &mut |_, _, _| {})?,
+        true => {
+            let mut view = View::start(&script.name, &script.about)?;
+            let outcome = play(&script, &options, &mut |phase, part, fleet| view.draw(phase, part, fleet));
+            drop(view);
+            outcome?
+        }
+    };
+    say_on!("{}", show(&outcome.report));
+    outcome.missed.iter().for_each(|m| say!("expected otherwise: {m}"));
     if let Some(file) = &drill.json {
         let told = json!({"drill": script.name, "seed": drill.seed, "good": outcome.good(),
             "missed": outcome.missed, "report": outcome.report, "answers": outcome.answers()});
         write(file, &serde_json::to_vec_pretty(&told)?)?;
     }
     if let Some(folder) = &outcome.folder {
-        println!("record and logs: {}", folder.display());
+        say!("record and logs: {}", folder.display());
     }
-    println!(
+    say!(
         "{}",
         match (outcome.report.kept, outcome.missed.is_empty()) {
             (true, true) => "every rule was kept",
@@ -99,7 +115,7 @@
 pub fn run_compare(wanted: &Compare) -> anyhow::Result<ExitCode> {
     let binary = std::env::current_exe().context("this program's own file")?;
     let (text, told) = compare(&binary, wanted.seconds, wanted.rounds)?;
-    print!("{text}");
+    say_on!("{text}");
     if let Some(file) = &wanted.json {
         write(file, &serde_json::to_vec_pretty(&told)?)?;
     }
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -56,10 +56,10 @@
     if load.json {
         let told = json!({"served": served, "refused": refused, "failed": failed, "lost": lost, "gave_up": gave_up,
             "per_second": served as f64 / seconds, "p50_ms": at(0.5), "p99_ms": at(0.99), "p999_ms": at(0.999)});
-        println!("{told}");
+        say!("{told}");
     } else {
-        println!("served {served}, refused {refused}, failed {failed}, lost {lost}, given up {gave_up}");
-        println!(
+        say!("served {served}, refused {refused}, failed {failed}, lost {lost}, given up {gave_up}");
+        say!(
             "{:.1} served a second; p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms",
             served as f64 / seconds,
             at(0.5),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,24 @@
 //! The doorcourse command: arguments, exit codes and the log's set-up; nothing else.
 
+/// Prints a line; a reader that has seen enough is no reason to break down.
+macro_rules! say {
+    ($($part:tt)*) => {{
+        use std::io::Write;
+        drop(writeln!(std::io::stdout(), $($part)*));
+    }};
+}
+
+/// The same without the line's end.
+macro_rules! say_on {
+    ($($part:tt)*) => {{
+        use std::io::Write;
+        drop(write!(std::io::stdout(), $($part)*));
+    }};
+}
+
 mod ctl;
 mod drill;
+mod fleet;
 mod load;
 mod query;
 mod serve;
@@ -56,6 +73,9 @@
     Ctl(ctl::Ctl),
     Drill(drill::Drill),
     Compare(drill::Compare),
+    /// Start and tend a small fleet with stand-ins on this machine.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
     /// Send a fixed rate of requests, whatever comes back, and tell the latencies.
     Load(load::Load),
     /// Run a stand-in for what surrounds a gateway, on loopback.
@@ -84,6 +104,7 @@
         Command::Query(command) => query::run(command),
         Command::Ctl(ctl) => ctl::run(&ctl),
         Command::Drill(drill) => drill::run(&drill),
+        Command::Fleet(fleet) => fleet::run(&fleet),
         Command::Compare(wanted) => drill::run_compare(&wanted),
         Command::Load(load) => load::run(&load),
         Command::Standin(standin) => standin::run(&standin),
--- a/crates/cli/src/query.rs
+++ b/crates/cli/src/query.rs
@@ -70,14 +70,10 @@
                     OperationKind::Subscription => "subscription",
                 };
                 for (k, name) in document.operations() {
-                    println!("{} {}", kind(k), name.unwrap_or("(no name)"));
+                    say!("{} {}", kind(k), name.unwrap_or("(no name)"));
                 }
-                document.fragments().for_each(|f| println!("fragment {f}"));
-                println!(
-                    "{} tokens, {} definitions of a type system",
-                    document.tokens,
-                    document.type_system()
-                );
+                document.fragments().for_each(|f| say!("fragment {f}"));
+                say!("{} tokens, {} definitions of a type system", document.tokens, document.type_system());
                 ExitCode::SUCCESS
             }
         }),
@@ -90,7 +86,7 @@
             Ok(match document.and_then(|d| validate(&schema, &d, &limits)) {
                 Err(errors) => told(&file, &errors),
                 Ok(()) => {
-                    println!("{}: valid", file.display());
+                    say!("{}: valid", file.display());
                     ExitCode::SUCCESS
                 }
             })
@@ -111,7 +107,7 @@
                 Err(errors) => told(&file, &errors),
                 Ok(prepared) => {
                     let cost = prepared.cost();
-                    println!("{} units: {} of fields, {} of types", cost.units, cost.fields, cost.types);
+                    say!("{} units: {} of fields, {} of types", cost.units, cost.fields, cost.types);
                     ExitCode::SUCCESS
                 }
             })
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -24,7 +24,7 @@
         Err(faults) => told(&faults),
         Ok(config) => {
             let (plans, classes) = (config.decisions.plans.len(), config.decisions.classes.len());
-            println!(
+            say!(
                 "{}: good: {classes} classes, {plans} plans, {} keys",
                 file.display(),
                 config.customers.len()
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -33,7 +33,7 @@
     let clock = Clock::default();
     let (seed, spread, password) = (1, 0.0, None);
     match standin {
-        Standin::Schema => print!("{CATALOGUE}"),
+        Standin::Schema => say_on!("{CATALOGUE}"),
         Standin::Counter => {
             let spec = WorldSpec {
                 nodes: Vec::new(),
@@ -46,7 +46,7 @@
                 speed: 1.0,
             };
             let world = World::start(&spec, clock, Recorder::new(clock))?;
-            println!("counter on {}", world.counter.map_or(String::new(), |a| a.to_string()));
+            say!("counter on {}", world.counter.map_or(String::new(), |a| a.to_string()));
             world.wait();
         }
         Standin::Node { listen, cores, queue, speed } => {
@@ -65,7 +65,7 @@
             let spec =
                 WorldSpec { nodes, listen, counter: false, password, seed, spread, quiet: true, speed };
             let world = World::start(&spec, clock, Recorder::new(clock))?;
-            println!("node on {}", world.nodes[0]);
+            say!("node on {}", world.nodes[0]);
             world.wait();
         }
     }
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -282,6 +282,18 @@
         Ok(std::fs::write(self.spec.folder.join("nodes.txtpb"), "nodes { name: ")?)
     }
 
+    /// How many gateways there are, and which run.
+    #[must_use]
+    pub fn running(&self) -> Vec<bool> {
+        self.gateways.iter().map(Option::is_some).collect()
+    }
+
+    /// The process of a gateway.
+    #[must_use]
+    pub fn process(&self, at: usize) -> Option<u32> {
+        self.gateways[at].as_ref().map(Child::id)
+    }
+
     /// One call on a gateway's admin socket.
     pub fn call(&self, at: usize, method: &str) -> anyhow::Result<serde_json::Value> {
         use std::io::Write as _;
--- /dev/null
+++ b/crates/drill/src/kit.rs
@@ -0,0 +1,181 @@
+//! A fleet that stays up until it is told otherwise, for rehearsing by hand: one process holds the stand-ins and
+//! its gateways' processes, and listens on a socket in its folder (JSON-RPC 2.0, one object a line).
+
+use crate::clients::{Clients, Manner, customers, plan_bounds};
+use crate::fleet::{FALL_MULTIPLE, FALL_TIME, Fleet, FleetSpec, GRACE, POLL};
+use crate::play::{BURSTS, MOST_UNITS, Playing, SLACK};
+use crate::script::read_act;
+use crate::show::show;
+use anyhow::Context;
+use doorcourse_standins::Crowd;
+use doorcourse_verdict::{Bounds, Event, summary};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How a fleet is brought up.
+#[derive(Clone, Debug)]
+pub struct KitOptions {
+    /// The gateway's binary.
+    pub binary: PathBuf,
+    /// Where everything lies.
+    pub folder: PathBuf,
+    /// How many gateways.
+    pub gateways: usize,
+    /// How many nodes, in two cells by turns.
+    pub nodes: usize,
+    /// The share of its quota that each stand-in customer asks for; 0 for no clients.
+    pub load: f64,
+    /// The seed of all chance.
+    pub seed: u64,
+}
+
+const SOCKET: &str = "fleet.sock";
+/// How long a cold node takes to warm, in ms.
+const WARM: f64 = 10_000.0;
+
+/// Brings a fleet up and tends it until it is told to stop, or by SIGINT or SIGTERM.
+///
+/// # Errors
+/// When it cannot be started.
+pub fn up(options: &KitOptions) -> anyhow::Result<()> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&stop))?;
+    }
+    anyhow::ensure!((1..=16).contains(&options.gateways), "1 to 16 gateways are wanted");
+    anyhow::ensure!((2..=64).contains(&options.nodes), "2 to 64 nodes are wanted");
+    anyhow::ensure!((0.0..=4.0).contains(&options.load), "a load of 0 to 4 is wanted");
+    let path = options.folder.join(SOCKET);
+    anyhow::ensure!(UnixStream::connect(&path).is_err(), "{}: a fleet is up there", options.folder.display());
+    let fleet = Fleet::start(FleetSpec {
+        binary: options.binary.clone(),
+        folder: options.folder.clone(),
+        gateways: options.gateways,
+        nodes: options.nodes,
+        seed: options.seed,
+        warm: WARM,
+        notice: 200.0,
+        drain: 3000.0,
+        state: true,
+        customers: customers(),
+    })?;
+    let (recorder, clock) = (fleet.recorder.clone(), fleet.clock);
+    recorder.write(Event::Bounds(Bounds {
+        plans: plan_bounds(1.0),
+        answer_slack: SLACK,
+        drain_grace: POLL + GRACE,
+        bursts: BURSTS,
+        most_units: MOST_UNITS,
+        fall_multiple: FALL_MULTIPLE,
+        fall_time: FALL_TIME,
+    }));
+    let _ = std::fs::remove_file(&path);
+    let listener = UnixListener::bind(&path).with_context(|| path.display().to_string())?;
+    listener.set_nonblocking(true)?;
+    let manner = Arc::new(Mutex::new(Manner { over: options.load <= 0.0, ..Manner::default() }));
+    let (open, load) = (Arc::clone(&fleet.open), options.load.max(0.01));
+    let mut clients = Clients::new(options.seed, open, Arc::clone(&manner), clock.now(), load)?;
+    let mut crowd = Crowd::new(clock, Arc::clone(&fleet.addresses), Some(recorder), 2.0 * SLACK)?;
+    let crowd = std::thread::Builder::new().name("clients".into()).spawn(move || crowd.run(&mut clients))?;
+    let mut playing = Playing { fleet, manner, nodes: options.nodes };
+    println!("{:#}", status(&playing));
+    println!("up; `doorcourse fleet --folder {} stop` ends it", options.folder.display());
+    while !stop.load(Ordering::SeqCst) {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let asked = serve(&mut playing, stream).unwrap_or(false);
+                stop.fetch_or(asked, Ordering::SeqCst);
+            }
+            Err(_) => std::thread::sleep(Duration::from_millis(50)),
+        }
+    }
+    playing.change(|m| m.over = true);
+    let _ = crowd.join();
+    playing.fleet.recorder.save(&options.folder.join("traffic.jsonl"))?;
+    let report = summary(&playing.fleet.recorder.records());
+    drop(playing);
+    let _ = std::fs::remove_file(&path);
+    print!("{}", show(&report));
+    Ok(())
+}
+
+/// Answers one call; `true` when it asks for the end.
+fn serve(playing: &mut Playing, stream: UnixStream) -> anyhow::Result<bool> {
+    stream.set_nonblocking(false)?;
+    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+    let mut line = String::new();
+    BufReader::new(&stream).read_line(&mut line)?;
+    let call: Value = serde_json::from_str(&line).unwrap_or_default();
+    let answer = match call["method"].as_str().unwrap_or("") {
+        "status" => Ok(status(playing)),
+        "report" => Ok(json!(show(&summary(&playing.fleet.recorder.records())))),
+        "stop" => Ok(json!("stopping")),
+        "do" => act(playing, call["params"]["act"].as_str().unwrap_or("")),
+        other => Err(format!("there is no method `{other}`")),
+    };
+    let reply = match answer {
+        Ok(result) => json!({"jsonrpc": "2.0", "id": call["id"], "result": result}),
+        Err(why) => json!({"jsonrpc": "2.0", "id": call["id"], "error": {"code": -32000, "message": why}}),
+    };
+    (&stream).write_all(format!("{reply}\n").as_bytes())?;
+    Ok(call["method"] == "stop")
+}
+
+fn act(playing: &mut Playing, text: &str) -> Result<Value, String> {
+    let told = |faults: Vec<doorcourse_config::Fault>| {
+        faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+    };
+    let act = read_act(text).map_err(told)?;
+    let what = act.what.ok_or("say what to do, as in a drill: `kill_node: 3`, `stop_gateway: 0`")?;
+    // The same checks as in a drill: a number of no node would end the kit.
+    let (gateways, nodes) = (playing.fleet.running().len(), playing.nodes);
+    let script = format!(
+        "name: 'x' length_s: 9 short_s: 9 fleet {{ gateways: {gateways} nodes: {nodes} }} steps {{ do {{ {text} }} }}"
+    );
+    let plain =
+        |faults: Vec<doorcourse_config::Fault>| faults.iter().map(|f| f.message.clone()).collect::<Vec<_>>();
+    crate::script::read("act", &script).map_err(|f| format!("`{text}`: {}", plain(f).join("; ")))?;
+    playing.act(&what).map_err(|e| format!("{e:#}"))?;
+    Ok(json!("done"))
+}
+
+fn status(playing: &Playing) -> Value {
+    let fleet = &playing.fleet;
+    let addresses = fleet.addresses.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+    let gateway = |(at, address): (usize, &std::net::SocketAddr)| {
+        let state =
+            fleet.call(at, "status").map_or(json!("does not answer"), |v| v["result"]["state"].clone());
+        json!({"gateway": at, "address": address.to_string(), "process": fleet.process(at), "state": state})
+    };
+    let node = |n: &doorcourse_standins::ListedNode| json!({"node": n.name, "address": n.address.to_string(), "cell": n.cell, "listed": n.present, "drains": n.draining});
+    json!({
+        "gateways": addresses.iter().enumerate().map(gateway).collect::<Vec<_>>(),
+        "nodes": fleet.list.nodes.iter().map(node).collect::<Vec<_>>(),
+        "customers": customers().iter().map(|(n, p, k)| json!({"name": n, "plan": p, "key": k})).collect::<Vec<_>>(),
+    })
+}
+
+/// Asks the fleet that is up in a folder.
+///
+/// # Errors
+/// When none is, or it refuses.
+pub fn call(folder: &Path, method: &str, parameters: &Value) -> anyhow::Result<Value> {
+    let path = folder.join(SOCKET);
+    let mut stream =
+        UnixStream::connect(&path).with_context(|| format!("{}: no fleet is up there", folder.display()))?;
+    stream.set_read_timeout(Some(Duration::from_secs(60)))?;
+    let call = json!({"jsonrpc": "2.0", "id": 1, "method": method, "params": parameters});
+    stream.write_all(format!("{call}\n").as_bytes())?;
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line)?;
+    let mut reply: Value = serde_json::from_str(&line)?;
+    if let Some(why) = reply["error"]["message"].as_str() {
+        anyhow::bail!("{why}");
+    }
+    Ok(reply["result"].take())
+}
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -4,12 +4,16 @@
 mod clients;
 mod compare;
 mod fleet;
+mod kit;
 mod play;
 mod script;
 mod show;
+mod view;
 
 pub use compare::compare;
 pub use fleet::Fleet;
+pub use kit::{KitOptions, call, up};
 pub use play::{Options, Outcome, play};
 pub use script::{DRILLS, Drill, read};
 pub use show::show;
+pub use view::View;
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -64,19 +64,20 @@
 }
 
 /// By the bound of docs/design.md: one burst, and a second one after a counter that came back empty.
-const BURSTS: f64 = 2.0;
-const MOST_UNITS: f64 = 10.0;
+pub(crate) const BURSTS: f64 = 2.0;
+pub(crate) const MOST_UNITS: f64 = 10.0;
 /// How much later than its time a client still notices an answer, in ms: what this machine's load may add.
-const SLACK: f64 = 150.0;
+pub(crate) const SLACK: f64 = 150.0;
 
-struct Playing {
-    fleet: Fleet,
-    manner: Arc<Mutex<Manner>>,
-    nodes: usize,
+/// A fleet with clients, to which things are done.
+pub(crate) struct Playing {
+    pub fleet: Fleet,
+    pub manner: Arc<Mutex<Manner>>,
+    pub nodes: usize,
 }
 
 impl Playing {
-    fn act(&mut self, what: &What) -> anyhow::Result<()> {
+    pub fn act(&mut self, what: &What) -> anyhow::Result<()> {
         let fleet = &mut self.fleet;
         let counter = |fault| Command::Counter(fault);
         match what {
@@ -136,7 +137,7 @@
         Ok(())
     }
 
-    fn change(&self, change: impl FnOnce(&mut Manner)) {
+    pub fn change(&self, change: impl FnOnce(&mut Manner)) {
         change(&mut self.manner.lock().unwrap_or_else(std::sync::PoisonError::into_inner));
     }
 }
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -9,7 +9,7 @@
 use doorcourse_config::{Fault, Places, parse_text};
 pub use raw::act::What;
 pub use raw::node_fault::What as NodeWhat;
-pub use raw::{Drill, Expect};
+pub use raw::{Act, Drill, Expect};
 
 const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/drill.bin"));
 
@@ -43,6 +43,14 @@
     }
 }
 
+/// Reads one act, as `fleet do` takes it.
+///
+/// # Errors
+/// The first fault.
+pub fn read_act(text: &str) -> Result<Act, Vec<Fault>> {
+    parse_text(DESCRIPTORS, "doorcourse.drill.Act", "act", text)
+}
+
 /// Reads a drill and checks it whole.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/drill/src/view.rs
@@ -0,0 +1,77 @@
+//! A drill on a terminal while it runs: the script's phase, the fleet, answers by phase, each rule's verdict so far.
+
+use crate::fleet::Fleet;
+use doorcourse_verdict::summary;
+use ratatui::DefaultTerminal;
+use ratatui::layout::{Constraint, Layout};
+use ratatui::style::{Color, Style, Stylize};
+use ratatui::text::Line;
+use ratatui::widgets::{Block, Cell, Gauge, Paragraph, Row, Table};
+
+/// The terminal; it is given back as it was when this is dropped.
+pub struct View {
+    terminal: DefaultTerminal,
+    title: String,
+    about: String,
+}
+
+impl View {
+    /// Takes the terminal.
+    ///
+    /// # Errors
+    /// When there is none that can be used.
+    pub fn start(name: &str, about: &str) -> std::io::Result<Self> {
+        let terminal = ratatui::try_init()?;
+        Ok(Self { terminal, title: format!(" drill {name} "), about: about.to_owned() })
+    }
+
+    /// Draws what is known by now; a terminal that fails is no reason to stop a drill.
+    pub fn draw(&mut self, phase: &str, part: f64, fleet: &Fleet) {
+        let report = summary(&fleet.recorder.records());
+        let wanted = fleet.open.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let running = fleet.running();
+        let (title, about) = (self.title.clone(), self.about.clone());
+        let _ = self.terminal.draw(|frame| {
+            let parts =
+                [Constraint::Length(3), Constraint::Length(3), Constraint::Min(8), Constraint::Length(8)];
+            let [head, gateways, answers, rules] = Layout::vertical(parts).areas(frame.area());
+            let gauge = Gauge::default().ratio(part.clamp(0.0, 1.0)).label(phase.to_owned());
+            frame.render_widget(gauge.block(Block::bordered().title(title)).gauge_style(Color::Cyan), head);
+            let state = |at: usize| match (running[at], wanted[at]) {
+                (true, true) => format!("gateway {at} serves").green(),
+                (true, false) => format!("gateway {at} drains").yellow(),
+                (false, _) => format!("gateway {at} is down").red(),
+            };
+            let spans = (0..running.len()).flat_map(|at| [state(at), "   ".into()]).collect::<Vec<_>>();
+            frame.render_widget(
+                Paragraph::new(Line::from(spans)).block(Block::bordered().title(about)),
+                gateways,
+            );
+            let row = |(name, a): &(String, doorcourse_verdict::Answers)| {
+                let figures = [a.asked, a.served, a.late, a.refused, a.failed + a.cut, a.lost];
+                let cells = figures.iter().map(ToString::to_string).chain([format!("{:.0}", a.latency.1)]);
+                Row::new([name.clone()].into_iter().chain(cells).map(Cell::from))
+            };
+            let titles = ["phase", "asked", "served", "late", "refused", "failed", "lost", "p99 ms"];
+            let widths = [Constraint::Min(30)].into_iter().chain([Constraint::Length(8); 7]);
+            let rows = report.phases.iter().filter(|(_, a)| a.asked > 0).map(row);
+            let table = Table::new(rows, widths).header(Row::new(titles).style(Style::new().bold()));
+            frame.render_widget(table.block(Block::bordered().title(" answers ")), answers);
+            let verdict =
+                |(rule, breaches): (&doorcourse_verdict::Rule, &Vec<doorcourse_verdict::Breach>)| {
+                    match breaches.first() {
+                        None => Line::from(format!("{rule:?}: kept so far").green()),
+                        Some(first) => Line::from(format!("{rule:?}: broken: {}", first.what).red()),
+                    }
+                };
+            let lines: Vec<Line> = report.rules.iter().map(verdict).collect();
+            frame.render_widget(Paragraph::new(lines).block(Block::bordered().title(" rules ")), rules);
+        });
+    }
+}
+
+impl Drop for View {
+    fn drop(&mut self) {
+        ratatui::restore();
+    }
+}
