--- a/tests/changes.rs
+++ b/tests/changes.rs
@@ -227,3 +227,33 @@
     let more = spend(&mut door, 100, 10);
     assert!(more <= 1, "{more} more after the fleet grew: a slice was granted anew");
 }
+
+/// The counter comes back empty exactly when the plans change: what was used is told again by each gateway, and a
+/// ceiling holds.
+#[test]
+fn a_counter_that_is_emptied_at_a_reload_does_not_pass_a_ceiling() {
+    let mut fleet = Fleet::new(3);
+    let plan = settings().plans[1].clone();
+    let mut ceiling = Store::new(plan.ceiling_burst * 2.0, plan.ceiling_rate * 2.0);
+    let (mut id, mut after) = (0, 0);
+    for step in 0..1000 {
+        if step == 100 {
+            fleet.counts.clear();
+            fleet.change(&|settings| {
+                let plan = &mut settings.plans[1];
+                (plan.rate, plan.burst) = (plan.rate * 2.0, plan.burst * 1.5);
+                (plan.ceiling_rate, plan.ceiling_burst) = (plan.ceiling_rate * 2.0, plan.ceiling_burst * 2.0);
+            });
+        }
+        fleet.pass(10.0);
+        let mut sent = 0;
+        for at in 0..3 {
+            id += 1;
+            sent += fleet.ask(at, id, "ceiling");
+        }
+        ceiling.step(10.0, sent);
+        after += if step >= 100 { sent } else { 0 };
+    }
+    assert!(ceiling.lowest >= -plan.ceiling_slack, "{:.1} below its ceiling", -ceiling.lowest);
+    assert!(after as f64 >= plan.rate * 2.0 * 9.0 * 0.6, "only {after} sent on after the change");
+}
