--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -166,11 +166,16 @@
 
 #[test]
 fn a_new_process_takes_the_sockets_and_the_old_one_drains() {
+    // The gateways' processes take the limit over.
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let raised = rustix::process::Rlimit { current: limit.maximum, maximum: limit.maximum };
+    rustix::process::setrlimit(rustix::process::Resource::Nofile, raised).expect("descriptors");
+    let open = limit.maximum.map_or(1000, |m| m.saturating_sub(100).min(1000));
     let place = Place::new("takeover", "");
     let mut old = place.serve(&[]);
     let to = address(&old.wait("\"serving\""));
     assert!(served(to));
-    let idle: Vec<TcpStream> = (0..400).map(|_| connect(to)).collect();
+    let idle: Vec<TcpStream> = (0..open).map(|_| connect(to)).collect();
     let mut half = connect(to);
     let whole = request();
     half.write_all(&whole[..60]).expect("half a request");
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -26,6 +26,7 @@
     ("rack-lost", include_str!("../drills/rack-lost.txtpb")),
     ("disk-full", include_str!("../drills/disk-full.txtpb")),
     ("flood", include_str!("../drills/flood.txtpb")),
+    ("reload-storm", include_str!("../drills/reload-storm.txtpb")),
     ("quiet-day", include_str!("../drills/quiet-day.txtpb")),
 ];
 
