Why a request failed is told by what surely happened: time, node, or no node

Cause: on one busy core a request whose time ran out while held was told NO_NODE, one over a connection not made NODE_FAILED.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -68,7 +68,7 @@
     Time,
     /// A node broke off or answered with an error.
     Node,
-    /// Nothing was sent.
+    /// No node took it: it never ran.
     NoNode,
 }
 
@@ -209,8 +209,9 @@
             Input::Refused { retry_after, why } => self.finish(Final::Refused { retry_after, why }, out),
             Input::Failed => {
                 let failure = match self.last {
-                    None => Failure::NoNode,
-                    Some(Outcome::TimedOut) => Failure::Time,
+                    // What was never sent is refused while there is time: without an attempt its time was over.
+                    None | Some(Outcome::TimedOut) => Failure::Time,
+                    Some(Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Full) => Failure::NoNode,
                     Some(_) => Failure::Node,
                 };
                 self.finish(Final::Failed(failure), out);
@@ -319,7 +320,10 @@
             out.push(Output::Abandon);
             let unsent = self.attempt.is_some_and(|a| matches!(a.wire, Wire::Connecting | Wire::Unsent));
             // Nothing was written: it never ran, also when time ran out over it.
-            return self.break_off(if unsent { Outcome::ConnectFailed } else { Outcome::TimedOut }, out);
+            self.break_off(if unsent { Outcome::ConnectFailed } else { Outcome::TimedOut }, out);
+            // Whatever the decisions make of it, the client is told of its time and not of a node.
+            self.last = Some(Outcome::TimedOut);
+            return;
         }
         if self.client == Client::Waits {
             // The decisions hold a request no longer than its time; this is the net under them (rule 1).
--- a/crates/exchange/tests/lives.rs
+++ b/crates/exchange/tests/lives.rs
@@ -53,6 +53,13 @@
     let time = |inputs: &[Input]| run(&[inputs, &[Input::TimeUp]].concat()).1[2];
     assert_eq!(time(&SENT[..1]), ended(Outcome::ConnectFailed, None, false));
     assert_eq!(time(&SENT), ended(Outcome::TimedOut, None, false));
+    // Time that runs out over a connection not made yet is time all the same to the client.
+    let out = run(&[Input::Sent, Input::TimeUp, Input::Failed]).1;
+    assert!(out.contains(&Output::Answer(Final::Failed(Failure::Time))), "{out:?}");
+    let why = |inputs: &[Input]| {
+        run(&[inputs, &[Input::Failed]].concat()).1.contains(&Output::Answer(Final::Failed(Failure::NoNode)))
+    };
+    assert!(why(&[Input::Sent, Input::Lost]) && !why(&[]) && !why(&[&SENT[..], &[Input::Lost]].concat()));
 }
 
 #[test]
