--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -269,8 +269,12 @@
     pub fn spoil_state(&self, at: usize, spoil: bool) -> anyhow::Result<()> {
         let beside = self.spec.folder.join(format!("gateway-{at}.state.new"));
         if spoil {
-            let _ = std::fs::remove_file(&beside);
-            std::fs::create_dir_all(&beside)?;
+            // The gateway may be just writing there: its file is moved away in a moment.
+            let until = self.clock.now() + 5000.0;
+            while std::fs::create_dir(&beside).is_err() {
+                anyhow::ensure!(self.clock.now() < until, "{}: cannot be put in the way", beside.display());
+                std::thread::sleep(Duration::from_millis(1));
+            }
         } else if beside.is_dir() {
             std::fs::remove_dir(&beside)?;
         }
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -3,9 +3,9 @@
 
 use crate::clients::{Clients, Manner, customers, plan_bounds};
 use crate::fleet::{FALL_MULTIPLE, FALL_TIME, Fleet, FleetSpec, GRACE, POLL};
-use crate::script::{Drill, Expect, NodeWhat, What};
+use crate::script::{Drill, Expect, NodeWhat, Until, Wait, What};
 use doorcourse_standins::{Command, CounterFault, Crowd, NodeFault};
-use doorcourse_verdict::{Answers, Bounds, Event, Record, Report, summary};
+use doorcourse_verdict::{Answers, Bounds, Event, Kind, Record, Report, summary};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -228,11 +228,37 @@
             playing.fleet.recorder.write(Event::Phase { name: phase.clone() });
         }
         step.r#do.iter().filter_map(|a| a.what.as_ref()).try_for_each(|what| playing.act(what))?;
+        if let Some(wait) = &step.wait_until {
+            wait_until(wait, &playing.fleet)?;
+        }
     }
     until(playing, &phase, start + length);
     Ok(())
 }
 
+fn wait_until(wait: &Wait, fleet: &Fleet) -> anyhow::Result<()> {
+    let served = || {
+        let all = fleet.recorder.records();
+        all.iter().filter(|r| matches!(r.event, Event::Answer { kind: Kind::Served, .. })).count()
+    };
+    let (before, limit) = (served(), wait.limit_s.unwrap_or(10.0));
+    let until = fleet.clock.now() + limit * 1000.0;
+    loop {
+        let there = match wait.until {
+            Some(Until::GatewayServing(at)) => {
+                fleet.call(at as usize, "status").is_ok_and(|v| v["result"]["state"] == "serving")
+            }
+            Some(Until::Served(more)) => served() >= before + more as usize,
+            None => true,
+        };
+        if there {
+            return Ok(());
+        }
+        anyhow::ensure!(fleet.clock.now() < until, "waited {limit} s in vain: {wait:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// What an expectation misses.
 fn miss(expect: &Expect, report: &Report) -> Vec<String> {
     let mut all = Answers::default();
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -9,7 +9,8 @@
 use doorcourse_config::{Fault, Places, parse_text};
 pub use raw::act::What;
 pub use raw::node_fault::What as NodeWhat;
-pub use raw::{Act, Drill, Expect};
+pub use raw::wait::Until;
+pub use raw::{Act, Drill, Expect, Wait};
 
 const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/drill.bin"));
 
@@ -82,6 +83,17 @@
     for (at, step) in drill.steps.iter().enumerate() {
         range(&format!("steps[{at}].at"), step.at, before, 1.0);
         before = step.at.max(before);
+        if let Some(wait) = &step.wait_until {
+            let path = format!("steps[{at}].wait_until");
+            range(&format!("{path}.limit_s"), wait.limit_s.unwrap_or(10.0), 0.1, 600.0);
+            match wait.until {
+                Some(Until::GatewayServing(g)) => {
+                    range(&path, f64::from(g), 0.0, drill.gateways() as f64 - 1.0)
+                }
+                Some(Until::Served(n)) => range(&path, f64::from(n), 1.0, 1e6),
+                None => range(&path, f64::NAN, 0.0, 0.0),
+            }
+        }
         for (number, act) in step.r#do.iter().enumerate() {
             let path = format!("steps[{at}].do[{number}]");
             let (gateways, nodes) = (drill.gateways() as f64 - 1.0, drill.nodes() as f64 - 1.0);
