One catalogue for the tour and the stand-ins; a run's bounds said once

Cause: the catalogue's schema lay in two places and the verdict's bounds were written twice. Change: the stand-ins serve the tour's schema; one function says what a run is judged by.

--- a/crates/drill/src/kit.rs
+++ b/crates/drill/src/kit.rs
@@ -1,14 +1,14 @@
 //! A fleet that stays up until it is told otherwise, for rehearsing by hand: one process holds the stand-ins and
 //! its gateways' processes, and listens on a socket in its folder (JSON-RPC 2.0, one object a line).
 
-use crate::clients::{Clients, Manner, customers, plan_bounds};
-use crate::fleet::{FALL_MULTIPLE, FALL_TIME, Fleet, FleetSpec, GRACE, POLL};
-use crate::play::{BURSTS, MOST_UNITS, Playing, SLACK};
+use crate::clients::{Clients, Manner, customers};
+use crate::fleet::{Fleet, FleetSpec};
+use crate::play::{Playing, SLACK, bounds};
 use crate::script::read_act;
 use crate::show::show;
 use anyhow::Context;
 use doorcourse_standins::Crowd;
-use doorcourse_verdict::{Bounds, Event, summary};
+use doorcourse_verdict::summary;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Write};
 use std::os::unix::net::{UnixListener, UnixStream};
@@ -65,15 +65,7 @@
         customers: customers(),
     })?;
     let (recorder, clock) = (fleet.recorder.clone(), fleet.clock);
-    recorder.write(Event::Bounds(Bounds {
-        plans: plan_bounds(1.0),
-        answer_slack: SLACK,
-        drain_grace: POLL + GRACE,
-        bursts: BURSTS,
-        most_units: MOST_UNITS,
-        fall_multiple: FALL_MULTIPLE,
-        fall_time: FALL_TIME,
-    }));
+    recorder.write(bounds(1.0));
     let _ = std::fs::remove_file(&path);
     let listener = UnixListener::bind(&path).with_context(|| path.display().to_string())?;
     listener.set_nonblocking(true)?;
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -64,11 +64,24 @@
 }
 
 /// By the bound of docs/design.md: one burst, and a second one after a counter that came back empty.
-pub(crate) const BURSTS: f64 = 2.0;
-pub(crate) const MOST_UNITS: f64 = 10.0;
+const BURSTS: f64 = 2.0;
+const MOST_UNITS: f64 = 10.0;
 /// How much later than its time a client still notices an answer, in ms: what this machine's load may add.
 pub(crate) const SLACK: f64 = 150.0;
 
+/// What a run is judged by, with the plans' figures so many times.
+pub(crate) fn bounds(times: f64) -> Event {
+    Event::Bounds(Bounds {
+        plans: plan_bounds(times),
+        answer_slack: SLACK,
+        drain_grace: POLL + GRACE,
+        bursts: BURSTS,
+        most_units: MOST_UNITS,
+        fall_multiple: FALL_MULTIPLE,
+        fall_time: FALL_TIME,
+    })
+}
+
 /// A fleet with clients, to which things are done.
 pub(crate) struct Playing {
     pub fleet: Fleet,
@@ -172,15 +185,7 @@
         Some(What::ReloadPlans(times)) => Some(times),
         _ => None,
     });
-    recorder.write(Event::Bounds(Bounds {
-        plans: plan_bounds(times.fold(1.0, f64::max)),
-        answer_slack: SLACK,
-        drain_grace: POLL + GRACE,
-        bursts: BURSTS,
-        most_units: MOST_UNITS,
-        fall_multiple: FALL_MULTIPLE,
-        fall_time: FALL_TIME,
-    }));
+    recorder.write(bounds(times.fold(1.0, f64::max)));
     let clock = fleet.clock;
     let start = clock.now();
     let manner = Arc::new(Mutex::new(Manner::default()));
--- a/crates/standins/src/catalogue.rs
+++ b/crates/standins/src/catalogue.rs
@@ -1,7 +1,7 @@
 //! What the stand-in clients ask for.
 
 /// The catalogue's schema.
-pub const CATALOGUE: &str = include_str!("../catalogue.graphql");
+pub const CATALOGUE: &str = include_str!("../../../examples/tour/catalogue.graphql");
 
 /// One kind of operation.
 #[derive(Clone, Debug)]
