Routing keeps tiers, standbys, spares, weights and bound requests

Node lists taken over from Apache and mod_jk state roles that the choice of node could not keep. src/routes.rs decides them beside logic.rs: tiers in order, hot standby, hot spares, disabled, successor and group of a bound route, shares by weight (strides with few gateways, a draw over an arc of own nodes with many). A list that states none of these is chosen as before. A node whose start nobody tells can count as cold from its last refused connection on.

--- a/examples/loop.rs
+++ b/examples/loop.rs
@@ -3,7 +3,7 @@
 
 use doorcourse::{
     Action, Arrival, AttemptEnd, BackendEntry, BackendState, Class, CountOutcome, Effect, Event, Gateway,
-    Group, Millis, Outcome, Plan, Settings,
+    Group, Millis, Name, Outcome, Place, Plan, Settings,
 };
 use std::collections::BTreeMap;
 
@@ -56,6 +56,7 @@
         agenda.insert((at.ceil() as u64, order), event);
     };
     let backend = BackendEntry {
+        place: Place::default(),
         name: "b1".into(),
         zone: "a".into(),
         cell: 0,
@@ -75,6 +76,7 @@
             patience: 900.0,
             first: 0,
             spread: 1,
+            bound: Name::default(),
         };
         plan(&mut agenda, id as Millis * 10.0, Event::Request(arrival));
     }
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -9,7 +9,7 @@
 use base64::engine::general_purpose::STANDARD;
 use doorcourse::{
     Action, Arrival, AttemptEnd, BackendEntry, BackendState, CountOutcome, Event, Gateway, LoadReport,
-    Millis, Name, Outcome,
+    Millis, Name, Outcome, Place,
 };
 use std::collections::BTreeMap;
 use std::fmt::{self, Write as _};
@@ -137,7 +137,7 @@
     };
     fields.optional::<f64>("rating")?;
     let started = fields.optional::<f64>("born-ms")?.filter(|at| *at > 0.0);
-    Ok(BackendEntry { name, zone, cell, state, started })
+    Ok(BackendEntry { name, zone, cell, state, started, place: Place::default() })
 }
 
 /// All gateways that one process hosts.
@@ -258,7 +258,19 @@
                 let spread = fields.optional("spread")?.unwrap_or(0);
                 let units = fields.optional("units")?.unwrap_or(1.0);
                 let plan = fields.name("package")?;
-                Event::Request(Arrival { id, customer, plan, class, units, repeat, patience, first, spread })
+                let bound = Name::default();
+                Event::Request(Arrival {
+                    id,
+                    customer,
+                    plan,
+                    class,
+                    units,
+                    repeat,
+                    patience,
+                    first,
+                    spread,
+                    bound,
+                })
             }
             "UNDER_WAY" => Event::StreamStarted { id: fields.number("id")? },
             "ATTEMPT_END" => {
--- a/simhost/src/settings.rs
+++ b/simhost/src/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the settings object of a `START` line into the library's `Settings`.
 
-use doorcourse::{Class, Effect, Group, Name, Plan, Reports, Settings};
+use doorcourse::{Class, Effect, Group, Name, Plan, Reports, Routing, Settings};
 use serde_json::Value;
 
 /// One object of the settings; a missing key reads as its zero, a value of the wrong type is a fault.
@@ -85,6 +85,7 @@
         fall_multiple: rules.number("overload-factor")?,
         fall_time: rules.number("fall-ms")?,
         price_cross_zone: prices.number("cross-zone")?,
+        routing: Routing::default(),
     })
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -134,6 +134,8 @@
     pub fall_time: Millis,
     /// The points taken off for one crossing of zones a request.
     pub price_cross_zone: f64,
+    /// How backends with stated places are chosen.
+    pub routing: Routing,
 }
 
 /// Settings that cannot be used.
@@ -170,6 +172,67 @@
     Gone,
 }
 
+/// What a backend is there for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// It takes its part.
+    #[default]
+    Active,
+    /// It is used when nothing else of its tier can serve.
+    Standby,
+    /// It stands in for one active backend of its tier that is out of service, until that one is warm again.
+    Spare,
+    /// It takes only requests that are bound to it.
+    Bound,
+}
+
+/// A backend's place among the others. The default is that of a list which says nothing of places.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// Its part of the requests beside the others of its tier; above 0.
+    pub weight: f64,
+    /// Tiers are tried in order from 0.
+    pub tier: u32,
+    /// What it is there for.
+    pub role: Role,
+    /// The name that requests are bound to it by; empty for none.
+    pub route: Name,
+    /// The route that takes its bound requests when it is out of service; empty for none.
+    pub redirect: Name,
+    /// Backends of one group stand in for each other for bound requests; empty for none.
+    pub group: Name,
+}
+
+impl Default for Place {
+    fn default() -> Self {
+        let (route, redirect, group) = (Name::default(), Name::default(), Name::default());
+        Self { weight: 1.0, tier: 0, role: Role::Active, route, redirect, group }
+    }
+}
+
+/// How requests are spread over the backends of a tier.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Balance {
+    /// To the one with the fewest of this gateway's attempts out; by weight where weights differ.
+    #[default]
+    Outstanding,
+    /// By weight alone.
+    Requests,
+    /// To the one with the fewest attempts out beside its weight, of equals by weight.
+    Busyness,
+}
+
+/// Rules for the choice among backends that the list states places for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Routing {
+    /// How requests are spread.
+    pub balance: Balance,
+    /// A bound request waits and is refused rather than served elsewhere.
+    pub strict: bool,
+    /// A backend whose start is not known and that refuses connections counts as started at the last refusal.
+    pub assume_restart: bool,
+}
+
 /// One line of the list of backends.
 #[derive(Clone, Debug)]
 pub struct BackendEntry {
@@ -183,6 +246,8 @@
     pub state: BackendState,
     /// When it last started, where that is known.
     pub started: Option<Millis>,
+    /// Its place among the others.
+    pub place: Place,
 }
 
 /// A backend's report of its own load; each value only where the site has it.
@@ -249,6 +314,8 @@
     pub first: u32,
     /// How many gateways the customer's requests come in through.
     pub spread: u32,
+    /// The route that the request is bound to; empty for none.
+    pub bound: Name,
 }
 
 /// The end of an attempt.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,11 +15,12 @@
 //! };
 //! let mut gateway = Gateway::new(settings, 7)?;
 //! let mut actions = Vec::new();
-//! let backend = BackendEntry { name: "b1".into(), zone: "a".into(), cell: 0, state: BackendState::Ready,
+//! let backend = BackendEntry { name: "b1".into(), zone: "a".into(), cell: 0, state: BackendState::Ready, place: Place::default(),
 //!     started: None };
 //! gateway.handle(0.0, Event::BackendList(vec![backend]), &mut actions);
 //! gateway.handle(1.0, Event::Request(Arrival { id: 1, customer: "c".into(), plan: "basic".into(),
-//!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1 }), &mut actions);
+//!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1,
+//!     bound: Name::default() }), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
 //! # Ok::<(), doorcourse::SettingsError>(())
 //! ```
@@ -41,6 +42,8 @@
 mod check;
 mod interface;
 mod logic;
+mod mix;
+mod routes;
 
 pub use interface::*;
 pub use logic::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,8 @@
 
 use crate::check::check;
 use crate::interface::*;
+use crate::mix::{hash, mix, unit};
+use crate::routes::{Fit, Routes};
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Quotas (a turn is burst over rate: the time in which a quota turns over once) ----
@@ -89,9 +91,7 @@
 const EJECT_TOLD: u32 = 2;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 const ZONE_BIAS: f64 = 5.0;
-/// One of many gateways keeps to about this many backends of its own, others look `STRANGE` times further:
-/// guards against full connection tables, and it hears more of each.
-const OWN_BACKENDS: f64 = 5.0;
+/// Among many gateways, backends that are not of this one's own (`Routes::own`) look this much further.
 const STRANGE: f64 = 100.0;
 /// A cold backend gets this part of its capacity's share of an even part of all sends. Warm ones are not sent
 /// more than they can do, so all gateways together stay under the multiple that fells it.
@@ -100,26 +100,15 @@
 const SWEEP: Millis = 25.0;
 const SWEEP_TOKEN: u64 = 1;
 
-fn hash(text: &str) -> u64 {
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
-}
-
-fn unit(x: u64) -> f64 {
-    (mix(x) >> 11) as f64 / (1u64 << 53) as f64
-}
-
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 #[derive(Default)]
 struct Backend {
     zone: Name,
     cell: u64,
     ready: bool,
+    seat: usize,
     started: Option<Millis>,
+    /// Where starts are not told: when it last refused a connection, which is the earliest it can have started.
+    refused: Option<Millis>,
     out: u32,
     /// How many this gateway keeps out here at most.
     room: f64,
@@ -140,7 +129,7 @@
 
     /// The share of its capacity that a backend surely has by now: it rises at least evenly.
     fn warmth(&self, now: Millis, settings: &Settings) -> f64 {
-        let Some(started) = self.started else { return 1.0 };
+        let Some(started) = self.started.or(self.refused) else { return 1.0 };
         let age = ((now - started) / settings.cold_time.max(1.0)).clamp(0.0, 1.0);
         settings.cold_share + (1.0 - settings.cold_share) * age
     }
@@ -316,6 +305,7 @@
     attempts: u32,
     may_have_run: Option<(Millis, Name)>,
     sent_at: Millis,
+    bound: Name,
 }
 
 /// One gateway: build it from settings and a seed, then feed it events.
@@ -325,6 +315,7 @@
     random: u64,
     now: Millis,
     backends: BTreeMap<Name, Backend>,
+    routes: Routes,
     customers: BTreeMap<Name, Customer>,
     requests: BTreeMap<RequestId, Request>,
     queue: VecDeque<RequestId>,
@@ -354,7 +345,10 @@
         check(&settings)?;
         let class_latency = vec![0.0; settings.classes.len()];
         let plan_odds = vec![[1.0, 0.0]; settings.plans.len()];
-        Ok(Self { settings, random: mix(seed | 1), ease: 1.0, plan_odds, class_latency, ..Self::default() })
+        let random = mix(seed | 1);
+        let mut new = Self { settings, random, ease: 1.0, plan_odds, class_latency, ..Self::default() };
+        new.routes.configure(&new.settings, new.many(), random);
+        Ok(new)
     }
 
     /// Takes one event at a time and appends what the host is to do.
@@ -419,10 +413,12 @@
     fn on_list(&mut self, list: Vec<BackendEntry>, full: bool, out: &mut Vec<Action>) {
         if full {
             self.backends.values_mut().for_each(|b| b.ready = false);
+            self.routes.clear_list();
         }
         for entry in list {
             let (ready, known) = (entry.state == BackendState::Ready, self.backends.get_mut(&entry.name));
             let out = known.as_ref().map_or(0, |b| b.out);
+            let seat = self.routes.seat(known.as_ref().map(|b| b.seat), &entry);
             if let Some(known) = known.filter(|b| b.started == entry.started) {
                 known.ready = ready;
                 continue;
@@ -430,8 +426,9 @@
             let room = ROOM_FIRST / f64::from(self.settings.gateways);
             let BackendEntry { name, zone, cell, started, .. } = entry;
             self.backends
-                .insert(name, Backend { zone, cell, ready, started, out, room, ..Default::default() });
+                .insert(name, Backend { zone, cell, ready, seat, started, out, room, ..Default::default() });
         }
+        self.routes.arrange();
         self.drain_queue(out);
     }
 
@@ -447,8 +444,9 @@
         let now = self.now;
         let units = if arrival.units.is_finite() { arrival.units.max(0.0) } else { 1.0 };
         let (arrived, deadline) = (now, now + arrival.patience);
-        let (customer, repeat, rest) = (name.clone(), arrival.repeat, Request::default());
-        self.requests.insert(id, Request { customer, plan, class, units, repeat, arrived, deadline, ..rest });
+        let (customer, repeat, bound) = (name.clone(), arrival.repeat, arrival.bound);
+        let rest = Request { arrived, deadline, bound, ..Request::default() };
+        self.requests.insert(id, Request { customer, plan, class, units, repeat, ..rest });
         let customer = self.customers.entry(name.clone()).or_insert_with(|| {
             let (salt, store) = (hash(&name) >> 8, Customer::start_of(&self.settings.plans[plan]));
             Customer { plan, salt, store, store_at: now, demand_at: now, ..Customer::default() }
@@ -717,35 +715,31 @@
         if out >= self.room().max(1.0) {
             return None;
         }
-        let ready = self.backends.values().filter(|b| b.ready).count().max(1) as f64;
-        let (salt, own) = (self.random, mix(u64::from(self.settings.number) + 1));
+        let salt = self.random;
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
         let (many, cold_share) = (self.many(), COLD_MULTIPLE * self.take());
-        let mut best: Option<(f64, &Name)> = None;
-        for (name, backend) in &self.backends {
-            let (group, zone, cell) = (class.group, &backend.zone, backend.cell);
+        for backend in self.backends.values() {
+            let (group, zone, cell, seat) = (class.group, &backend.zone, backend.cell, backend.seat);
             let same = |h: &Backend| if group == Group::Zone { h.zone == *zone } else { h.cell == cell };
-            let in_group = group == Group::All || home.is_none_or(same);
-            let full = f64::from(backend.out) >= backend.room.ceil();
-            let luck = unit(salt ^ hash(name));
+            let luck = unit(salt ^ self.routes.hash_of(seat));
             let warmth = backend.warmth(self.now, &self.settings);
-            // The cold budget: by chance its share of an even part, from the first ms. Guards cold backends
-            // with no agreement and no warm backend.
-            let cold = warmth < 1.0 && luck * ready >= warmth * cold_share;
-            if !backend.ready || !in_group || full || cold || self.now < backend.eject_until {
-                continue;
-            }
+            // The cold budget: by chance its share of its part of the sends, from the first ms. Guards cold
+            // backends with no agreement and no warm backend.
+            let cold = warmth < 1.0 && luck * self.routes.parts(seat) >= warmth * cold_share;
+            let fit = match () {
+                () if !backend.ready || self.now < backend.eject_until => Fit::Down,
+                () if group != Group::All && !home.is_none_or(same) => Fit::Barred,
+                () if f64::from(backend.out) >= backend.room.ceil() => Fit::Full,
+                () if cold => Fit::Cold,
+                () => Fit::Free,
+            };
             // Among many, a draw by weight: no two gateways follow the same order.
             let draw = if many { -luck.max(1e-12).ln() } else { 1.0 + 0.1 * luck };
             let far = if *zone == self.settings.zone { 1.0 } else { far };
-            let own = unit(hash(name) ^ own) * ready < OWN_BACKENDS;
-            let far = if own || !many { far } else { far * STRANGE };
-            let score = if warmth < 1.0 { 0.0 } else { (1.0 + f64::from(backend.out)) * far * draw };
-            if best.is_none_or(|(s, _)| score < s) {
-                best = Some((score, name));
-            }
+            let far = if self.routes.own(seat) || !many { far } else { far * STRANGE };
+            self.routes.offer(seat, fit, warmth >= 1.0, far, draw, (backend.out, backend.room));
         }
-        let chosen = best.map(|(_, name)| name.clone());
+        let chosen = self.routes.choose(&request.bound);
         self.chance();
         chosen
     }
@@ -770,6 +764,9 @@
             // A client with little time left proves nothing of the fleet.
             _ => latency > *usual * LATE_LATENCIES,
         };
+        if end.outcome == Outcome::ConnectFailed && self.settings.routing.assume_restart {
+            backend.refused = Some(now);
+        }
         backend.note_latency(late);
         self.late += NEWEST * (f64::from(u8::from(late)) - self.late);
         let lost = end.outcome != Outcome::Served;
@@ -976,6 +973,7 @@
             request.class = classes[request.class].unwrap_or_default();
             request.plan = plans[request.plan].unwrap_or_default();
         }
+        self.routes.configure(&self.settings, self.many(), self.random);
         for customer in self.customers.values_mut() {
             let to = plans[customer.plan].unwrap_or_default();
             customer.replan(self.now, &old.plans[customer.plan], &self.settings.plans[to]);
--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -106,6 +106,7 @@
         patience: -5.0,
         first: 99,
         spread: 0,
+        bound: Name::default(),
     }));
     assert!(count(&did).is_some());
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -54,7 +54,7 @@
 /// A list line; backends named `a…` are in cell 0, all others in cell 1.
 pub fn backend(name: &str, state: BackendState, started: Option<Millis>) -> BackendEntry {
     let cell = u64::from(!name.starts_with('a'));
-    BackendEntry { name: name.into(), zone: "z1".into(), cell, state, started }
+    BackendEntry { name: name.into(), zone: "z1".into(), cell, state, started, place: Place::default() }
 }
 
 /// A gateway, its clock and what it did at the last event.
@@ -111,6 +111,7 @@
             patience: 2000.0,
             first: 0,
             spread,
+            bound: Name::default(),
         }))
     }
 
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -109,6 +109,7 @@
         patience,
         first: random.below(2) as u32,
         spread: random.below(3) as u32,
+        bound: Name::default(),
     })
 }
 
