Settings and gateway take weights, tiers, roles and bound sessions of nodes

Now nodes state weight, tier, role, route, redirect and group; routing states the balance and where sessions name their node; a list file may carry its own routing, which goes before that of the settings and is taken in service. Cookies pass in both directions where a session cookie is stated, and `check` takes node lists too.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -62,9 +62,9 @@
         #[arg(long)]
         take_over: bool,
     },
-    /// Check settings and tell every fault; 1 if there is any.
+    /// Check settings or a node list and tell every fault; 1 if there is any.
     Check {
-        /// The settings, in protobuf text format.
+        /// Settings or a node list, in protobuf text format.
         file: PathBuf,
     },
     /// Parse, validate and price GraphQL documents.
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -20,6 +20,17 @@
 }
 
 pub fn check(file: &Path) -> anyhow::Result<ExitCode> {
+    let text = std::fs::read_to_string(file).with_context(|| file.display().to_string())?;
+    let shown = file.display().to_string();
+    if doorcourse_config::is_node_list(&shown, &text) {
+        return Ok(match doorcourse_config::read_nodes(&shown, &text) {
+            Err(faults) => told(&faults),
+            Ok(list) => {
+                say!("{shown}: good: a list of {} nodes", list.nodes.len());
+                ExitCode::SUCCESS
+            }
+        });
+    }
     Ok(match read(file)? {
         Err(faults) => told(&faults),
         Ok(config) => {
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -44,6 +44,7 @@
     figure("limits", format!("{:?}", old.limits), format!("{:?}", new.limits));
     figure("graphql limits", format!("{:?}", old.query_limits), format!("{:?}", new.query_limits));
     figure("life", format!("{:?}", old.life), format!("{:?}", new.life));
+    figure("routing", format!("{:?}", old.routing), format!("{:?}", new.routing));
     figure("node_list", format!("{:?}", old.node_list), format!("{:?}", new.node_list));
     let schema = |c: &Config| format!("{:?}", c.schema);
     if schema(old) != schema(new) {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,9 +1,9 @@
 //! Reading and checking. Every fault is told, not the first alone; nothing is used unless there is none.
 
 use crate::locate::Places;
-use crate::raw::{self, class, node};
-use crate::{Config, Counter, Customer, Fault, Life, Limits, Node, StateFile};
-use doorcourse::{BackendEntry, BackendState, Class, Effect, Group, Name, Plan};
+use crate::raw::{self, class, node, routing};
+use crate::{Config, Counter, Customer, Fault, Life, Limits, Node, NodeFile, Routing, StateFile};
+use doorcourse::{BackendEntry, BackendState, Balance, Class, Effect, Group, Name, Place, Plan, Role};
 use doorcourse_graphql::{DEPTH_MOST, Limits as QueryLimits, OperationKind, Schema};
 use prost_reflect::{DescriptorPool, DynamicMessage};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -113,11 +113,60 @@
 ///
 /// # Errors
 /// Every fault found, each with file, line and field.
-pub fn read_nodes(file: &str, text: &str) -> Result<Vec<Node>, Vec<Fault>> {
+pub fn read_nodes(file: &str, text: &str) -> Result<NodeFile, Vec<Fault>> {
     let raw: raw::Nodes = parse("Nodes", file, text)?;
     let mut check = Check { file, places: Places::new(text), faults: Vec::new() };
     let nodes = nodes(&raw.nodes, &mut check);
-    if check.faults.is_empty() { Ok(nodes) } else { Err(check.faults) }
+    let routing = raw.routing.as_ref().map(|r| routing(r, &mut check));
+    if check.faults.is_empty() { Ok(NodeFile { nodes, routing }) } else { Err(check.faults) }
+}
+
+/// Whether a text is a node list file rather than settings: it parses as one.
+#[must_use]
+pub fn is_node_list(file: &str, text: &str) -> bool {
+    parse::<raw::Nodes>("Nodes", file, text).is_ok_and(|n| !n.nodes.is_empty())
+}
+
+fn routing(raw: &raw::Routing, check: &mut Check) -> Routing {
+    let sticky = raw.sticky.clone().unwrap_or_default();
+    let token = |c: char| c.is_ascii_graphic() && !"()<>@,;:\\\"/[]?={}&%+".contains(c);
+    for (field, name) in [("cookie", &sticky.cookie), ("parameter", &sticky.parameter)] {
+        if !name.chars().all(token) {
+            check.fault(&format!("routing.sticky.{field}"), format!("`{name}` is no name of one"));
+        }
+    }
+    if raw.sticky.is_some() && sticky.cookie.is_empty() && sticky.parameter.is_empty() {
+        check.fault("routing.sticky", "a cookie or a parameter is needed");
+    }
+    let balance = match raw.balance() {
+        routing::Balance::Outstanding => Balance::Outstanding,
+        routing::Balance::Requests => Balance::Requests,
+        routing::Balance::Busyness => Balance::Busyness,
+    };
+    Routing { balance, strict: sticky.strict, cookie: sticky.cookie, parameter: sticky.parameter }
+}
+
+fn place(raw: &raw::Node, at: usize, check: &mut Check) -> Place {
+    let path = |field: &str| format!("nodes[{at}].{field}");
+    for (field, text) in [("route", &raw.route), ("redirect", &raw.redirect), ("group", &raw.group)] {
+        if text.chars().any(|c| c.is_whitespace() || c.is_control()) {
+            check.fault(&path(field), "a name without white space is needed");
+        }
+    }
+    let role = match raw.role() {
+        node::Role::Active => Role::Active,
+        node::Role::Standby => Role::Standby,
+        node::Role::Spare => Role::Spare,
+        node::Role::Bound => Role::Bound,
+    };
+    Place {
+        weight: check.figure(&path("weight"), raw.weight.unwrap_or(1.0), 0.001..=1e5),
+        tier: check.whole(&path("tier"), raw.tier.into(), 0..=1000) as u32,
+        role,
+        route: raw.route.as_str().into(),
+        redirect: raw.redirect.as_str().into(),
+        group: raw.group.as_str().into(),
+    }
 }
 
 fn nodes(raw: &[raw::Node], check: &mut Check) -> Vec<Node> {
@@ -131,7 +180,8 @@
             node::State::Ready => BackendState::Ready,
             node::State::Draining => BackendState::Draining,
         };
-        let entry = BackendEntry { name, zone: raw.zone.as_str().into(), cell: raw.cell, state, started };
+        let (zone, cell, place) = (raw.zone.as_str().into(), raw.cell, place(raw, at, check));
+        let entry = BackendEntry { name, zone, cell, state, started, place };
         Node { entry, address }
     };
     raw.iter().enumerate().map(one).collect()
@@ -183,6 +233,7 @@
         |kind| schema.as_ref().map(|s| root_classes(s, kind, &raw.classes, check)).unwrap_or_default();
     let (query_classes, mutation_classes) = (of(OperationKind::Query), of(OperationKind::Mutation));
     let cold = raw.cold_nodes.unwrap_or_default();
+    let routing = raw.routing.as_ref().map(|r| routing(r, check)).unwrap_or_default();
     let attempts = raw.attempts.unwrap_or_default();
     let most_units = plans.iter().map(|p| p.burst).fold(1.0, f64::max);
     let decisions = doorcourse::Settings {
@@ -211,6 +262,11 @@
         ),
         fall_time: check.figure("cold_nodes.fall_ms", cold.fall_ms.unwrap_or(1000.0), 1.0..=6e5),
         price_cross_zone,
+        routing: doorcourse::Routing {
+            balance: routing.balance,
+            strict: routing.strict,
+            assume_restart: cold.assume_restart.unwrap_or(true),
+        },
         ..doorcourse::Settings::default()
     };
     if check.faults.is_empty()
@@ -262,6 +318,7 @@
         counter,
         nodes,
         node_list,
+        routing,
         give_up,
         query_classes,
         mutation_classes,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,7 +11,7 @@
 mod locate;
 
 pub use change::{Change, compare};
-pub use check::{parse_text, read, read_nodes};
+pub use check::{is_node_list, parse_text, read, read_nodes};
 pub use locate::Places;
 
 use doorcourse::{BackendEntry, Name};
@@ -58,6 +58,28 @@
     pub address: SocketAddr,
 }
 
+/// How nodes are chosen, for the decisions, and where a request names its node, for the fronts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Routing {
+    /// For the decisions.
+    pub balance: doorcourse::Balance,
+    /// For the decisions.
+    pub strict: bool,
+    /// The cookie with a session's id; empty for none.
+    pub cookie: String,
+    /// The parameter with it; empty for none.
+    pub parameter: String,
+}
+
+/// A node list file.
+#[derive(Clone, Debug)]
+pub struct NodeFile {
+    /// Its nodes.
+    pub nodes: Vec<Node>,
+    /// Its routing, which goes before that of the settings.
+    pub routing: Option<Routing>,
+}
+
 /// A customer, found by one of its keys.
 #[derive(Clone, Debug)]
 pub struct Customer {
@@ -134,6 +156,8 @@
     pub nodes: Vec<Node>,
     /// A file of nodes beside the settings, and how often to look at it in ms.
     pub node_list: Option<(String, f64)>,
+    /// How nodes are chosen and where a request names its node.
+    pub routing: Routing,
     /// How long a client of each class waits, in ms.
     pub give_up: Vec<f64>,
     /// The class of each root field, of queries and of mutations.
@@ -161,6 +185,12 @@
 }
 
 impl Config {
+    /// Takes over the routing of a node list file, which goes before that of the settings.
+    pub fn set_routing(&mut self, routing: Routing) {
+        (self.decisions.routing.balance, self.decisions.routing.strict) = (routing.balance, routing.strict);
+        self.routing = routing;
+    }
+
     /// The customer that a key belongs to.
     #[must_use]
     pub fn customer(&self, key: &[u8]) -> Option<&Arc<Customer>> {
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -1,6 +1,6 @@
 //! Good settings pass; each fault is told with file, line and field.
 
-use doorcourse_config::{Config, Fault, read, read_nodes};
+use doorcourse_config::{Config, Fault, is_node_list, read, read_nodes};
 
 const SDL: &str = "type Query { preview(id: ID!): String search: [String] } type Mutation { order: ID }";
 
@@ -94,10 +94,35 @@
 fn node_lists() {
     let nodes =
         read_nodes("n", "nodes { name: 'a' address: '127.0.0.1:1' state: DRAINING started_ms: 5 }").unwrap();
-    assert_eq!(nodes[0].entry.started, Some(5.0));
+    assert_eq!(nodes.nodes[0].entry.started, Some(5.0));
     let faults =
         read_nodes("n", "nodes { name: 'a' address: 'x' }\nnodes { name: 'a' address: '127.0.0.1:1' }")
             .unwrap_err();
     assert_eq!(faults.len(), 2);
     assert_eq!(faults[1].to_string(), "n:2:9: nodes[1].name: `a` is taken already");
 }
+
+#[test]
+fn places_and_routing_of_nodes() {
+    let text =
+        "nodes { name: 'a' address: '127.0.0.1:1' weight: 2.5 tier: 3 role: SPARE route: 'r' redirect: 's'
+        group: 'g' }\nrouting { balance: BUSYNESS sticky { cookie: 'SID' strict: true } }";
+    let file = read_nodes("n", text).unwrap();
+    let place = &file.nodes[0].entry.place;
+    assert_eq!((place.weight, place.tier, place.role), (2.5, 3, doorcourse::Role::Spare));
+    assert_eq!((&*place.route, &*place.redirect, &*place.group), ("r", "s", "g"));
+    let routing = file.routing.unwrap();
+    assert!(routing.balance == doorcourse::Balance::Busyness && routing.strict && routing.cookie == "SID");
+    assert!(is_node_list("n", text) && !is_node_list("n", "listen: 'x'") && !is_node_list("n", ""));
+    let bad = "nodes { name: 'a' address: '127.0.0.1:1' weight: 0 tier: 9999 route: 'a b' }
+routing { sticky { cookie: 'a;b' } }";
+    let faults: Vec<String> = read_nodes("n", bad).unwrap_err().iter().map(ToString::to_string).collect();
+    for (told, fault) in
+        ["route: a name", "weight: 0 is out", "tier: 9999 is out", "cookie: `a;b`"].iter().zip(&faults)
+    {
+        assert!(fault.contains(told), "{faults:?}");
+    }
+    assert!(
+        read_nodes("n", "routing { sticky { strict: true } }").unwrap_err()[0].message.contains("cookie or")
+    );
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -10,6 +10,8 @@
 
 mod admission;
 mod exchange;
+mod session;
 
 pub use admission::{Never, Offer, class_of, fits, patience};
 pub use exchange::{Exchange, Failure, Final, Input, Output, Wire};
+pub use session::{cookie, parameter, route_of, split_path};
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,7 +3,9 @@
 
 use doorcourse::{Name, Refusal};
 use doorcourse_config::{Config, Customer};
-use doorcourse_exchange::{Failure, Final, Never, class_of, fits, patience};
+use doorcourse_exchange::{
+    Failure, Final, Never, class_of, cookie, fits, parameter, patience, route_of, split_path,
+};
 use doorcourse_graphql::{Error as QueryError, OperationKind, Prepared};
 use doorcourse_http::{Framing, Head, response_head};
 use serde_json::{Map, Value, json};
@@ -50,6 +52,8 @@
     pub deadline: Option<f64>,
     /// Fields that go on to the node.
     pub pass: Vec<(String, String)>,
+    /// The route that the client's session names; empty for none.
+    bound: Name,
     query: Option<String>,
 }
 
@@ -66,6 +70,7 @@
     pub body: Vec<u8>,
     pub pass: Vec<(String, String)>,
     pub prepared: Prepared,
+    pub bound: Name,
 }
 
 const PASSED_ON: [&str; 4] = ["idempotency-key", REQUEST_ID_FIELD, "traceparent", "tracestate"];
@@ -103,6 +108,8 @@
 pub(crate) fn caller(config: &Config, head: &Head) -> Result<Caller, Reply> {
     let refuse = |status, code: &str, text: &str| Err(closing(error(Media::Json, status, code, text)));
     let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+    let sticky = &config.routing;
+    let (path, behind) = if sticky.parameter.is_empty() { (path, "") } else { split_path(path) };
     if path != config.path {
         return refuse(404, "NOT_FOUND", "there is nothing here");
     }
@@ -146,10 +153,18 @@
             return refuse(400, "BAD_DEADLINE", "doorcourse-deadline-ms must be a number of ms above 0");
         }
     };
-    let passed = head.fields.iter().filter(|(n, _)| PASSED_ON.contains(&n.as_str()));
-    let pass = passed.cloned().collect();
-    let query = if get { Some(query.to_owned()) } else { None };
-    Ok(Caller { customer: Arc::clone(customer), media, get, deadline, pass, query })
+    let cookies = !sticky.cookie.is_empty();
+    let pass_on = |n: &str| PASSED_ON.contains(&n) || cookies && n == "cookie";
+    let pass = head.fields.iter().filter(|(n, _)| pass_on(n)).cloned().collect();
+    // A cookie goes before a parameter, as where these names come from.
+    let fields = head.fields.iter().filter(|(n, _)| n == "cookie").map(|(_, v)| v.as_str());
+    let session = cookie(&sticky.cookie, fields)
+        .or_else(|| parameter(&sticky.parameter, behind, ';'))
+        .or_else(|| parameter(&sticky.parameter, query, '&'));
+    let bound = session.map(route_of).unwrap_or_default().into();
+    let own = |pair: &&str| sticky.parameter.is_empty() || parameter(&sticky.parameter, pair, '&').is_none();
+    let query = get.then(|| query.split('&').filter(own).collect::<Vec<_>>().join("&"));
+    Ok(Caller { customer: Arc::clone(customer), media, get, deadline, pass, bound, query })
 }
 
 /// The media type to answer in: without a word of the client's, the older one (GraphQL over HTTP, "Legacy").
@@ -298,8 +313,8 @@
         .filter(|p| *p > 0.0)
         .ok_or_else(|| error(media, 504, "DEADLINE_PASSED", "no time is left for an answer"))?;
     let body = if caller.get { Value::Object(parameters).to_string().into_bytes() } else { body };
-    let Caller { customer, pass, .. } = caller;
-    Ok(Ask { customer, media, class, units, patience, body, pass, prepared })
+    let Caller { customer, pass, bound, .. } = caller;
+    Ok(Ask { customer, media, class, units, patience, body, pass, prepared, bound })
 }
 
 /// The HTTP form of a final answer of the gateway's own.
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -1,7 +1,7 @@
 //! The node list as a file, and the pool of connections to each node.
 
 use doorcourse::{BackendEntry, BackendState, Name};
-use doorcourse_config::{Node, read_nodes};
+use doorcourse_config::{Node, NodeFile, Routing, read_nodes};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -51,15 +51,17 @@
     path: PathBuf,
     pub poll: f64,
     seen: Option<(SystemTime, u64)>,
+    /// The routing that the list read last states.
+    pub routing: Option<Routing>,
 }
 
 impl ListFile {
     pub fn new(path: PathBuf, poll: f64) -> Self {
-        Self { path, poll, seen: None }
+        Self { path, poll, seen: None, routing: None }
     }
 
     /// The list, if the file changed since it was read last; an error changes nothing and is told once.
-    pub fn look(&mut self) -> Option<Result<Vec<Node>, String>> {
+    pub fn look(&mut self) -> Option<Result<NodeFile, String>> {
         let stamp = std::fs::metadata(&self.path).and_then(|m| Ok((m.modified()?, m.len())));
         let stamp = match stamp {
             Ok(stamp) => stamp,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -590,8 +590,11 @@
 
     /// Takes the settings that were read. A request under way keeps the schema that it was priced with.
     fn take_settings(&mut self) {
-        let Some((config, change)) = self.read.take() else { return };
+        let Some((mut config, change)) = self.read.take() else { return };
         let start = self.clock.now();
+        if let Some(routing) = self.list.as_ref().and_then(|l| l.routing.clone()) {
+            config.set_routing(routing);
+        }
         self.events.push_back(Event::Settings(Box::new(config.decisions.clone())));
         self.life.change(times(&config));
         if let (Some(list), Some((_, poll))) = (&mut self.list, &config.node_list) {
@@ -653,10 +656,22 @@
     fn look_at_list(&mut self) -> anyhow::Result<()> {
         let Some(list) = &mut self.list else { return Ok(()) };
         self.timers.set(self.clock.now() + list.poll, Alarm::NodeList);
-        match list.look() {
-            Some(Ok(nodes)) => {
-                tracing::info!(nodes = nodes.len(), "node list taken");
-                self.take_list(&nodes);
+        let looked = list.look();
+        match looked {
+            Some(Ok(file)) => {
+                tracing::info!(nodes = file.nodes.len(), "node list taken");
+                if let Some(routing) = &file.routing
+                    && *routing != self.config.routing
+                {
+                    let mut config = Config::clone(&self.config);
+                    config.set_routing(routing.clone());
+                    self.events.push_back(Event::Settings(Box::new(config.decisions.clone())));
+                    self.config = Arc::new(config);
+                }
+                if let Some(list) = &mut self.list {
+                    list.routing.clone_from(&file.routing);
+                }
+                self.take_list(&file.nodes);
                 Ok(())
             }
             Some(Err(error)) => Err(anyhow::anyhow!(error)),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,6 +18,8 @@
     status: u16,
     content_type: String,
     framing: Framing,
+    /// Set-Cookie fields, passed on where sessions keep to nodes.
+    cookies: Vec<String>,
 }
 
 /// One request that is with the decisions or whose attempt is still out.
@@ -73,7 +75,7 @@
             Ok(ask) => ask,
             Err(reply) => return self.reply(slot, &reply),
         };
-        let Ask { customer, media, class, units, patience, body, pass, prepared } = ask;
+        let Ask { customer, media, class, units, patience, body, pass, prepared, bound } = ask;
         self.next_request += 1;
         let id = self.next_request;
         let told = pass.iter().find(|(n, _)| n == REQUEST_ID_FIELD).map(|(_, v)| v.as_str());
@@ -90,6 +92,7 @@
             patience,
             first: customer.first,
             spread: customer.spread,
+            bound,
         };
         self.buffered += body.len() as u64;
         let request = Request {
@@ -321,6 +324,7 @@
             client.keep_alive &= framing != Framing::Close && !self.going;
             let mut fields =
                 vec![("content-type", head.content_type.as_str()), (REQUEST_ID_FIELD, &request.name)];
+            fields.extend(head.cookies.iter().map(|c| ("set-cookie", c.as_str())));
             if !client.keep_alive && framing != Framing::Close {
                 fields.push(("connection", "close"));
             }
@@ -444,7 +448,10 @@
                     let content_type = head.field("content-type").unwrap_or("application/json").to_owned();
                     if let Some(request) = self.requests.get_mut(&id) {
                         let (status, framing) = (head.status, head.framing);
-                        request.head = Some(AnswerHead { status, content_type, framing });
+                        let set = head.fields.iter().filter(|(n, _)| n == "set-cookie");
+                        let sticky = !self.config.routing.cookie.is_empty();
+                        let cookies = set.filter(|_| sticky).map(|(_, v)| v.clone()).collect();
+                        request.head = Some(AnswerHead { status, content_type, framing, cookies });
                     }
                     self.tell(id, Input::Head { status: head.status });
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! and when, and carries out the actions it gives back.
 //!
 //! ```
-//! use doorcourse::{Action, Arrival, BackendEntry, BackendState, Class, Effect, Event, Gateway, Group, Plan};
+//! use doorcourse::{Action, Arrival, BackendEntry, BackendState, Class, Effect, Event, Gateway, Group, Name, Place, Plan};
 //!
 //! let settings = doorcourse::Settings {
 //!     gateways: 1, number: 0, zone: "a".into(), tick: 1.0,
@@ -15,8 +15,8 @@
 //! };
 //! let mut gateway = Gateway::new(settings, 7)?;
 //! let mut actions = Vec::new();
-//! let backend = BackendEntry { name: "b1".into(), zone: "a".into(), cell: 0, state: BackendState::Ready, place: Place::default(),
-//!     started: None };
+//! let backend = BackendEntry { name: "b1".into(), zone: "a".into(), cell: 0, state: BackendState::Ready,
+//!     started: None, place: Place::default() };
 //! gateway.handle(0.0, Event::BackendList(vec![backend]), &mut actions);
 //! gateway.handle(1.0, Event::Request(Arrival { id: 1, customer: "c".into(), plan: "basic".into(),
 //!     class: "read".into(), units: 1.0, repeat: false, patience: 900.0, first: 0, spread: 1,
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -168,14 +168,12 @@
     assert_eq!(keys(&fleet.served(100, "")), ["a1", "a2", "a3", "a4"]);
     fleet.state("a1", BackendState::Draining, None, &list[0].place);
     assert_eq!(keys(&fleet.served(100, "")), ["a2", "a3", "a4", "s1"], "one stands in for one");
-    for at in [1, 2] {
-        let name = list[at].name.clone();
-        fleet.state(&name, BackendState::Draining, None, &list[at].place);
+    for entry in &list[1..3] {
+        fleet.state(&entry.name, BackendState::Draining, None, &entry.place);
     }
     assert_eq!(keys(&fleet.served(100, "")), ["a4", "s1", "s2"]);
-    for at in 0..3 {
-        let name = list[at].name.clone();
-        fleet.state(&name, BackendState::Ready, None, &list[at].place);
+    for entry in &list[..3] {
+        fleet.state(&entry.name, BackendState::Ready, None, &entry.place);
     }
     assert_eq!(keys(&fleet.served(100, "")), ["a1", "a2", "a3", "a4"]);
     // A spare that is down itself stands in for nobody.
