--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -19,6 +19,7 @@
 mod ctl;
 mod drill;
 mod fleet;
+mod import;
 mod load;
 mod query;
 mod serve;
@@ -44,6 +45,7 @@
   doorcourse check settings.txtpb            every fault of the settings, with file, line and field
   doorcourse serve --config settings.txtpb   the gateway, until SIGTERM or SIGINT
   doorcourse drill bad-day --short           a scripted bad day on loopback, judged by its traffic
+  doorcourse import apache httpd.conf --balancer app --out nodes.txtpb
   doorcourse query cost --schema catalogue.graphql query.graphql
 
 Exit codes: 0 good, 1 refused or failed, 2 wrong use or unreadable files.";
@@ -70,6 +72,9 @@
     /// Parse, validate and price GraphQL documents.
     #[command(subcommand)]
     Query(query::Query),
+    /// Turn Apache balancer and mod_jk files into a node list.
+    #[command(subcommand)]
+    Import(import::Import),
     Ctl(ctl::Ctl),
     Drill(drill::Drill),
     Compare(drill::Compare),
@@ -102,6 +107,7 @@
         Command::Serve { config, seed, take_over } => serve::serve(&config, seed, take_over),
         Command::Check { file } => serve::check(&file),
         Command::Query(command) => query::run(command),
+        Command::Import(command) => import::run(command),
         Command::Ctl(ctl) => ctl::run(&ctl),
         Command::Drill(drill) => drill::run(&drill),
         Command::Fleet(fleet) => fleet::run(&fleet),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 pub use locate::Places;
 
 use doorcourse::{BackendEntry, Name};
+pub use doorcourse::{BackendState, Role};
 use doorcourse_graphql::{Limits as QueryLimits, OperationKind, Schema};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/import/src/apache/proxy.rs
@@ -0,0 +1,337 @@
+//! What the directives of mod_proxy and mod_jk say of balancers.
+
+use super::read::{Directive, Options, Section, Sink, read};
+use crate::files::{Files, Place};
+use crate::finding::Findings;
+use crate::jk;
+use crate::model::{Kind, Member, Model, Mount, Value};
+use crate::table::{Fate, Scope, Source, parameter};
+use std::collections::{BTreeMap, HashMap};
+
+/// What an Apache configuration says of mod_jk: files to read, and properties and mounts of its own.
+#[derive(Clone, Debug, Default)]
+pub struct Jk {
+    /// JkWorkersFile.
+    pub workers: Vec<Value>,
+    /// JkMountFile.
+    pub maps: Vec<Value>,
+    /// JkWorkerProperty.
+    pub properties: Vec<Value>,
+    /// JkMount and JkUnMount.
+    pub mounts: Vec<Mount>,
+}
+
+/// What was read of a configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Read {
+    /// The balancers of both kinds.
+    pub model: Model,
+    /// How many directives of other modules there were.
+    pub others: usize,
+}
+
+/// Reads Apache files, with the mod_jk files that they name.
+pub fn import(files: &dyn Files, main: &[String], options: &Options, findings: &mut Findings) -> Read {
+    let mut sink = Proxy::default();
+    read(files, main, options, findings, &mut sink);
+    let mut model = sink.model;
+    let jk = sink.jk;
+    if !jk.workers.is_empty() || !jk.properties.is_empty() || !jk.mounts.is_empty() {
+        jk::from_apache(files, &jk, options.limits, &mut model, findings);
+    }
+    Read { model, others: sink.others }
+}
+
+#[derive(Default)]
+struct Proxy {
+    model: Model,
+    jk: Jk,
+    others: usize,
+    /// Places in the model by name: files of many lines must not take quadratic time.
+    balancers: HashMap<String, usize>,
+    members: HashMap<(usize, String), usize>,
+    /// The balancers that a member's URL is in.
+    urls: HashMap<String, Vec<usize>>,
+}
+
+/// `balancer://name/path` in parts.
+fn balancer_url(url: &str) -> Option<(String, &str)> {
+    let rest = url.get(..11).filter(|s| s.eq_ignore_ascii_case("balancer://")).map(|_| &url[11..])?;
+    let (name, path) = rest.split_once('/').map_or((rest, ""), |(n, p)| (n, p));
+    Some((name.to_ascii_lowercase(), path))
+}
+
+/// A member's URL in parts; `None` where it is no URL.
+fn member(url: &str, place: &Place) -> Option<Member> {
+    let (scheme, rest) = url.split_once("://").or_else(|| url.strip_prefix("unix:").map(|r| ("unix", r)))?;
+    let scheme = scheme.to_ascii_lowercase();
+    let (kind, default) = match scheme.as_str() {
+        _ if scheme.starts_with("unix:") => (Kind::Other("unix".into()), 0),
+        "http" | "h2c" | "ws" => (Kind::Http, 80),
+        "https" | "h2" | "wss" => (Kind::Https, 443),
+        "ajp" => (Kind::Ajp, 8009),
+        other => (Kind::Other(other.into()), 0),
+    };
+    let (address, path) = rest.find('/').map_or((rest, ""), |at| (&rest[..at], &rest[at..]));
+    let address = address.rsplit_once('@').map_or(address, |(_, a)| a);
+    let (host, port) = if let Some(inner) = address.strip_prefix('[') {
+        let (host, rest) = inner.split_once(']')?;
+        (host, rest.strip_prefix(':'))
+    } else {
+        address.rsplit_once(':').map_or((address, None), |(h, p)| (h, Some(p)))
+    };
+    let port = match port {
+        None => default,
+        Some(port) => port.parse().ok().filter(|p| *p > 0)?,
+    };
+    if host.is_empty() && !matches!(kind, Kind::Other(_)) {
+        return None;
+    }
+    let (parameters, flags) = (BTreeMap::new(), Vec::new());
+    let (host, path) = (host.to_ascii_lowercase(), path.to_owned());
+    Some(Member { name: url.to_owned(), kind, host, port, path, parameters, flags, place: place.clone() })
+}
+
+impl Proxy {
+    fn balancer(&mut self, name: &str, place: &Place) -> usize {
+        let next = self.model.balancers.len();
+        let model = &mut self.model;
+        *self.balancers.entry(name.to_owned()).or_insert_with(|| {
+            let (name, members, parameters) = (name.to_owned(), Vec::new(), BTreeMap::new());
+            let (place, source) = (place.clone(), Source::Apache);
+            model.balancers.push(crate::Balancer { name, members, parameters, place, source });
+            next
+        })
+    }
+
+    /// `key=value` words of a member or balancer. Of the words without `=` ProxyPass knows some by themselves.
+    fn parameters(
+        &mut self, balancer: usize, at: Option<usize>, words: &[String], place: &Place,
+        findings: &mut Findings,
+    ) {
+        for word in words {
+            let Some((key, text)) = word.split_once('=') else {
+                if !["nocanon", "interpolate", "noquery"].contains(&word.to_ascii_lowercase().as_str()) {
+                    findings.add("B001", place, format!("`{word}` is no key=value"));
+                }
+                continue;
+            };
+            let key = key.to_ascii_lowercase();
+            let set = &mut self.model.balancers[balancer];
+            let known = |scope| parameter(Source::Apache, scope, &key);
+            let value = Value { text: text.to_owned(), place: place.clone() };
+            match at {
+                Some(at) => {
+                    if known(Scope::Member).is_none() {
+                        findings.add("B002", place, format!("{key}: no parameter of a member by this name"));
+                    } else if key == "status" {
+                        flags(&mut set.members[at].flags, text, place, findings);
+                    } else {
+                        set.members[at].parameters.insert(key, value);
+                    }
+                }
+                None if known(Scope::Balancer).is_some() => {
+                    set.parameters.insert(key, value);
+                }
+                // Parameters of members that stand on a balancer go for all of its members.
+                None if known(Scope::Member).is_some() => {
+                    let row = known(Scope::Member).map_or("", |r| r.note);
+                    findings.add("B003", place, format!("{key} on a balancer: {row}"));
+                }
+                None => {
+                    findings.add("B002", place, format!("{key}: no parameter of a balancer by this name"))
+                }
+            }
+        }
+    }
+
+    fn member(
+        &mut self, balancer: usize, url: &str, words: &[String], place: &Place, defines: bool,
+        findings: &mut Findings,
+    ) {
+        let Some(new) = member(url, place) else {
+            return findings.add("C006", place, format!("`{url}` is no URL of a member: left out"));
+        };
+        let set = &mut self.model.balancers[balancer];
+        let url_key = url.trim_end_matches('/').to_ascii_lowercase();
+        let next = set.members.len();
+        let at = *self.members.entry((balancer, url_key.clone())).or_insert(next);
+        if at == next {
+            self.urls.entry(url_key).or_default().push(balancer);
+            set.members.push(new);
+        } else if defines {
+            let first = &set.members[at].place;
+            findings.add(
+                "B006",
+                place,
+                format!("{url} was defined at {first}: what is said here goes before that"),
+            );
+        }
+        self.parameters(balancer, Some(at), words, place, findings);
+    }
+
+    /// What a path is sent to.
+    fn pass(
+        &mut self, path: &str, url: &str, words: &[String], within: String, place: &Place,
+        findings: &mut Findings,
+    ) {
+        let (path, place) = (path.to_owned(), place.clone());
+        if url == "!" {
+            return self.model.mounts.push(Mount { path, target: None, within, place });
+        }
+        let target = match balancer_url(url) {
+            Some((name, _)) => {
+                let at = self.balancer(&name, &place);
+                self.parameters(at, None, words, &place, findings);
+                name
+            }
+            // A worker of its own: no balancer, so nothing to spread.
+            None => url.to_owned(),
+        };
+        self.model.mounts.push(Mount { path, target: Some(target), within, place });
+    }
+}
+
+/// Status flags: `D`, `+H-D`, `DS`; a sign goes for the letters behind it, as httpd has it for each.
+fn flags(all: &mut Vec<(char, bool, Place)>, text: &str, place: &Place, findings: &mut Findings) {
+    let mut set = true;
+    for c in text.chars() {
+        match c.to_ascii_uppercase() {
+            '+' => set = true,
+            '-' => set = false,
+            c @ ('D' | 'S' | 'I' | 'H' | 'R' | 'E' | 'N' | 'C') => all.push((c, set, place.clone())),
+            c => findings.add("B007", place, format!("status {c}: no flag by this letter")),
+        }
+    }
+}
+
+fn within(sections: &[Section]) -> String {
+    let one = |s: &Section| {
+        let words: String = s.words.join(" ").chars().take(60).collect();
+        format!("<{} {words}>", s.name)
+    };
+    let counts = |s: &&Section| s.name.starts_with("virtualhost") || s.name.starts_with("location");
+    sections.iter().filter(counts).map(one).collect::<Vec<_>>().join(" ")
+}
+
+/// The path of the innermost location, for directives that leave theirs out.
+fn location(sections: &[Section]) -> Option<String> {
+    let last = sections.iter().rev().find(|s| s.name.starts_with("location"))?;
+    last.words.iter().rfind(|w| *w != "~").cloned()
+}
+
+impl Sink for Proxy {
+    fn directive(&mut self, sections: &[Section], directive: &Directive, findings: &mut Findings) {
+        let Directive { name, words, place } = directive;
+        let inside = sections.iter().rev().find(|s| s.name == "proxy").and_then(|s| s.words.first());
+        let inside = inside.and_then(|url| balancer_url(url)).map(|(name, _)| name);
+        let needs = |findings: &mut Findings, what: &str| {
+            findings.add("B001", place, format!("{name} needs {what}"));
+        };
+        match name.as_str() {
+            "balancermember" => {
+                let outside = words.first().and_then(|w| balancer_url(w)).map(|(n, _)| n);
+                let (set, words) = match (outside, &inside) {
+                    (Some(set), _) => (set, &words[1..]),
+                    (None, Some(set)) => (set.clone(), &words[..]),
+                    (None, None) => return needs(findings, "a balancer: outside <Proxy> it comes first"),
+                };
+                let Some((url, rest)) = words.split_first() else { return needs(findings, "a URL") };
+                let set = self.balancer(&set, place);
+                self.member(set, url, rest, place, true, findings);
+            }
+            "proxyset" => {
+                let url = words.first().filter(|w| w.contains("://") && !w.contains('=')).cloned();
+                let rest = if url.is_some() { &words[1..] } else { &words[..] };
+                match (url.as_deref().map(|u| (u, balancer_url(u))), &inside) {
+                    (Some((_, Some((name, _)))), _) => {
+                        let set = self.balancer(&name, place);
+                        self.parameters(set, None, rest, place, findings);
+                    }
+                    (None, Some(name)) => {
+                        let set = self.balancer(name, place);
+                        self.parameters(set, None, rest, place, findings);
+                    }
+                    (Some((url, None)), _) => {
+                        let key = url.trim_end_matches('/').to_ascii_lowercase();
+                        let of = self.urls.get(&key).cloned().unwrap_or_default();
+                        if of.is_empty() {
+                            findings.add(
+                                "B005",
+                                place,
+                                format!("ProxySet of {url}, which is no member of a balancer"),
+                            );
+                        }
+                        for set in of {
+                            self.member(set, url, rest, place, false, findings);
+                        }
+                    }
+                    (None, None) => findings.add("B005", place, "ProxySet outside of a balancer"),
+                }
+            }
+            "proxypass" | "proxypassmatch" => {
+                let has_path = words.len() > 1 && (words[1] == "!" || words[1].contains("://"));
+                let (path, words) = match (has_path, location(sections)) {
+                    (true, _) => (words[0].clone(), &words[1..]),
+                    (false, Some(path)) => (path, &words[..]),
+                    (false, None) => return needs(findings, "a path and a URL"),
+                };
+                let Some((url, rest)) = words.split_first() else { return needs(findings, "a URL") };
+                self.pass(&path, url, rest, within(sections), place, findings);
+            }
+            "header" | "requestheader" if words.iter().any(|w| w.contains("BALANCER_")) => {
+                let cookie = words.iter().any(|w| w.eq_ignore_ascii_case("set-cookie"));
+                let what = if cookie {
+                    "sets the session's cookie from the route: the gateway sets none, the nodes must"
+                } else {
+                    "uses what the balancer chose: the gateway sets no such field"
+                };
+                findings.add("B005", place, format!("{name} {what}"));
+            }
+            "rewriterule" if words.iter().any(|w| w.to_ascii_lowercase().contains("balancer://")) => {
+                findings.add(
+                    "B005",
+                    place,
+                    "RewriteRule to a balancer: what depends on each request is not carried over",
+                );
+            }
+            "jkworkersfile" | "jkmountfile" | "jkworkerproperty" => {
+                let Some(text) = words.first() else { return needs(findings, "an argument") };
+                // A property may hold spaces that are not quoted.
+                let value = Value { text: words.join(" "), place: place.clone() };
+                match name.as_str() {
+                    "jkworkersfile" => self.jk.workers.push(Value { text: text.clone(), ..value }),
+                    "jkmountfile" => self.jk.maps.push(Value { text: text.clone(), ..value }),
+                    _ => self.jk.properties.push(value),
+                }
+            }
+            "jkmount" | "jkunmount" => {
+                let (path, target) = match (&words[..], location(sections)) {
+                    ([path, target], _) => (path.clone(), target.clone()),
+                    ([target], Some(path)) => (path, target.clone()),
+                    _ => return needs(findings, "a path and a worker"),
+                };
+                let target = (name == "jkmount").then_some(target);
+                let mount = Mount { path, target, within: within(sections), place: place.clone() };
+                self.jk.mounts.push(mount);
+            }
+            _ => {
+                let row = parameter(Source::Apache, Scope::Directive, name)
+                    .or_else(|| parameter(Source::ModJk, Scope::Directive, name));
+                match row {
+                    Some(row) if row.fate == Fate::Approximated => {
+                        findings.add("B004", place, format!("{name}: {}", row.note));
+                    }
+                    Some(row) => findings.add("B005", place, format!("{name}: {}", row.note)),
+                    None if name.starts_with("proxy")
+                        || name.starts_with("balancer")
+                        || name.starts_with("jk") =>
+                    {
+                        findings.add("B005", place, format!("{name}: not known here"));
+                    }
+                    None => self.others += 1,
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/import/src/apache/words.rs
@@ -0,0 +1,123 @@
+//! From bytes to logical lines, and from a line to words, as httpd's own reader does it (server/config.c,
+//! `ap_cfg_getline` and `ap_getword_conf`).
+
+/// A logical line: continued lines joined, white space around it taken off.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Line {
+    /// Its text; neither empty nor a comment.
+    pub text: String,
+    /// The first line that it stands on, from 1.
+    pub number: u32,
+}
+
+/// The text of a file's bytes, without a byte-order mark; bytes that are no UTF-8 make it all Latin-1, and the
+/// line of the first of them is told.
+#[must_use]
+pub fn text_of(bytes: &[u8]) -> (String, Option<u32>) {
+    let bytes = bytes.strip_prefix(b"\xef\xbb\xbf").unwrap_or(bytes);
+    match std::str::from_utf8(bytes) {
+        Ok(text) => (text.to_owned(), None),
+        Err(error) => {
+            let line = bytes[..error.valid_up_to()].iter().filter(|b| **b == b'\n').count() + 1;
+            (bytes.iter().map(|b| char::from(*b)).collect(), Some(u32::try_from(line).unwrap_or(u32::MAX)))
+        }
+    }
+}
+
+/// The logical lines of a text. A backslash right before the line's end joins the next line, in comments too.
+/// The error is the number of a line that grows beyond `most` bytes.
+///
+/// # Errors
+/// See above.
+pub fn lines(text: &str, most: usize) -> Result<Vec<Line>, u32> {
+    let (mut all, mut held, mut first) = (Vec::new(), String::new(), 0);
+    let mut push = |held: &mut String, number: u32| {
+        let trimmed = held.trim();
+        if !trimmed.is_empty() && !trimmed.starts_with('#') {
+            all.push(Line { text: trimmed.to_owned(), number });
+        }
+        held.clear();
+    };
+    for (number, line) in (1..).zip(text.split('\n')) {
+        let line = line.strip_suffix('\r').unwrap_or(line);
+        if first == 0 {
+            first = number;
+        }
+        let (line, goes_on) = line.strip_suffix('\\').map_or((line, false), |l| (l, true));
+        if held.len() + line.len() > most {
+            return Err(number);
+        }
+        held.push_str(line);
+        if !goes_on {
+            push(&mut held, first);
+            first = 0;
+        }
+    }
+    push(&mut held, first);
+    Ok(all)
+}
+
+/// The words of an argument string, and whether quotes were left open (the last word then goes to the end).
+#[must_use]
+pub fn words(text: &str) -> (Vec<String>, bool) {
+    let (mut all, mut open) = (Vec::new(), false);
+    let mut rest = text.trim_start().chars().peekable();
+    while let Some(&first) = rest.peek() {
+        let quote = if first == '"' || first == '\'' { rest.next() } else { None };
+        let mut word = String::new();
+        let mut ended = false;
+        while let Some(c) = rest.next() {
+            match (c, quote) {
+                ('\\', _) => match rest.peek() {
+                    // Only a backslash, and the quote inside quotes, are escaped.
+                    Some(&next) if next == '\\' || Some(next) == quote => {
+                        word.push(next);
+                        rest.next();
+                    }
+                    _ => word.push('\\'),
+                },
+                (c, Some(quote)) if c == quote => {
+                    ended = true;
+                    break;
+                }
+                (c, None) if c.is_whitespace() => break,
+                (c, _) => word.push(c),
+            }
+        }
+        open |= quote.is_some() && !ended;
+        all.push(word);
+        while rest.peek().is_some_and(|c| c.is_whitespace()) {
+            rest.next();
+        }
+    }
+    (all, open)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn odd_quoting() {
+        let of = |text| words(text).0;
+        assert_eq!(of(r#"a "b c" 'd "e"' f"#), ["a", "b c", "d \"e\"", "f"]);
+        assert_eq!(of(r#""a\"b" 'it\'s' c\d e\\f "g\h""#), ["a\"b", "it's", "c\\d", "e\\f", "g\\h"]);
+        assert_eq!(of(r#"key="x y""#), ["key=\"x", "y\""], "quotes count at the start of a word alone");
+        assert_eq!(of(r#""a"b"#), ["a", "b"]);
+        assert_eq!(words(r#"a "b c"#), (vec!["a".to_owned(), "b c".into()], true));
+        assert_eq!(of(r#""" a"#), ["", "a"]);
+        assert_eq!(of(""), [""; 0]);
+    }
+
+    #[test]
+    fn continuation_comments_and_odd_bytes() {
+        let of = |text| lines(text, 1000).unwrap();
+        let line = |text: &str, number| Line { text: text.into(), number };
+        assert_eq!(of("a \\\r\n b\r\nc"), [line("a  b", 1), line("c", 3)]);
+        assert_eq!(of("# a \\\nb\nc\\"), [line("c", 3)], "a comment goes on too");
+        assert_eq!(of("a\\ \nb"), [line("a\\", 1), line("b", 2)], "white space behind it joins nothing");
+        assert_eq!(lines("ab\\\ncd\\\nef", 5), Err(3));
+        assert_eq!(text_of(b"\xef\xbb\xbfa"), ("a".into(), None));
+        assert_eq!(text_of(b"a\nb\xe4"), ("a\nb\u{e4}".into(), Some(2)));
+    }
+}
--- /dev/null
+++ b/crates/import/src/carry.rs
@@ -0,0 +1,683 @@
+//! From the model to a node list, and what has to be said on the way. Every parameter of the balancer that is taken
+//! passes through `TABLE`: none is dropped without a word.
+
+use crate::apache;
+use crate::files::Place;
+use crate::finding::Findings;
+use crate::model::{Balancer, Kind, Member, Model, Mount, Value};
+use crate::table::{Fate, Scope, Source, parameter};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::fmt::Write;
+use std::net::IpAddr;
+
+/// What is wanted of the files.
+#[derive(Clone, Debug, Default)]
+pub struct Wanted {
+    /// The balancer; needed where there are several.
+    pub balancer: Option<String>,
+    /// Addresses of host names.
+    pub hosts: BTreeMap<String, IpAddr>,
+}
+
+/// What a node is there for; as in the settings.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// It takes its part.
+    #[default]
+    Active,
+    /// Stands in for one that is away.
+    Spare,
+    /// Used when its tier has nothing else.
+    Standby,
+    /// Takes only its own sessions.
+    Bound,
+}
+
+impl Role {
+    /// Its name in the settings.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Active => "ACTIVE",
+            Self::Spare => "SPARE",
+            Self::Standby => "STANDBY",
+            Self::Bound => "BOUND",
+        }
+    }
+}
+
+/// A node of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// "address:port"; a host name where no address is known, and then the node is printed as a comment.
+    pub address: String,
+    /// Whether the address is one.
+    pub resolved: bool,
+    /// Its part of its tier.
+    pub weight: f64,
+    /// Its tier.
+    pub tier: u32,
+    /// What it is there for.
+    pub role: Role,
+    /// Whether it is sent nothing.
+    pub draining: bool,
+    /// What its sessions name it by.
+    pub route: String,
+    /// The route that takes its sessions.
+    pub redirect: String,
+    /// Its group.
+    pub group: String,
+    /// Where it came from.
+    pub place: Place,
+}
+
+/// How nodes are chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Routing {
+    /// OUTSTANDING, REQUESTS or BUSYNESS.
+    pub balance: &'static str,
+    /// The cookie with a session's id.
+    pub cookie: String,
+    /// The parameter with it.
+    pub parameter: String,
+    /// Whether bound requests are refused rather than served elsewhere.
+    pub strict: bool,
+}
+
+/// A node list, to be printed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Carried {
+    /// The balancer that it was.
+    pub balancer: String,
+    /// Where that is defined.
+    pub place: Place,
+    /// Its nodes by tier, role and name.
+    pub nodes: Vec<Node>,
+    /// How they are chosen.
+    pub routing: Routing,
+    /// Lines for the settings that a node list cannot hold.
+    pub hints: Vec<String>,
+}
+
+/// Turns the balancer that is wanted, of the files that begin with `main`, into a node list; `None` after an error, which is told.
+pub fn carry(model: &Model, main: &str, wanted: &Wanted, findings: &mut Findings) -> Option<Carried> {
+    let balancer = choose(model, main, wanted, findings)?;
+    let mut carried = Carried {
+        balancer: balancer.name.clone(),
+        place: balancer.place.clone(),
+        nodes: Vec::new(),
+        routing: routing(balancer, findings),
+        hints: Vec::new(),
+    };
+    let sticky = !carried.routing.cookie.is_empty() || !carried.routing.parameter.is_empty();
+    for member in &balancer.members {
+        tell_fates(balancer.source, Scope::Member, &member.parameters, findings);
+        carried.nodes.extend(node(balancer, member, sticky, wanted, findings));
+    }
+    tell_fates(balancer.source, Scope::Balancer, &balancer.parameters, findings);
+    twice(&mut carried.nodes, findings);
+    names(&mut carried.nodes);
+    redirects(balancer, &mut carried.nodes, findings);
+    carried.hints = hints(balancer, findings);
+    mounts(model, balancer, &mut carried.hints, findings);
+    let key = |n: &Node| (n.tier, n.role, n.name.clone());
+    carried.nodes.sort_by_key(key);
+    Some(carried)
+}
+
+fn choose<'a>(
+    model: &'a Model, main: &str, wanted: &Wanted, findings: &mut Findings,
+) -> Option<&'a Balancer> {
+    // Errors of the readers come first: what they left is not the whole of it.
+    if findings.any(crate::Severity::Error) {
+        return None;
+    }
+    let whole = Place { file: main.into(), line: 0 };
+    let known = || {
+        let names: Vec<&str> = model.balancers.iter().map(|b| b.name.as_str()).take(20).collect();
+        names.join(", ")
+    };
+    let filled: Vec<&Balancer> = model.balancers.iter().filter(|b| !b.members.is_empty()).collect();
+    let chosen = match (&wanted.balancer, &filled[..]) {
+        (Some(name), _) => {
+            let name = name.to_ascii_lowercase();
+            let name = name.strip_prefix("balancer://").unwrap_or(&name);
+            let found = model.balancers.iter().find(|b| b.name.eq_ignore_ascii_case(name));
+            if found.is_none() {
+                findings.add("C002", &whole, format!("there is no balancer {name}; there are: {}", known()));
+            }
+            found?
+        }
+        (None, []) => {
+            let place = model.balancers.first().map_or(&whole, |b| &b.place);
+            findings.add("C002", place, "there is no balancer with members in these files");
+            return None;
+        }
+        (None, [one]) => one,
+        (None, [first, ..]) => {
+            let text = format!("there are several balancers, name one by --balancer: {}", known());
+            findings.add("C001", &first.place, text);
+            return None;
+        }
+    };
+    for other in model.balancers.iter().filter(|b| b.name != chosen.name) {
+        match other.members.len() {
+            0 => findings.add("B008", &other.place, format!("balancer {} has no members", other.name)),
+            n => findings.add(
+                "C008",
+                &other.place,
+                format!("balancer {} with {n} members was not asked for", other.name),
+            ),
+        }
+    }
+    if chosen.members.is_empty() {
+        findings.add("C002", &chosen.place, format!("balancer {} has no members", chosen.name));
+        return None;
+    }
+    Some(chosen)
+}
+
+/// What is read below for its value; all else is told by the table.
+const READ: [&str; 23] = [
+    "loadfactor",
+    "lbset",
+    "route",
+    "redirect",
+    "status",
+    "spare",
+    "lbmethod",
+    "stickysession",
+    "nofailover",
+    "scolonpathdelim",
+    "maxattempts",
+    "host",
+    "port",
+    "lbfactor",
+    "activation",
+    "disabled",
+    "stopped",
+    "distance",
+    "domain",
+    "jvm_route",
+    "sticky_session",
+    "sticky_session_force",
+    "method",
+];
+
+fn tell_fates(source: Source, scope: Scope, parameters: &BTreeMap<String, Value>, findings: &mut Findings) {
+    for (name, value) in parameters {
+        let Some(row) = parameter(source, scope, name) else { continue };
+        let text = || format!("{name}={}: {}", short(&value.text), row.note);
+        match row.fate {
+            _ if READ.contains(&name.as_str())
+                || ["type", "retries", "lb_retries"].contains(&name.as_str()) => {}
+            Fate::Carried => {}
+            Fate::Approximated => findings.add("B004", &value.place, text()),
+            Fate::LeftOut => findings.add("B003", &value.place, text()),
+        }
+    }
+}
+
+fn short(text: &str) -> String {
+    text.chars().filter(|c| !c.is_control()).take(60).collect()
+}
+
+/// A figure within a range; one that cannot be read is told and left out.
+fn figure(
+    name: &str, value: Option<&Value>, range: std::ops::RangeInclusive<f64>, findings: &mut Findings,
+) -> Option<f64> {
+    let value = value?;
+    match value.text.trim().parse::<f64>() {
+        Ok(figure) if range.contains(&figure) => Some(figure),
+        _ => {
+            let (low, high) = (range.start(), range.end());
+            let text = format!("{name}={}: a number from {low} to {high} is wanted", short(&value.text));
+            findings.add("B001", &value.place, text);
+            None
+        }
+    }
+}
+
+/// On and off, as httpd (On, Off) and mod_jk (true, t, yes, y, on, 1 ...) have them.
+fn flag(name: &str, value: Option<&Value>, findings: &mut Findings) -> Option<bool> {
+    let value = value?;
+    match value.text.trim().to_ascii_lowercase().as_str() {
+        "on" | "true" | "t" | "yes" | "y" | "1" => Some(true),
+        "off" | "false" | "f" | "no" | "n" | "0" => Some(false),
+        _ => {
+            findings.add("B001", &value.place, format!("{name}={}: on or off is wanted", short(&value.text)));
+            None
+        }
+    }
+}
+
+fn routing(balancer: &Balancer, findings: &mut Findings) -> Routing {
+    let of = |name: &str| balancer.parameters.get(name);
+    let mut about = |value: &Value, text: &str| findings.add("B004", &value.place, text);
+    let (method, known) = match balancer.source {
+        Source::Apache => (of("lbmethod"), ["byrequests", "bybusyness", "bytraffic", "heartbeat"]),
+        Source::ModJk => (of("method"), ["r", "b", "t", "s"]),
+    };
+    let balance = match method.map(|m| (m, m.text.trim().to_ascii_lowercase())) {
+        None => "REQUESTS",
+        Some((value, text)) => {
+            // mod_jk tells methods by their first letter, httpd by the whole name.
+            let of_jk: String = text.chars().take(1).collect();
+            let text = if balancer.source == Source::ModJk { of_jk } else { text };
+            match known.iter().position(|k| *k == text) {
+                Some(0) => "REQUESTS",
+                Some(1) => "BUSYNESS",
+                Some(2) => {
+                    about(value, "by traffic: bytes are not counted, requests are spread by weight");
+                    "REQUESTS"
+                }
+                Some(3) if balancer.source == Source::Apache => {
+                    about(
+                        value,
+                        "by heartbeat: nodes are not heard, the one with the fewest requests out is taken",
+                    );
+                    "OUTSTANDING"
+                }
+                Some(3) => {
+                    about(value, "by sessions: they are not counted, requests are spread by weight");
+                    "REQUESTS"
+                }
+                _ if balancer.source == Source::ModJk && text == "n" => {
+                    about(
+                        value,
+                        "by sessions to the next: they are not counted, requests are spread by weight",
+                    );
+                    "REQUESTS"
+                }
+                _ => {
+                    let text =
+                        format!("`{}` is no method: requests are spread by weight", short(&value.text));
+                    findings.add("B001", &value.place, text);
+                    "REQUESTS"
+                }
+            }
+        }
+    };
+    let (mut cookie, mut parameter) = (String::new(), String::new());
+    let strict = match balancer.source {
+        Source::Apache => {
+            if let Some(value) = of("stickysession") {
+                let (first, second) = value.text.split_once('|').unwrap_or((&value.text, &value.text));
+                (cookie, parameter) = (first.trim().to_owned(), second.trim().to_owned());
+            }
+            flag("nofailover", of("nofailover"), findings)
+        }
+        Source::ModJk => {
+            if flag("sticky_session", of("sticky_session"), findings).unwrap_or(true) {
+                let named = |name: &str, usual: &str| of(name).map_or(usual, |v| v.text.trim()).to_owned();
+                cookie = named("session_cookie", "JSESSIONID");
+                parameter = named("session_path", ";jsessionid").trim_matches([';', '=']).to_owned();
+            }
+            flag("sticky_session_force", of("sticky_session_force"), findings)
+        }
+    };
+    // The names must be such as the settings take.
+    let token = |c: char| c.is_ascii_graphic() && !"()<>@,;:\\\"/[]?={}&%+".contains(c);
+    for (what, name) in [("cookie", &mut cookie), ("parameter", &mut parameter)] {
+        if !name.chars().all(token) {
+            let text =
+                format!("`{}` is no name of a {what}: sessions do not keep to nodes by it", short(name));
+            findings.add("C012", &balancer.place, text);
+            name.clear();
+        }
+    }
+    Routing { balance, cookie, parameter, strict: strict.unwrap_or(false) }
+}
+
+fn node(
+    balancer: &Balancer, member: &Member, sticky: bool, wanted: &Wanted, findings: &mut Findings,
+) -> Option<Node> {
+    let (place, of) = (&member.place, |name: &str| member.parameters.get(name));
+    let shown = &member.name;
+    match &member.kind {
+        Kind::Http => {}
+        Kind::Https => findings.add(
+            "C004",
+            place,
+            format!("{shown}: nodes are spoken to without TLS; give its HTTP port"),
+        ),
+        Kind::Ajp => findings.add(
+            "C003",
+            place,
+            format!("{shown}: AJP is not spoken; give the port of its HTTP connector"),
+        ),
+        Kind::Other(scheme) => {
+            findings.add(
+                "C006",
+                place,
+                format!("{shown}: {} is no TCP address with HTTP: left out", short(scheme)),
+            );
+            return None;
+        }
+    }
+    if !member.path.trim_matches('/').is_empty() {
+        let text = format!(
+            "{shown}: the path {} is not kept; all nodes serve the gateway's own",
+            short(&member.path)
+        );
+        findings.add("C007", place, text);
+    }
+    let jk = balancer.source == Source::ModJk;
+    let weight = match jk {
+        true => figure("lbfactor", of("lbfactor"), 1.0..=1e5, findings),
+        false => figure("loadfactor", of("loadfactor"), 1.0..=100.0, findings),
+    };
+    let tier = match jk {
+        true => figure("distance", of("distance"), 0.0..=1000.0, findings),
+        false => figure("lbset", of("lbset"), 0.0..=99.0, findings),
+    };
+    let (role, draining) = if jk { activation(member, findings) } else { status(member, findings) };
+    let text = |name: &str| of(name).map(|v| v.text.trim().to_owned()).filter(|t| !t.is_empty());
+    let route = text("route").or_else(|| text("jvm_route")).or_else(|| jk.then(|| member.name.clone()));
+    let route = match route {
+        Some(route) if route.chars().any(|c| c.is_whitespace() || c.is_control()) => {
+            findings.add("B001", place, format!("route `{}` holds white space: left out", short(&route)));
+            String::new()
+        }
+        Some(route) if sticky => route,
+        _ => String::new(),
+    };
+    if !sticky && let Some(value) = of("route") {
+        findings.add("C012", &value.place, "route without sticky sessions: nothing is bound by it");
+    }
+    let (host, port) = (member.host.as_str(), member.port);
+    let known = host.parse::<IpAddr>().ok().or_else(|| wanted.hosts.get(host).copied()).or_else(|| {
+        // The one name whose address is the same everywhere (RFC 6761 section 6.3).
+        (host == "localhost").then_some(IpAddr::from([127, 0, 0, 1]))
+    });
+    let address = match known {
+        Some(ip) => std::net::SocketAddr::new(ip, port).to_string(),
+        None => {
+            let text = format!("{shown}: the address of {} is needed: --host {0}=ADDRESS", short(host));
+            findings.add("C005", place, text);
+            format!("{host}:{port}")
+        }
+    };
+    Some(Node {
+        name: if jk { member.name.clone() } else { String::new() },
+        address,
+        resolved: known.is_some(),
+        weight: weight.unwrap_or(1.0),
+        tier: tier.unwrap_or(0.0) as u32,
+        role,
+        draining,
+        route,
+        redirect: text("redirect").unwrap_or_default(),
+        group: text("domain").unwrap_or_default(),
+        place: place.clone(),
+    })
+}
+
+/// httpd's flags, the last word of each.
+fn status(member: &Member, findings: &mut Findings) -> (Role, bool) {
+    let mut set: BTreeMap<char, (bool, &Place)> = BTreeMap::new();
+    for (flag, on, place) in &member.flags {
+        set.insert(*flag, (*on, place));
+    }
+    let on = |flag: char| set.get(&flag).is_some_and(|(on, _)| *on);
+    let mut tell = |flag: char, code, text: &str| {
+        if let Some((true, place)) = set.get(&flag) {
+            findings.add(code, place, format!("status {flag}: {text}"));
+        }
+    };
+    tell('I', "B003", "errors are never ignored: a node that fails is left alone for a while");
+    tell('E', "B004", "the node begins as usable and is left alone once it fails");
+    tell('C', "B004", "nodes are not probed: outcomes of requests tell");
+    tell(
+        'D',
+        "C010",
+        "httpd tries it again behind `retry`; here it is sent nothing until the list says otherwise",
+    );
+    let spare = match flag("spare", member.parameters.get("spare"), findings) {
+        Some(spare) => spare,
+        None => on('R'),
+    };
+    if on('H') && spare {
+        let place = set.get(&'H').map_or(&member.place, |(_, p)| p);
+        findings.add("C010", place, "both hot standby and hot spare: taken as hot standby");
+    }
+    let role = match () {
+        () if on('N') => Role::Bound,
+        () if on('H') => Role::Standby,
+        () if spare => Role::Spare,
+        () => Role::Active,
+    };
+    if on('N') && (on('H') || spare) {
+        let place = set.get(&'N').map_or(&member.place, |(_, p)| p);
+        findings.add("C010", place, "draining, and standby or spare: it takes only its own sessions");
+    }
+    (role, on('S') || on('D'))
+}
+
+/// mod_jk's activation, and the older `disabled` and `stopped`.
+fn activation(member: &Member, findings: &mut Findings) -> (Role, bool) {
+    let of = |name: &str| member.parameters.get(name);
+    let first = of("activation").map(|v| (v, v.text.trim().to_ascii_lowercase()));
+    let state = match first.as_ref().map(|(v, t)| (v, t.chars().next())) {
+        None => None,
+        Some((_, Some('a'))) => Some('a'),
+        Some((_, Some('d'))) => Some('d'),
+        Some((_, Some('s'))) => Some('s'),
+        Some((value, _)) => {
+            findings.add(
+                "B001",
+                &value.place,
+                format!("activation={}: A, D or S is wanted", short(&value.text)),
+            );
+            None
+        }
+    };
+    let old = |name: &str, findings: &mut Findings| {
+        let value = of(name)?;
+        findings.add("J006", &value.place, format!("{name} is activation now"));
+        flag(name, Some(value), findings)
+    };
+    let (stopped, disabled) =
+        (old("stopped", findings) == Some(true), old("disabled", findings) == Some(true));
+    match state {
+        Some('s') => (Role::Active, true),
+        Some('d') => (Role::Bound, false),
+        Some(_) => (Role::Active, false),
+        None if stopped => (Role::Active, true),
+        None if disabled => (Role::Bound, false),
+        None => (Role::Active, false),
+    }
+}
+
+/// Names for httpd's members, which have none: the route where it is one of its own, else address and port.
+fn names(nodes: &mut [Node]) {
+    let mut routes: HashMap<String, usize> = HashMap::new();
+    nodes.iter().for_each(|n| *routes.entry(n.route.clone()).or_default() += 1);
+    let mut taken: HashSet<String> = nodes.iter().map(|n| n.name.clone()).collect();
+    for node in nodes.iter_mut().filter(|n| n.name.is_empty()) {
+        let own = !node.route.is_empty() && routes[&node.route] == 1;
+        let mut name = if own { node.route.clone() } else { node.address.clone() };
+        while !taken.insert(name.clone()) {
+            name.push('+');
+        }
+        node.name = name;
+    }
+}
+
+/// Successors by the route of the node that they name: httpd names routes, mod_jk names workers or routes.
+fn redirects(balancer: &Balancer, nodes: &mut [Node], findings: &mut Findings) {
+    let by_name: HashMap<String, String> = nodes.iter().map(|n| (n.name.clone(), n.route.clone())).collect();
+    let routes: BTreeSet<String> = nodes.iter().map(|n| n.route.clone()).collect();
+    for node in nodes.iter_mut().filter(|n| !n.redirect.is_empty()) {
+        let jk = balancer.source == Source::ModJk;
+        if let Some(route) = by_name.get(&node.redirect).filter(|r| jk && !r.is_empty()) {
+            node.redirect.clone_from(route);
+        } else if !routes.contains(&node.redirect) || node.redirect.is_empty() {
+            let text = format!(
+                "{}: no node has the route {} that it is redirected to",
+                node.name,
+                short(&node.redirect)
+            );
+            findings.add("C009", &node.place, text);
+            node.redirect.clear();
+        }
+    }
+}
+
+/// One address given twice would be a node that is counted twice.
+fn twice(nodes: &mut Vec<Node>, findings: &mut Findings) {
+    let mut seen: HashMap<String, Place> = HashMap::new();
+    nodes.retain(|node| match seen.get(&node.address) {
+        None => {
+            seen.insert(node.address.clone(), node.place.clone());
+            true
+        }
+        Some(first) => {
+            let text = format!("{} is the address of the node of {first} already: left out", node.address);
+            findings.add("C011", &node.place, text);
+            false
+        }
+    });
+}
+
+/// What belongs into the settings rather than into a node list.
+fn hints(balancer: &Balancer, findings: &mut Findings) -> Vec<String> {
+    let mut hints = Vec::new();
+    let (name, more) = match balancer.source {
+        // maxattempts counts attempts behind the first (failover attempts); mod_jk's retries count all.
+        Source::Apache => ("maxattempts", 1.0),
+        Source::ModJk if balancer.parameters.contains_key("lb_retries") => ("lb_retries", 0.0),
+        Source::ModJk => ("retries", 0.0),
+    };
+    let value = balancer.parameters.get(name);
+    if let (Some(tries), Some(value)) = (figure(name, value, 0.0..=99.0, findings), value) {
+        let most = (tries + more).max(1.0);
+        hints.push(format!("attempts {{ most: {most} }}"));
+        findings.add(
+            "B004",
+            &value.place,
+            format!("{name}={}: set attempts {{ most: {most} }} in the settings", short(&value.text)),
+        );
+    }
+    hints
+}
+
+fn mounts(model: &Model, balancer: &Balancer, hints: &mut Vec<String>, findings: &mut Findings) {
+    let path =
+        |m: &Mount| format!("{}{}{}", m.within, if m.within.is_empty() { "" } else { " " }, short(&m.path));
+    let known: HashSet<String> = model.balancers.iter().map(|b| b.name.to_ascii_lowercase()).collect();
+    let ours: Vec<&Mount> = model
+        .mounts
+        .iter()
+        .filter(|m| m.target.as_ref().is_some_and(|t| t.eq_ignore_ascii_case(&balancer.name)))
+        .collect();
+    for mount in &model.mounts {
+        let text = match &mount.target {
+            None => format!(
+                "{} is kept from the balancer: the gateway serves one endpoint and nothing else",
+                path(mount)
+            ),
+            Some(target) if target.eq_ignore_ascii_case(&balancer.name) => match &ours[..] {
+                [_] => format!("{}: the gateway serves one endpoint, `path` in the settings", path(mount)),
+                _ => {
+                    format!("{}: the gateway serves one endpoint, this is one of {}", path(mount), ours.len())
+                }
+            },
+            Some(target) if known.contains(&target.to_ascii_lowercase()) => continue,
+            Some(target) => format!("{} goes to {}: no balancer, left out", path(mount), short(target)),
+        };
+        findings.add("C007", &mount.place, text);
+    }
+    if let [mount] = &ours[..]
+        && mount.path.starts_with('/')
+        && !mount.path.contains(['*', '?', ' ', '"', '(', '$', '^'])
+        && mount.path != "/"
+    {
+        hints.push(format!("path: \"{}\"", mount.path.trim_end_matches('/')));
+    }
+}
+
+/// A string of protobuf's text format.
+fn quoted(text: &str) -> String {
+    let mut done = String::from("\"");
+    for c in text.chars() {
+        match c {
+            '"' | '\\' => {
+                done.push('\\');
+                done.push(c);
+            }
+            c if c.is_control() => {
+                let mut bytes = [0; 4];
+                c.encode_utf8(&mut bytes).bytes().for_each(|b| done.push_str(&format!("\\{b:03o}")));
+            }
+            c => done.push(c),
+        }
+    }
+    done.push('"');
+    done
+}
+
+impl Carried {
+    /// The node list in protobuf text format: the same model gives the same bytes.
+    #[must_use]
+    pub fn print(&self) -> String {
+        let comment = |text: &str| text.chars().filter(|c| !c.is_control()).collect::<String>();
+        let mut text = format!(
+            "# Node list of balancer {}, from {}.\n",
+            comment(&self.balancer),
+            comment(&self.place.to_string())
+        );
+        if !self.hints.is_empty() {
+            text.push_str("# For the settings:\n");
+            for hint in &self.hints {
+                let _ = writeln!(text, "#   {}", comment(hint));
+            }
+        }
+        let Routing { balance, cookie, parameter, strict } = &self.routing;
+        let _ = writeln!(text, "routing {{\n  balance: {balance}");
+        if !cookie.is_empty() || !parameter.is_empty() {
+            text.push_str("  sticky {");
+            for (name, value) in [("cookie", cookie), ("parameter", parameter)] {
+                if !value.is_empty() {
+                    let _ = write!(text, " {name}: {}", quoted(value));
+                }
+            }
+            let _ = writeln!(text, "{} }}", if *strict { " strict: true" } else { "" });
+        }
+        text.push_str("}\n");
+        for node in &self.nodes {
+            let _ = write!(text, "\n# {}\n", comment(&node.place.to_string()));
+            let mark = if node.resolved { "" } else { "# " };
+            if !node.resolved {
+                text.push_str("# Its address is not known: set it and take the marks away.\n");
+            }
+            let _ = writeln!(text, "{mark}nodes {{");
+            let _ = writeln!(text, "{mark}  name: {}", quoted(&node.name));
+            let _ = writeln!(text, "{mark}  address: {}", quoted(&node.address));
+            let mut field = |is: bool, name: &str, value: String| {
+                if is {
+                    let _ = writeln!(text, "{mark}  {name}: {value}");
+                }
+            };
+            field(node.weight != 1.0, "weight", node.weight.to_string());
+            field(node.tier != 0, "tier", node.tier.to_string());
+            field(node.role != Role::Active, "role", node.role.name().into());
+            field(node.draining, "state", "DRAINING".into());
+            field(!node.route.is_empty(), "route", quoted(&node.route));
+            field(!node.redirect.is_empty(), "redirect", quoted(&node.redirect));
+            field(!node.group.is_empty(), "group", quoted(&node.group));
+            let _ = writeln!(text, "{mark}}}");
+        }
+        text
+    }
+}
+
+/// Notes how many directives there were of other modules.
+pub(crate) fn others(read: &apache::Read, file: &str, findings: &mut Findings) {
+    if read.others > 0 {
+        let place = Place { file: file.into(), line: 0 };
+        findings.add("B009", &place, format!("{} directives of other modules: not looked at", read.others));
+    }
+}
--- /dev/null
+++ b/crates/import/src/diff.rs
@@ -0,0 +1,74 @@
+//! What a new list would change in a running one.
+
+use crate::carry::Node;
+use std::collections::BTreeMap;
+
+/// One difference.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Difference {
+    /// The node; empty for the routing.
+    pub node: String,
+    /// The field; empty where the node is new or gone.
+    pub field: &'static str,
+    /// What it was, and is to be; `None` where there is no node.
+    pub old: Option<String>,
+    /// See `old`.
+    pub new: Option<String>,
+}
+
+impl std::fmt::Display for Difference {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match (&self.old, &self.new) {
+            (None, Some(new)) => write!(f, "+ node {} at {new}", self.node),
+            (Some(old), None) => write!(f, "- node {} at {old}", self.node),
+            (old, new) => {
+                let (old, new) = (old.as_deref().unwrap_or(""), new.as_deref().unwrap_or(""));
+                let of = if self.node.is_empty() { "routing".into() } else { format!("node {}", self.node) };
+                let shown = |text: &str| if text.is_empty() { "none".to_owned() } else { text.to_owned() };
+                write!(f, "~ {of}: {} {} -> {}", self.field, shown(old), shown(new))
+            }
+        }
+    }
+}
+
+/// Differences between two lists, by name. A node whose name alone changed is gone and new: its sessions and what was
+/// learnt of it end with the name.
+#[must_use]
+pub fn diff(old: &[Node], new: &[Node]) -> Vec<Difference> {
+    let by_name = |nodes: &'_ [Node]| -> BTreeMap<String, Node> {
+        nodes.iter().map(|n| (n.name.clone(), n.clone())).collect()
+    };
+    let (old, new) = (by_name(old), by_name(new));
+    let mut all = Vec::new();
+    for (name, was) in &old {
+        let Some(is) = new.get(name) else {
+            let (node, old) = (name.clone(), Some(was.address.clone()));
+            all.push(Difference { node, field: "", old, new: None });
+            continue;
+        };
+        for ((field, was), (_, is)) in fields(was).into_iter().zip(fields(is)) {
+            if was != is {
+                all.push(Difference { node: name.clone(), field, old: Some(was), new: Some(is) });
+            }
+        }
+    }
+    for (name, is) in new.iter().filter(|(name, _)| !old.contains_key(*name)) {
+        let (node, new) = (name.clone(), Some(is.address.clone()));
+        all.push(Difference { node, field: "", old: None, new });
+    }
+    all
+}
+
+fn fields(node: &Node) -> [(&'static str, String); 8] {
+    let state = if node.draining { "DRAINING" } else { "READY" };
+    [
+        ("address", node.address.clone()),
+        ("weight", node.weight.to_string()),
+        ("tier", node.tier.to_string()),
+        ("role", node.role.name().into()),
+        ("state", state.into()),
+        ("route", node.route.clone()),
+        ("redirect", node.redirect.clone()),
+        ("group", node.group.clone()),
+    ]
+}
--- /dev/null
+++ b/crates/import/src/files.rs
@@ -0,0 +1,165 @@
+//! What the readers need of a file system, and places in files.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A line of a file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize)]
+pub struct Place {
+    /// The file, as it was named or found.
+    #[serde(serialize_with = "as_text")]
+    pub file: Arc<str>,
+    /// The line from 1; 0 for the file as a whole.
+    pub line: u32,
+}
+
+fn as_text<S: serde::Serializer>(file: &Arc<str>, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_str(file)
+}
+
+impl std::fmt::Display for Place {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        if self.line == 0 { write!(f, "{}", self.file) } else { write!(f, "{}:{}", self.file, self.line) }
+    }
+}
+
+/// Why a file could not be had.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FileError {
+    /// There is none of this name.
+    Missing,
+    /// It is there and cannot be read.
+    Unreadable(String),
+}
+
+/// The files that readers see. Paths are as in the configuration, "/" between their parts.
+pub trait Files {
+    /// A file's bytes.
+    ///
+    /// # Errors
+    /// When there is none or it cannot be read.
+    fn read(&self, path: &str) -> Result<Vec<u8>, FileError>;
+    /// The names in a folder, in any order, each with whether it is a folder; `None` where there is no such folder.
+    fn list(&self, folder: &str) -> Option<Vec<(String, bool)>>;
+}
+
+/// Files held in memory.
+#[derive(Clone, Debug, Default)]
+pub struct InMemory(pub BTreeMap<String, Vec<u8>>);
+
+impl Files for InMemory {
+    fn read(&self, path: &str) -> Result<Vec<u8>, FileError> {
+        self.0.get(path).cloned().ok_or(FileError::Missing)
+    }
+
+    fn list(&self, folder: &str) -> Option<Vec<(String, bool)>> {
+        let prefix =
+            if folder.is_empty() { String::new() } else { format!("{}/", folder.trim_end_matches('/')) };
+        let mut names = BTreeMap::new();
+        for path in self.0.keys() {
+            let Some(rest) = path.strip_prefix(&prefix) else { continue };
+            let (name, folder) = rest.split_once('/').map_or((rest, false), |(n, _)| (n, true));
+            names.insert(name.to_owned(), folder);
+        }
+        if names.is_empty() { None } else { Some(names.into_iter().collect()) }
+    }
+}
+
+/// A path beside another: absolute ones as they are.
+#[must_use]
+pub fn join(folder: &str, path: &str) -> String {
+    if path.starts_with('/') || folder.is_empty() || folder == "." {
+        return path.to_owned();
+    }
+    format!("{}/{path}", folder.trim_end_matches('/'))
+}
+
+/// Whether a name matches a pattern with `*`, `?`, `[a-z]`, `[!a]` and `\`, as fnmatch(3) has it. Linear in the name
+/// for each `*`, so that hostile patterns cost no more than name times pattern.
+#[must_use]
+pub fn matches(pattern: &str, name: &str) -> bool {
+    let (pattern, name): (Vec<char>, Vec<char>) = (pattern.chars().collect(), name.chars().collect());
+    let (mut p, mut n, mut back) = (0, 0, None);
+    while n < name.len() {
+        if pattern.get(p) == Some(&'*') {
+            back = Some((p, n));
+            p += 1;
+            continue;
+        }
+        match one(&pattern[p..], name[n]) {
+            Some(used) => (p, n) = (p + used, n + 1),
+            None => match back {
+                Some((star, from)) => {
+                    back = Some((star, from + 1));
+                    (p, n) = (star + 1, from + 1);
+                }
+                None => return false,
+            },
+        }
+    }
+    pattern[p..].iter().all(|c| *c == '*')
+}
+
+/// How many characters of the pattern match this one of the name.
+fn one(pattern: &[char], c: char) -> Option<usize> {
+    match pattern.first()? {
+        '?' => Some(1),
+        '\\' if pattern.len() > 1 => (pattern[1] == c).then_some(2),
+        '[' => {
+            let end = pattern.iter().skip(2).position(|p| *p == ']').map(|at| at + 2);
+            let Some(end) = end else { return (c == '[').then_some(1) };
+            let (not, set) = match pattern[1] {
+                '!' | '^' => (true, &pattern[2..end]),
+                _ => (false, &pattern[1..end]),
+            };
+            let (mut at, mut found) = (0, false);
+            while at < set.len() {
+                if at + 2 < set.len() && set[at + 1] == '-' {
+                    found |= (set[at]..=set[at + 2]).contains(&c);
+                    at += 3;
+                } else {
+                    found |= set[at] == c;
+                    at += 1;
+                }
+            }
+            (found != not).then_some(end + 1)
+        }
+        p => (*p == c).then_some(1),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn patterns() {
+        for (pattern, name, is) in [
+            ("*.conf", "a.conf", true),
+            ("*.conf", "a.conf~", false),
+            ("a*b*c", "axxbyyc", true),
+            ("a*b*c", "axxbyy", false),
+            ("[0-4][!x]?.c", "3yz.c", true),
+            ("[0-4][!x]?.c", "5yz.c", false),
+            ("[a", "[a", true),
+            ("\\*", "*", true),
+            ("*", "", true),
+            ("?", "", false),
+        ] {
+            assert_eq!(matches(pattern, name), is, "{pattern} {name}");
+        }
+        assert!(!matches(&"*a".repeat(40), &"b".repeat(4000)), "no exponential time");
+    }
+
+    #[test]
+    fn folders_in_memory() {
+        let file = |p: &str| (p.to_owned(), Vec::new());
+        let files = InMemory([file("x/a"), file("x/y/b"), file("c")].into());
+        assert_eq!(files.list("x/"), Some(vec![("a".into(), false), ("y".into(), true)]));
+        assert_eq!(files.list("z"), None);
+        assert_eq!(
+            (join("x", "/a"), join("x/", "a"), join("", "a")),
+            ("/a".into(), "x/a".into(), "a".into())
+        );
+    }
+}
--- /dev/null
+++ b/crates/import/src/finding.rs
@@ -0,0 +1,157 @@
+//! What an import has to say.
+
+use crate::files::{Files, Place};
+use serde::Serialize;
+use std::collections::HashSet;
+
+/// How much a finding matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Severity {
+    /// Nothing is lost; good to know.
+    Note,
+    /// Carried over with a difference in some trouble.
+    Approximated,
+    /// Not carried over.
+    LeftOut,
+    /// The file cannot be used as it is; there is no node list.
+    Error,
+}
+
+impl Severity {
+    /// The word for people.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Note => "note",
+            Self::Approximated => "approximated",
+            Self::LeftOut => "left out",
+            Self::Error => "error",
+        }
+    }
+}
+
+/// One thing to say, with a stable code.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// The code; `CODES` has them all.
+    pub code: &'static str,
+    /// How much it matters.
+    pub severity: Severity,
+    /// Where.
+    pub place: Place,
+    /// A sentence: what, and what to do instead.
+    pub message: String,
+}
+
+/// Every code, its severity and what it means.
+pub const CODES: &[(&str, Severity, &str)] = &[
+    ("A001", Severity::Error, "a file that cannot be read"),
+    ("A002", Severity::Error, "a section that is not closed, or closed by another name"),
+    ("A003", Severity::Note, "quotes that do not end: taken up to the end of the line, as httpd does"),
+    ("A004", Severity::Error, "includes or macros that go round in a circle or nest too deep"),
+    ("A005", Severity::Error, "a bound on bytes, lines, directives or nesting passed"),
+    ("A006", Severity::Error, "a pattern of Include that matches nothing"),
+    ("A007", Severity::Error, "a macro that is not defined, or used with other arguments"),
+    ("A008", Severity::Error, "a directive with arguments it cannot have"),
+    ("A101", Severity::LeftOut, "a condition that cannot be decided here: its content is not read"),
+    ("A102", Severity::Note, "a variable that is not defined: left as it stands, as httpd does"),
+    ("A103", Severity::Note, "bytes that are no UTF-8: taken as Latin-1"),
+    ("A104", Severity::Note, "a macro defined again: the last one counts"),
+    ("A105", Severity::Note, "IfModule: the module is taken as loaded"),
+    ("B001", Severity::LeftOut, "a parameter whose value cannot be read"),
+    ("B002", Severity::LeftOut, "a parameter that nobody documents"),
+    ("B003", Severity::LeftOut, "a parameter without a counterpart"),
+    ("B004", Severity::Approximated, "a parameter whose counterpart differs"),
+    ("B005", Severity::LeftOut, "a directive without a counterpart"),
+    ("B006", Severity::Note, "a worker defined again: later parameters go before earlier ones"),
+    ("B007", Severity::LeftOut, "a status flag that nobody documents"),
+    ("B008", Severity::Note, "a balancer nobody fills, or that nothing refers to"),
+    ("B009", Severity::Note, "directives of other modules: not looked at"),
+    ("C001", Severity::Error, "several balancers: one must be named"),
+    ("C002", Severity::Error, "no balancer of this name, or none at all"),
+    ("C003", Severity::LeftOut, "AJP is not spoken: the node's address must become its HTTP one"),
+    ("C004", Severity::LeftOut, "TLS to nodes is not spoken"),
+    ("C005", Severity::LeftOut, "a host name: it must become an address"),
+    ("C006", Severity::LeftOut, "a member that is no TCP address"),
+    ("C007", Severity::LeftOut, "paths: the gateway serves one endpoint"),
+    ("C008", Severity::LeftOut, "a balancer that was not asked for"),
+    ("C009", Severity::Approximated, "a redirect to a route that no node has"),
+    ("C010", Severity::Approximated, "a role whose counterpart differs"),
+    ("C011", Severity::LeftOut, "a member given twice under one address"),
+    ("C012", Severity::LeftOut, "bound sessions without a name to bind by"),
+    ("J001", Severity::Error, "a worker that is not defined"),
+    ("J002", Severity::Error, "references or balancers that go round in a circle"),
+    ("J003", Severity::LeftOut, "a worker of a type without a counterpart"),
+    ("J004", Severity::Note, "a worker.list that leaves this worker out: it is not reached from outside"),
+    ("J005", Severity::LeftOut, "a line that cannot be read"),
+    ("J006", Severity::Note, "a name that mod_jk no longer wants: taken as the new one"),
+    ("J007", Severity::Note, "a macro that is not defined: it stands for nothing"),
+    ("J008", Severity::Approximated, "a balancer within a balancer: its members are taken in"),
+];
+
+/// What a code means.
+#[must_use]
+pub fn explain(code: &str) -> Option<&'static str> {
+    CODES.iter().find(|(c, _, _)| *c == code).map(|(_, _, text)| *text)
+}
+
+/// Findings in the order they were made, each said once.
+#[derive(Clone, Debug, Default)]
+pub struct Findings {
+    all: Vec<Finding>,
+    seen: HashSet<(&'static str, Place, String)>,
+}
+
+/// More findings than these are counted and not kept: nobody reads on, and a hostile file has millions.
+const KEPT: usize = 10_000;
+
+impl Findings {
+    /// Adds one; its severity is the code's.
+    pub fn add(&mut self, code: &'static str, place: &Place, message: impl Into<String>) {
+        let severity = CODES.iter().find(|(c, _, _)| *c == code).map_or(Severity::Error, |(_, s, _)| *s);
+        let message = message.into();
+        if self.all.len() < KEPT && self.seen.insert((code, place.clone(), message.clone())) {
+            self.all.push(Finding { code, severity, place: place.clone(), message });
+        }
+    }
+
+    /// All of them.
+    #[must_use]
+    pub fn all(&self) -> &[Finding] {
+        &self.all
+    }
+
+    /// Whether there is one as bad as this.
+    #[must_use]
+    pub fn any(&self, severity: Severity) -> bool {
+        self.all.iter().any(|f| f.severity >= severity)
+    }
+
+    /// For people: each with its line shown.
+    #[must_use]
+    pub fn text(&self, files: &dyn Files) -> String {
+        let mut sources = std::collections::HashMap::new();
+        let mut text = String::new();
+        for finding in &self.all {
+            let (place, severity) = (&finding.place, finding.severity.name());
+            text.push_str(&format!("{place}: {severity} [{}]: {}\n", finding.code, finding.message));
+            let lines: &Vec<String> = sources.entry(place.file.clone()).or_insert_with(|| {
+                let bytes = files.read(&place.file).unwrap_or_default();
+                String::from_utf8_lossy(&bytes).lines().map(str::to_owned).collect()
+            });
+            let line = (place.line as usize).checked_sub(1).and_then(|at| lines.get(at));
+            if let Some(line) = line.filter(|l| !l.trim().is_empty()) {
+                let short: String = line.trim().chars().filter(|c| !c.is_control()).take(110).collect();
+                text.push_str(&format!("    {short}\n"));
+            }
+        }
+        text
+    }
+
+    /// For programs: one JSON array.
+    #[must_use]
+    pub fn json(&self) -> String {
+        serde_json::to_string_pretty(&self.all).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/import/src/jk/properties.rs
@@ -0,0 +1,167 @@
+//! Properties files as mod_jk reads them (common/jk_map.c): `name=value`, `$(macros)` of what stands before, the last
+//! word counts but for lists, whose words are gathered.
+
+use crate::Limits;
+use crate::apache::lines;
+use crate::files::Place;
+use crate::finding::Findings;
+use std::collections::HashMap;
+
+/// Attributes that gather their values.
+const LISTS: [&str; 5] = ["balance_workers", "balanced_workers", "mount", "list", "fail_on_status"];
+
+/// One property.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Property {
+    /// Its value, macros put in.
+    pub text: String,
+    /// Where it was said last.
+    pub place: Place,
+    /// Where it was said first.
+    pub first: Place,
+}
+
+/// All properties, in the order in which they were named first.
+#[derive(Debug)]
+pub struct Properties {
+    at: HashMap<String, usize>,
+    all: Vec<(String, Property)>,
+    bytes: usize,
+    pub(crate) limits: Limits,
+}
+
+impl Properties {
+    /// None yet.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self { at: HashMap::new(), all: Vec::new(), bytes: 0, limits }
+    }
+
+    /// A property by its whole name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Property> {
+        self.at.get(name).map(|at| &self.all[*at].1)
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Property)> {
+        self.all.iter().map(|(name, property)| (name.as_str(), property))
+    }
+
+    /// Reads a file's text; `false` after an error, which is told.
+    pub fn read(&mut self, path: &str, text: &str, findings: &mut Findings) -> bool {
+        let place = |line| Place { file: path.into(), line };
+        let all = match lines(text, self.limits.line_bytes) {
+            Ok(all) => all,
+            Err(line) => {
+                findings.add(
+                    "A005",
+                    &place(line),
+                    format!("a line of more than {} bytes", self.limits.line_bytes),
+                );
+                return false;
+            }
+        };
+        let file: std::sync::Arc<str> = path.into();
+        all.iter().all(|l| self.line(&l.text, &Place { file: file.clone(), line: l.number }, findings))
+    }
+
+    /// Takes one line; `false` after an error, which is told.
+    pub fn line(&mut self, line: &str, place: &Place, findings: &mut Findings) -> bool {
+        // A comment may stand behind a value too.
+        let line = line.split('#').next().unwrap_or("").trim();
+        let Some((name, value)) = line.split_once('=') else {
+            if !line.is_empty() {
+                findings.add("J005", place, format!("`{}` is no name=value", short(line)));
+            }
+            return true;
+        };
+        let (name, value) = (name.trim().to_owned(), self.put_in(value.trim(), place, findings));
+        self.bytes += name.len() + value.len();
+        if self.bytes > self.limits.all_bytes || value.len() > self.limits.line_bytes {
+            findings.add("A005", place, "macros make more of these lines than is read");
+            return false;
+        }
+        let next = self.all.len();
+        let at = *self.at.entry(name.clone()).or_insert(next);
+        let new = Property { text: value, place: place.clone(), first: place.clone() };
+        if at == next {
+            self.all.push((name, new));
+            return true;
+        }
+        let attribute = name.rsplit('.').next().unwrap_or("");
+        let known = &mut self.all[at].1;
+        if LISTS.contains(&attribute) {
+            known.text.push(',');
+            known.text.push_str(&new.text);
+            known.place = new.place;
+        } else {
+            if known.text != new.text {
+                let text = format!("{name} was said at {}: what is said here goes before that", known.place);
+                findings.add("B006", place, text);
+            }
+            (known.text, known.place) = (new.text, new.place);
+        }
+        known_length(&self.all[at].1, self.limits, place, findings)
+    }
+
+    /// `$(name)` stands for the property of that name as it is by now.
+    fn put_in(&self, value: &str, place: &Place, findings: &mut Findings) -> String {
+        let mut done = String::new();
+        let mut rest = value;
+        while let Some(at) = rest.find("$(") {
+            let Some(end) = rest[at..].find(')').map(|e| e + at) else { break };
+            done.push_str(&rest[..at]);
+            let name = &rest[at + 2..end];
+            match self.get(name) {
+                Some(property) => done.push_str(&property.text),
+                None => {
+                    findings.add("J007", place, format!("$({name}) is not defined: it stands for nothing"))
+                }
+            }
+            rest = &rest[end + 1..];
+            if done.len() > self.limits.line_bytes {
+                return done;
+            }
+        }
+        done.push_str(rest);
+        done
+    }
+}
+
+fn known_length(property: &Property, limits: Limits, place: &Place, findings: &mut Findings) -> bool {
+    if property.text.len() > limits.line_bytes {
+        findings.add("A005", place, format!("a list of more than {} bytes", limits.line_bytes));
+        return false;
+    }
+    true
+}
+
+pub(super) fn short(text: &str) -> String {
+    text.chars().filter(|c| !c.is_control()).take(60).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn macros_lists_and_last_words() {
+        let (mut properties, mut findings) = (Properties::new(Limits::default()), Findings::default());
+        let text = "base=10.0.0\nworker.list=a\nworker.list=b # two\na.host=$(base).1\na.host=$(base).2\nx=$(no)y\nz\n";
+        assert!(properties.read("w", text, &mut findings));
+        let of = |name| properties.get(name).map(|p| p.text.as_str());
+        assert_eq!((of("worker.list"), of("a.host"), of("x")), (Some("a,b"), Some("10.0.0.2"), Some("y")));
+        let codes: Vec<(&str, u32)> = findings.all().iter().map(|f| (f.code, f.place.line)).collect();
+        assert_eq!(codes, [("B006", 5), ("J007", 6), ("J005", 7)]);
+    }
+
+    #[test]
+    fn macros_that_double_end_at_the_bound() {
+        let limits = Limits { line_bytes: 1000, ..Limits::default() };
+        let (mut properties, mut findings) = (Properties::new(limits), Findings::default());
+        let text: String = (1..100).map(|n| format!("m{n}=$(m{})$(m{})\n", n - 1, n - 1)).collect();
+        assert!(!properties.read("w", &format!("m0=ab\n{text}"), &mut findings));
+        assert!(findings.all().iter().any(|f| f.code == "A005"));
+    }
+}
--- /dev/null
+++ b/crates/import/src/jk/uris.rs
@@ -0,0 +1,92 @@
+//! `uriworkermap.properties` (common/jk_uri_worker_map.c): `/path=worker`, exclusions by `!`, `/path|/*` for the path
+//! and all below it, extensions behind `;`.
+
+use super::properties::short;
+use crate::Limits;
+use crate::apache::lines;
+use crate::files::Place;
+use crate::finding::Findings;
+use crate::table::{Fate, Scope, Source, parameter};
+
+/// One rule.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rule {
+    /// Path or pattern.
+    pub path: String,
+    /// The worker's name.
+    pub worker: String,
+    /// Whether the path is not sent to it.
+    pub excluded: bool,
+    /// Where.
+    pub place: Place,
+}
+
+/// The rules of a file; `None` after an error, which is told.
+pub fn rules(path: &str, text: &str, limits: Limits, findings: &mut Findings) -> Option<Vec<Rule>> {
+    let file: std::sync::Arc<str> = path.into();
+    let all = match lines(text, limits.line_bytes) {
+        Ok(all) => all,
+        Err(line) => {
+            let place = Place { file, line };
+            findings.add("A005", &place, format!("a line of more than {} bytes", limits.line_bytes));
+            return None;
+        }
+    };
+    let mut rules = Vec::new();
+    for line in all {
+        let place = Place { file: file.clone(), line: line.number };
+        let Some((left, right)) = line.text.split_once('=') else {
+            findings.add("J005", &place, format!("`{}` is no path=worker", short(&line.text)));
+            continue;
+        };
+        let mut right = right.split(';').map(str::trim);
+        let worker = right.next().unwrap_or("").to_owned();
+        for extension in right.filter(|e| !e.is_empty()) {
+            let name = extension.split('=').next().unwrap_or("").trim().to_ascii_lowercase();
+            match parameter(Source::ModJk, Scope::Rule, &name) {
+                Some(row) if row.fate == Fate::LeftOut => {
+                    findings.add("B003", &place, format!("{name}: {}", row.note))
+                }
+                Some(row) => findings.add("B004", &place, format!("{name}: {}", row.note)),
+                None => findings.add("B002", &place, format!("{}: no extension of a rule", short(&name))),
+            }
+        }
+        let left = left.trim();
+        let (excluded, left) = left.strip_prefix('!').map_or((false, left), |l| (true, l.trim()));
+        // A minus was once a rule switched off.
+        let (off, left) = left.strip_prefix('-').map_or((false, left), |l| (true, l.trim()));
+        if left.is_empty() || worker.is_empty() || !left.starts_with(['/', '*', '.']) || off {
+            let text = if off { "is switched off" } else { "is no rule: /path=worker is wanted" };
+            findings.add("J005", &place, format!("`{}` {text}", short(&line.text)));
+            continue;
+        }
+        let rule = |path: String| Rule { path, worker: worker.clone(), excluded, place: place.clone() };
+        match left.split_once('|') {
+            Some((path, below)) => {
+                rules.push(rule(path.to_owned()));
+                let below = if below.starts_with(path) { below.to_owned() } else { format!("{path}{below}") };
+                rules.push(rule(below));
+            }
+            None => rules.push(rule(left.to_owned())),
+        }
+    }
+    Some(rules)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn rules_of_a_map() {
+        let mut findings = Findings::default();
+        let text = "/a=w\n/b|/*=w\n/c|/c/*=w\n!/a/*.gif = w\n-/off=w\nnothing\n/x=w;reply_timeout=5;nonsense=1\n*.jsp=*\n";
+        let all = rules("u", text, Limits::default(), &mut findings).unwrap();
+        let shown: Vec<(&str, bool)> = all.iter().map(|r| (r.path.as_str(), r.excluded)).collect();
+        let wanted = [("/a", false), ("/b", false), ("/b/*", false), ("/c", false), ("/c/*", false)];
+        assert_eq!(shown[..5], wanted);
+        assert_eq!(shown[5..], [("/a/*.gif", true), ("/x", false), ("*.jsp", false)]);
+        let codes: Vec<(&str, u32)> = findings.all().iter().map(|f| (f.code, f.place.line)).collect();
+        assert_eq!(codes, [("J005", 5), ("J005", 6), ("B003", 7), ("B002", 7)]);
+    }
+}
--- /dev/null
+++ b/crates/import/src/lib.rs
@@ -0,0 +1,79 @@
+//! Reads Apache httpd balancer configuration and mod_jk worker files, and turns them into a node list.
+//!
+//! `Files` -> reader (`apache`, `jk`) -> [`Model`] -> [`carry`] -> [`Carried`] -> [`print`](Carried::print).
+//! Whatever a file says is carried over, approximated or left out, and each of the latter two leaves a [`Finding`]
+//! with a stable code and a place. It does no I/O: the caller lends it a [`Files`].
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod apache;
+mod carry;
+mod diff;
+mod files;
+mod finding;
+pub mod jk;
+mod model;
+mod table;
+
+pub use carry::{Carried, Node, Role, Routing, Wanted, carry};
+pub use diff::{Difference, diff};
+pub use files::{FileError, Files, InMemory, Place, join, matches};
+pub use finding::{CODES, Finding, Findings, Severity, explain};
+pub use model::{Balancer, Kind, Member, Model, Mount, Value};
+pub use table::{Fate, Parameter, Scope, Source, TABLE, parameter};
+
+/// Bounds on what is read, so that no file can take all memory or all time.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bytes of one file. 64 MiB.
+    pub file_bytes: usize,
+    /// Bytes of all files together, each counted as often as it is read. 256 MiB.
+    pub all_bytes: usize,
+    /// Directives read in all, with macros and includes spread. 2,000,000.
+    pub directives: usize,
+    /// Bytes of one line after continuation and after its variables are put in. 1 MiB.
+    pub line_bytes: usize,
+    /// How deep includes and macros may nest. 128, as httpd has it.
+    pub depth: usize,
+    /// How deep sections may nest. 200.
+    pub sections: usize,
+}
+
+/// What an import is told.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// The files of httpd's configuration, in order.
+    pub apache: Vec<String>,
+    /// The workers.properties files, in order; instead of httpd's.
+    pub workers: Vec<String>,
+    /// The uriworkermap.properties files beside them.
+    pub maps: Vec<String>,
+    /// What httpd's files alone do not tell.
+    pub options: apache::Options,
+    /// Which balancer, and addresses.
+    pub wanted: Wanted,
+}
+
+/// Reads what is asked for and turns it into a node list; `None` after an error, which is among the findings.
+#[must_use]
+pub fn import(files: &dyn Files, request: &Request) -> (Option<Carried>, Findings) {
+    let mut findings = Findings::default();
+    let model = if request.workers.is_empty() {
+        let read = apache::import(files, &request.apache, &request.options, &mut findings);
+        carry::others(&read, request.apache.first().map_or("", String::as_str), &mut findings);
+        read.model
+    } else {
+        jk::import(files, &request.workers, &request.maps, request.options.limits, &mut findings)
+    };
+    let main = request.workers.first().or(request.apache.first()).map_or("", String::as_str);
+    let carried = carry(&model, main, &request.wanted, &mut findings);
+    (carried, findings)
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        let (file_bytes, all_bytes, line_bytes) = (64 << 20, 256 << 20, 1 << 20);
+        Self { file_bytes, all_bytes, directives: 2_000_000, line_bytes, depth: 128, sections: 200 }
+    }
+}
--- /dev/null
+++ b/crates/import/tests/samples.rs
@@ -0,0 +1,194 @@
+//! Sample files, each with the list and the findings that are expected of it. `BLESS=1 cargo test` writes what comes
+//! out into the samples: read the difference before it is committed.
+
+use doorcourse_import::{InMemory, Request, import};
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+
+#[derive(Clone, Default)]
+struct Sample {
+    about: String,
+    request: Request,
+    files: InMemory,
+    /// What stands before the expectations, as written.
+    head: String,
+    list: String,
+    findings: Vec<String>,
+}
+
+/// `\r`, `\xNN` and `\\` in files whose bytes no editor keeps.
+fn unescape(text: &str) -> Vec<u8> {
+    let (mut bytes, mut rest) = (Vec::new(), text.bytes());
+    while let Some(b) = rest.next() {
+        match (b, b == b'\\') {
+            (_, true) => match rest.next() {
+                Some(b'r') => bytes.push(b'\r'),
+                Some(b'x') => {
+                    let digits = [rest.next().unwrap(), rest.next().unwrap()];
+                    bytes.push(u8::from_str_radix(std::str::from_utf8(&digits).unwrap(), 16).unwrap());
+                }
+                Some(b'\\') => bytes.push(b'\\'),
+                other => panic!("no escape: {other:?}"),
+            },
+            (b, _) => bytes.push(b),
+        }
+    }
+    bytes
+}
+
+fn parse(text: &str) -> Sample {
+    let mut sample = Sample::default();
+    let mut parts = text.split("\n--- ");
+    let about = parts.next().unwrap();
+    sample.about = about.trim_start_matches('#').trim().to_owned();
+    sample.head = about.to_owned();
+    for part in parts {
+        let (title, body) = part.split_once('\n').unwrap_or((part, ""));
+        let mut words = title.split(' ');
+        match words.next().unwrap() {
+            "args" => arguments(body, &mut sample.request),
+            "file" => {
+                let name = words.next().expect("a file's name").to_owned();
+                let escaped = words.next() == Some("escaped");
+                let body = format!("{body}\n");
+                sample.files.0.insert(name, if escaped { unescape(&body) } else { body.into_bytes() });
+            }
+            "list" => {
+                sample.list = body.trim_end().to_owned();
+                continue;
+            }
+            "findings" => {
+                sample.findings = body.lines().filter(|l| !l.is_empty()).map(str::to_owned).collect();
+                continue;
+            }
+            other => panic!("no part of a sample: {other}"),
+        }
+        sample.head.push_str("\n--- ");
+        sample.head.push_str(part);
+    }
+    sample
+}
+
+fn arguments(body: &str, request: &mut Request) {
+    for line in body.lines().filter(|l| !l.is_empty()) {
+        let (name, value) = line.split_once(' ').unwrap();
+        let value = value.to_owned();
+        match name {
+            "apache" => request.apache.push(value),
+            "mod-jk" => request.workers.push(value),
+            "map" => request.maps.push(value),
+            "balancer" => request.wanted.balancer = Some(value),
+            "define" => request.options.defines.push(value),
+            "version" => request.options.version = Some(value),
+            "sections" => request.options.limits.sections = value.parse().unwrap(),
+            "directives" => request.options.limits.directives = value.parse().unwrap(),
+            "host" => {
+                let (name, address) = value.split_once('=').unwrap();
+                request.wanted.hosts.insert(name.to_owned(), address.parse().unwrap());
+            }
+            other => panic!("no argument: {other}"),
+        }
+    }
+}
+
+/// What comes out: the list, and each finding as "code place".
+fn run(sample: &Sample) -> (String, Vec<String>) {
+    let (carried, findings) = import(&sample.files, &sample.request);
+    let told = findings.all().iter().map(|f| format!("{} {}", f.code, f.place)).collect();
+    (carried.map(|c| c.print().trim_end().to_owned()).unwrap_or_default(), told)
+}
+
+/// All that differs from what is expected, in either direction.
+fn differences(sample: &Sample) -> Vec<String> {
+    let (list, told) = run(sample);
+    let mut all = Vec::new();
+    if list != sample.list {
+        all.push(format!("the list is\n{list}\nand not\n{}", sample.list));
+    }
+    // Each as often as it is expected.
+    let mut wanted = sample.findings.clone();
+    for finding in told {
+        match wanted.iter().position(|w| *w == finding) {
+            Some(at) => drop(wanted.remove(at)),
+            None => all.push(format!("not expected: {finding}")),
+        }
+    }
+    all.extend(wanted.into_iter().map(|f| format!("missing: {f}")));
+    all
+}
+
+fn samples() -> Vec<(PathBuf, Sample)> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/samples");
+    let mut paths: Vec<PathBuf> = std::fs::read_dir(folder).unwrap().map(|e| e.unwrap().path()).collect();
+    paths.sort();
+    let read = |path: PathBuf| {
+        let sample = parse(&std::fs::read_to_string(&path).unwrap());
+        (path, sample)
+    };
+    paths.into_iter().map(read).collect()
+}
+
+#[test]
+fn every_sample_gives_its_list_and_its_findings() {
+    let samples = samples();
+    assert!(samples.len() >= 40, "{}", samples.len());
+    let mut wrong = String::new();
+    for (path, sample) in &samples {
+        assert!(!sample.about.is_empty(), "{}", path.display());
+        if std::env::var_os("BLESS").is_some() {
+            let (list, told) = run(sample);
+            let text = format!("{}\n--- list\n{list}\n--- findings\n{}\n", sample.head, told.join("\n"));
+            std::fs::write(path, text).unwrap();
+            continue;
+        }
+        for difference in differences(sample) {
+            let _ = writeln!(wrong, "{}: {difference}", path.file_name().unwrap().display());
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong}");
+}
+
+#[test]
+fn the_check_fails_on_an_altered_sample() {
+    for (path, sample) in samples() {
+        let spoiled = |spoil: &dyn Fn(&mut Sample)| {
+            let mut sample = sample.clone();
+            spoil(&mut sample);
+            assert!(!differences(&sample).is_empty(), "{}", path.display());
+        };
+        spoiled(&|s| s.findings.push("B003 nowhere:1".into()));
+        spoiled(&|s| s.list.push('x'));
+        if !sample.findings.is_empty() {
+            spoiled(&|s| drop(s.findings.remove(0)));
+        }
+        if let Some(at) = sample.list.find("address: \"") {
+            spoiled(&|s| s.list.replace_range(at + 10..at + 11, "x"));
+        }
+    }
+}
+
+#[test]
+fn every_list_is_one_that_the_settings_take_and_comes_out_the_same_twice() {
+    let mut lists = 0;
+    for (path, sample) in samples() {
+        let (first, second) = (run(&sample).0, run(&sample).0);
+        assert_eq!(first, second, "{}", path.display());
+        if first.contains("\nnodes {") {
+            let read = doorcourse_config::read_nodes("list", &first);
+            assert!(read.is_ok(), "{}: {:?}", path.display(), read.err());
+            lists += 1;
+        }
+    }
+    assert!(lists >= 25, "{lists}");
+}
+
+/// Every code is caused by some sample, so that none is there on paper alone.
+#[test]
+fn every_code_is_seen() {
+    let seen: BTreeSet<String> =
+        samples().iter().flat_map(|(_, s)| s.findings.clone()).map(|f| f[..4].to_owned()).collect();
+    let missing: Vec<&str> =
+        doorcourse_import::CODES.iter().map(|c| c.0).filter(|c| !seen.contains(*c)).collect();
+    assert!(missing.is_empty(), "no sample causes {missing:?}");
+}
