Drill two-tiers: an imported list, its first set killed and back cold, shares by weight

A drill may now import its list from httpd's files by the command itself, import again while it runs, and expect shares of nodes.

--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -35,6 +35,8 @@
     pub drain: f64,
     /// Whether gateways keep a state file.
     pub state: bool,
+    /// An httpd configuration that the node list is imported from; empty for none.
+    pub httpd: String,
     /// The customers: name, plan, key.
     pub customers: Vec<(String, &'static str, String)>,
 }
@@ -72,7 +74,8 @@
         let recorder = Recorder::new(clock);
         let node = |at: usize| NodeSpec {
             name: format!("node-{at}"),
-            cell: (at % 2) as u64,
+            // httpd's files know no cells.
+            cell: if spec.httpd.is_empty() { (at % 2) as u64 } else { 0 },
             cores: 2,
             queue: 40,
             cold_share: COLD_SHARE,
@@ -102,7 +105,11 @@
             started: None,
         });
         let list = ListSource::new(spec.folder.join("nodes.txtpb"), listed.collect(), recorder.clone());
-        list.write()?;
+        if spec.httpd.is_empty() {
+            list.write()?;
+        } else {
+            import(&spec, &world.nodes, "")?;
+        }
         std::fs::write(spec.folder.join("catalogue.graphql"), CATALOGUE)?;
         let none = SocketAddr::from(([127, 0, 0, 1], 9));
         let addresses = Arc::new(Mutex::new(vec![none; spec.gateways]));
@@ -281,6 +288,11 @@
         Ok(())
     }
 
+    /// The node list is imported anew, with this behind the configuration.
+    pub fn import(&self, more: &str) -> anyhow::Result<()> {
+        import(&self.spec, &self.world.nodes, more)
+    }
+
     /// The list's file holds nonsense, until it is written again.
     pub fn spoil_list(&self) -> anyhow::Result<()> {
         Ok(std::fs::write(self.spec.folder.join("nodes.txtpb"), "nodes { name: ")?)
@@ -335,6 +347,22 @@
     }
 }
 
+/// Imports the node list as a person would, by the command.
+fn import(spec: &FleetSpec, nodes: &[SocketAddr], more: &str) -> anyhow::Result<()> {
+    let file = spec.folder.join("httpd.conf");
+    std::fs::write(&file, format!("{}\n{more}\n", spec.httpd))?;
+    let defines = nodes.iter().enumerate().flat_map(|(at, n)| ["-D".to_owned(), format!("NODE{at}={n}")]);
+    let done = Command::new(&spec.binary)
+        .args(["import", "apache", "--strict", "--out"])
+        .arg(spec.folder.join("nodes.txtpb"))
+        .args(defines)
+        .arg(&file)
+        .output()
+        .with_context(|| spec.binary.display().to_string())?;
+    anyhow::ensure!(done.status.success(), "import: {}", String::from_utf8_lossy(&done.stderr));
+    Ok(())
+}
+
 /// Copies a gateway's log to its file and tells the address in it.
 fn copy_log(path: &Path, lines: impl BufRead, told: &mpsc::Sender<SocketAddr>) {
     use std::io::Write as _;
--- a/crates/drill/src/kit.rs
+++ b/crates/drill/src/kit.rs
@@ -53,6 +53,7 @@
     let path = options.folder.join(SOCKET);
     anyhow::ensure!(UnixStream::connect(&path).is_err(), "{}: a fleet is up there", options.folder.display());
     let fleet = Fleet::start(FleetSpec {
+        httpd: String::new(),
         binary: options.binary.clone(),
         folder: options.folder.clone(),
         gateways: options.gateways,
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::{Clients, Manner, customers, plan_bounds};
 use crate::fleet::{FALL_MULTIPLE, FALL_TIME, Fleet, FleetSpec, GRACE, POLL};
-use crate::script::{Drill, Expect, NodeWhat, Until, Wait, What};
+use crate::script::{Drill, Expect, NodeWhat, Share, Until, Wait, What};
 use doorcourse_standins::{Command, CounterFault, Crowd, NodeFault};
 use doorcourse_verdict::{Answers, Bounds, Event, Kind, Record, Report, summary};
 use std::collections::BTreeMap;
@@ -134,6 +134,7 @@
             What::SpoilState(g) => fleet.spoil_state(*g as usize, true)?,
             What::MendState(g) => fleet.spoil_state(*g as usize, false)?,
             What::SpoilList(_) => fleet.spoil_list()?,
+            What::Import(more) => fleet.import(more)?,
             What::Mood(mood) => {
                 let manner = Manner {
                     flood: mood.flood_customer.map(|c| (c as usize, mood.flood_times)),
@@ -177,6 +178,7 @@
         notice: spec.notice_ms.unwrap_or(100.0),
         drain: spec.drain_ms.unwrap_or(2000.0),
         state: !spec.without_state,
+        httpd: drill.httpd.clone(),
         customers: customers(),
     })?;
     let recorder = fleet.recorder.clone();
@@ -204,7 +206,9 @@
     let records = recorder.records();
     drop(playing);
     let report = summary(&records);
-    let missed = drill.expects.iter().flat_map(|e| miss(e, &report)).collect();
+    let sent = sent(&records);
+    let mut missed: Vec<String> = drill.expects.iter().flat_map(|e| miss(e, &report)).collect();
+    missed.extend(drill.expects.iter().flat_map(|e| miss_shares(e, &sent)));
     let mut outcome = Outcome { report, missed, folder: None, records };
     if options.keep.is_some() || !outcome.good() {
         recorder.save(&folder.join("traffic.jsonl"))?;
@@ -264,6 +268,37 @@
     }
 }
 
+/// How many requests each node read, by phase.
+fn sent(records: &[Record]) -> BTreeMap<(String, String), u64> {
+    let mut phase = String::from("start");
+    let mut sent: BTreeMap<(String, String), u64> = BTreeMap::new();
+    for record in records {
+        match &record.event {
+            Event::Phase { name } => phase.clone_from(name),
+            Event::Got { node, .. } => *sent.entry((phase.clone(), node.clone())).or_default() += 1,
+            _ => {}
+        }
+    }
+    sent
+}
+
+/// What an expectation of shares misses.
+fn miss_shares(expect: &Expect, sent: &BTreeMap<(String, String), u64>) -> Vec<String> {
+    let here = || sent.iter().filter(|((phase, _), _)| expect.phase.is_empty() || *phase == expect.phase);
+    let all: u64 = here().map(|(_, n)| n).sum();
+    let one = |share: &Share| {
+        let of = |node: &str| share.nodes.iter().any(|n| node == format!("node-{n}"));
+        let got: u64 = here().filter(|((_, node), _)| of(node)).map(|(_, n)| n).sum();
+        let (part, low, high) =
+            (got as f64 / all.max(1) as f64, share.at_least.unwrap_or(0.0), share.at_most.unwrap_or(1.0));
+        let (nodes, phase) = (&share.nodes, &expect.phase);
+        (all == 0 || !(low..=high).contains(&part)).then(|| {
+            format!("in `{phase}`: nodes {nodes:?} were sent {part:.3} of {all}, {low} to {high} expected")
+        })
+    };
+    expect.shares.iter().filter_map(one).collect()
+}
+
 /// What an expectation misses.
 fn miss(expect: &Expect, report: &Report) -> Vec<String> {
     let mut all = Answers::default();
@@ -297,3 +332,29 @@
     }
     missed
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_are_of_the_phase_and_a_phase_without_requests_misses() {
+        let mut sent = BTreeMap::new();
+        for (phase, node, n) in [("a", "node-0", 30), ("a", "node-1", 70), ("b", "node-0", 100)] {
+            sent.insert((phase.to_owned(), node.to_owned()), n);
+        }
+        let missed = |phase: &str, nodes: &[u32], low, high| {
+            let share = Share { nodes: nodes.to_vec(), at_least: Some(low), at_most: Some(high) };
+            miss_shares(&Expect { phase: phase.into(), shares: vec![share], ..Expect::default() }, &sent)
+                .len()
+        };
+        assert_eq!(
+            (missed("a", &[0], 0.25, 0.35), missed("a", &[0], 0.4, 0.5), missed("a", &[0, 1], 1.0, 1.0)),
+            (0, 1, 0)
+        );
+        assert_eq!(
+            (missed("b", &[1], 0.0, 0.0), missed("none", &[0], 0.0, 1.0), missed("", &[0], 0.6, 0.7)),
+            (0, 1, 0)
+        );
+    }
+}
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -10,7 +10,7 @@
 pub use raw::act::What;
 pub use raw::node_fault::What as NodeWhat;
 pub use raw::wait::Until;
-pub use raw::{Act, Drill, Expect, Wait};
+pub use raw::{Act, Drill, Expect, Share, Wait};
 
 const DESCRIPTORS: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/drill.bin"));
 
@@ -28,6 +28,7 @@
     ("disk-full", include_str!("../drills/disk-full.txtpb")),
     ("flood", include_str!("../drills/flood.txtpb")),
     ("reload-storm", include_str!("../drills/reload-storm.txtpb")),
+    ("two-tiers", include_str!("../drills/two-tiers.txtpb")),
     ("quiet-day", include_str!("../drills/quiet-day.txtpb")),
 ];
 
@@ -129,16 +130,30 @@
                     range(&format!("{path}.mood.rate"), mood.rate.unwrap_or(1.0), 0.0, 20.0);
                     range(&format!("{path}.mood.licences"), mood.licences.unwrap_or(0.0), 0.0, 1.0);
                 }
-                Some(CounterSilent(_) | CounterRestart(_) | ReloadBad(_) | SpoilList(_)) => {}
+                Some(CounterSilent(_) | CounterRestart(_) | ReloadBad(_) | SpoilList(_) | Import(_)) => {}
                 None => range(&path, f64::NAN, 0.0, 0.0),
             }
         }
     }
+    if drill.httpd.is_empty() {
+        for (at, step) in drill.steps.iter().enumerate() {
+            if step.r#do.iter().any(|a| matches!(a.what, Some(What::Import(_)))) {
+                fault(&format!("steps[{at}].do"), "import needs the drill's httpd".into());
+            }
+        }
+    }
     for (at, expect) in drill.expects.iter().enumerate() {
         let known = expect.phase.is_empty() || drill.steps.iter().any(|s| s.phase == expect.phase);
         if !known {
             fault(&format!("expects[{at}].phase"), format!("`{}` is no phase of the drill", expect.phase));
         }
+        for (number, share) in expect.shares.iter().enumerate() {
+            let path = format!("expects[{at}].shares[{number}]");
+            let nodes = drill.nodes() as u32;
+            if share.nodes.is_empty() || share.nodes.iter().any(|n| *n >= nodes) {
+                fault(&format!("{path}.nodes"), format!("nodes from 0 to {} are wanted", nodes - 1));
+            }
+        }
         if !expect.plan.is_empty() && !PLANS.iter().any(|p| p.name == expect.plan) {
             fault(&format!("expects[{at}].plan"), format!("`{}` is no plan of the drills", expect.plan));
         }
--- a/crates/import/src/carry.rs
+++ b/crates/import/src/carry.rs
@@ -240,6 +240,21 @@
     }
 }
 
+/// A name that the settings take; one that they do not is told and left out.
+fn label(name: &str, value: Option<&Value>, findings: &mut Findings) -> Option<String> {
+    let value = value?;
+    let text = value.text.trim();
+    if text.contains(|c: char| c.is_whitespace() || c.is_control()) {
+        findings.add(
+            "B001",
+            &value.place,
+            format!("{name}=`{}`: a name without white space is wanted", short(text)),
+        );
+        return None;
+    }
+    Some(text.to_owned()).filter(|t| !t.is_empty())
+}
+
 /// On and off, as httpd (On, Off) and mod_jk (true, t, yes, y, on, 1 ...) have them.
 fn flag(name: &str, value: Option<&Value>, findings: &mut Findings) -> Option<bool> {
     let value = value?;
@@ -374,16 +389,15 @@
         false => figure("lbset", of("lbset"), 0.0..=99.0, findings),
     };
     let (role, draining) = if jk { activation(member, findings) } else { status(member, findings) };
-    let text = |name: &str| of(name).map(|v| v.text.trim().to_owned()).filter(|t| !t.is_empty());
-    let route = text("route").or_else(|| text("jvm_route")).or_else(|| jk.then(|| member.name.clone()));
-    let route = match route {
-        Some(route) if route.chars().any(|c| c.is_whitespace() || c.is_control()) => {
-            findings.add("B001", place, format!("route `{}` holds white space: left out", short(&route)));
-            String::new()
-        }
-        Some(route) if sticky => route,
-        _ => String::new(),
-    };
+    let mut text = |name: &str| label(name, of(name), findings);
+    let (redirect, group) = (text("redirect").unwrap_or_default(), text("domain").unwrap_or_default());
+    let own = || jk.then(|| member.name.clone());
+    let route =
+        text("route").or_else(|| text("jvm_route")).or_else(own).filter(|_| sticky).unwrap_or_default();
+    if jk && member.name.contains(|c: char| c.is_whitespace() || c.is_control()) {
+        findings.add("C006", place, format!("`{}` is no name of a node: left out", short(shown)));
+        return None;
+    }
     if !sticky && let Some(value) = of("route") {
         findings.add("C012", &value.place, "route without sticky sessions: nothing is bound by it");
     }
@@ -409,8 +423,8 @@
         role,
         draining,
         route,
-        redirect: text("redirect").unwrap_or_default(),
-        group: text("domain").unwrap_or_default(),
+        redirect,
+        group,
         place: place.clone(),
     })
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -107,7 +107,7 @@
     ready: bool,
     seat: usize,
     started: Option<Millis>,
-    /// Where starts are not told: when it last refused a connection, which is the earliest it can have started.
+    /// Where starts are not told: when it is tried again after it refused a connection, as if it started then.
     refused: Option<Millis>,
     out: u32,
     /// How many this gateway keeps out here at most.
@@ -764,15 +764,15 @@
             // A client with little time left proves nothing of the fleet.
             _ => latency > *usual * LATE_LATENCIES,
         };
-        if end.outcome == Outcome::ConnectFailed && self.settings.routing.assume_restart {
-            backend.refused = Some(now);
-        }
         backend.note_latency(late);
         self.late += NEWEST * (f64::from(u8::from(late)) - self.late);
         let lost = end.outcome != Outcome::Served;
         if lost && backend.failed(now, latency, &self.settings) {
             out.push(Action::Log(format!("backend {name} ejected: {EJECT_TOLD} failures in a row")));
         }
+        if end.outcome == Outcome::ConnectFailed && self.settings.routing.assume_restart {
+            backend.refused = Some(backend.eject_until);
+        }
     }
 
     fn on_attempt(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -307,6 +307,22 @@
     assert!(went["a1"] > 400, "{went:?}");
 }
 
+#[test]
+fn a_backend_that_was_away_for_long_is_as_cold_as_one_that_was_away_for_a_moment() {
+    let mut settings = open_settings(2, 0);
+    settings.routing.assume_restart = true;
+    let list = vec![ready("a1", 0, Role::Active, 1.0), ready("a2", 0, Role::Active, 1.0)];
+    let mut fleet = Fleet::with(settings, 3, list);
+    // Each refusal has it left alone for longer, in the end for longer than a cold backend takes to warm.
+    for _ in 0..60 {
+        fleet.fail("a1");
+        fleet.door.now += 25_000.0;
+    }
+    let went = fleet.served(1000, "");
+    let share = went.get("a1").copied().unwrap_or(0) as f64 / 1000.0;
+    assert!(share < 0.25, "{went:?}");
+}
+
 /// The largest difference between a backend's share and its weight's, as a part of the latter.
 fn spread_error(gateways: u32, each: usize, balance: Balance, weights: &[f64]) -> f64 {
     let list: Vec<_> =
