--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -376,3 +376,76 @@
     let expects = format!("{json}expect: 100-continue\r\n");
     assert_eq!(body(r#"{"query":"{ preview(id: 1) { id } }"}"#, &expects).status, 200);
 }
+
+/// A node that sets the session's cookie, as those behind a balancer do, and keeps its connections.
+fn sets_cookie(route: &'static str) -> Act {
+    let body = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nset-cookie: SID=x.{route}; Path=/\r\ncontent-length: {}\r\n\r\n{GOOD}",
+        GOOD.len()
+    );
+    Box::new(move |stream| stream.write_all(body.as_bytes()).is_ok())
+}
+
+fn sticky(nodes: &[std::net::SocketAddr], more: &str) -> Door {
+    let node = |(at, a): (usize, &std::net::SocketAddr)| {
+        format!("nodes {{ name: \"n{at}\" address: \"{a}\" route: \"r{at}\" }}\n")
+    };
+    let nodes: String = nodes.iter().enumerate().map(node).collect();
+    Door::new(&[], &format!("{nodes}routing {{ sticky {{ cookie: \"SID\" parameter: \"sid\"{more} }} }}\n"))
+}
+
+#[test]
+fn a_session_keeps_to_its_node_by_cookie_path_and_query_and_cookies_pass_both_ways() {
+    let acts = |route: &'static str| (0..40).map(|_| sets_cookie(route)).collect::<Vec<Act>>();
+    let nodes = [script(acts("r0")), script(acts("r1"))];
+    let door = sticky(&[nodes[0].address, nodes[1].address], "");
+    let first = door.ask("free", PREVIEW);
+    assert!(first.has("set-cookie: sid=x.r"), "{}", first.head);
+    let count = |at: usize| nodes[at].got.try_iter().collect::<Vec<String>>();
+    (count(0), count(1));
+    for _ in 0..6 {
+        let mut client = door.client();
+        client.send("free", PREVIEW, "cookie: a=b; SID=x.r1\r\n");
+        assert_eq!(client.answer().expect("an answer").status, 200);
+    }
+    let got = count(1);
+    assert_eq!((got.len(), count(0).len()), (6, 0));
+    assert!(got.iter().all(|r| r.contains("cookie: a=b; SID=x.r1")), "{got:?}");
+    for target in ["/graphql;sid=x.r0", "/graphql?sid=x.r0"] {
+        let mut client = door.client();
+        let text = String::from_utf8(post("free", PREVIEW, "")).expect("a text");
+        client.write(text.replacen("/graphql", target, 1).as_bytes());
+        assert_eq!(client.answer().expect("an answer").status, 200, "{target}");
+        let mut client = door.client();
+        let query = format!(
+            "{target}{}query=%7Bpreview(id:7)%7Bid%7D%7D",
+            if target.contains('?') { "&" } else { "?" }
+        );
+        client.write(
+            format!("GET {query} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer free\r\n\r\n").as_bytes(),
+        );
+        assert_eq!(client.answer().expect("an answer").status, 200, "{query}");
+    }
+    let got = count(0);
+    assert_eq!((got.len(), count(1).len()), (4, 0));
+    assert!(
+        got.iter().all(|r| !r.contains("sid=") && !r.contains("\"sid\"")),
+        "the parameter is the balancer's: {got:?}"
+    );
+}
+
+#[test]
+fn a_session_whose_node_is_gone_goes_on_elsewhere_or_is_refused_as_the_binding_says() {
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = dead.local_addr().expect("an address");
+    drop(dead);
+    for (strict, status) in [(" strict: false", 200), (" strict: true", 503)] {
+        let node = script((0..20).map(|_| good()).collect());
+        let door = sticky(&[address, node.address], strict);
+        let mut client = door.client();
+        client.send("free", PREVIEW, "cookie: SID=x.r0\r\n");
+        let answer = client.answer().expect("an answer");
+        assert_eq!(answer.status, status, "{strict}: {answer:?}");
+        assert_eq!(door.ask("free", PREVIEW).status, 200, "what is not bound is served either way");
+    }
+}
--- a/crates/import/src/carry.rs
+++ b/crates/import/src/carry.rs
@@ -123,7 +123,7 @@
     carried.hints = hints(balancer, findings);
     mounts(model, balancer, &mut carried.hints, findings);
     let key = |n: &Node| (n.tier, n.role, n.name.clone());
-    carried.nodes.sort_by_key(key);
+    carried.nodes.sort_by_cached_key(key);
     Some(carried)
 }
 
