GraphQL: fields that cannot be merged, bare extensions and absurd list sizes are refused

Two fields of one response name with other arguments were priced as the first alone and passed on: a query of 40 previews cost 1. Extensions that add nothing are refused by the parser; a slicing argument below 0 or above 1,000,000 is told instead of priced as 0.

--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -402,7 +402,7 @@
     let first = door.ask("free", PREVIEW);
     assert!(first.has("set-cookie: sid=x.r"), "{}", first.head);
     let count = |at: usize| nodes[at].got.try_iter().collect::<Vec<String>>();
-    (count(0), count(1));
+    (0..2).for_each(|at| drop(count(at)));
     for _ in 0..6 {
         let mut client = door.client();
         client.send("free", PREVIEW, "cookie: a=b; SID=x.r1\r\n");
--- a/crates/graphql/src/lib.rs
+++ b/crates/graphql/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod ast;
 mod lexer;
+mod merge;
 mod parser;
 mod plan;
 mod prepare;
--- a/crates/graphql/src/parser.rs
+++ b/crates/graphql/src/parser.rs
@@ -298,7 +298,10 @@
         }
         self.advance();
         if what == "schema" {
-            self.directives(true)?;
+            let bare = self.directives(true)?.is_empty();
+            if extend && bare && !self.is('{') {
+                return self.wanted("what the extension adds");
+            }
             let mut roots = Vec::new();
             if self.is('{') || !extend {
                 self.expect('{')?;
@@ -366,6 +369,18 @@
             }
             _ => TypeBody::Input(self.input_definitions('{', '}')?),
         };
+        // An extension that adds nothing is none (specification, sections 3.5 to 3.10).
+        let empty = match &body {
+            TypeBody::Scalar => true,
+            TypeBody::Object { interfaces, fields } | TypeBody::Interface { interfaces, fields } => {
+                interfaces.is_empty() && fields.is_empty()
+            }
+            TypeBody::Union(names) | TypeBody::Enum(names) => names.is_empty(),
+            TypeBody::Input(fields) => fields.is_empty(),
+        };
+        if extend && empty && directives.is_empty() {
+            return self.wanted("what the extension adds");
+        }
         self.document.definitions.push(Definition::Type { name, body, directives, extend, at });
         Ok(())
     }
--- a/crates/graphql/src/plan.rs
+++ b/crates/graphql/src/plan.rs
@@ -12,6 +12,9 @@
 
 pub(crate) type NodeId = usize;
 
+/// The largest list that a slicing argument may ask for; as `graphql.list_size` in the settings.
+const SIZE_MOST: f64 = 1e6;
+
 /// The cost of an operation by the Cost Directives specification.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Cost {
@@ -191,8 +194,14 @@
             let text = format!("field `{}` needs exactly one of the arguments `{names}`", field.name);
             self.errors.push(Error::new(field.at, text));
         }
-        let sizes = sizes.iter().filter_map(Json::as_f64).reduce(f64::max);
-        sizes.map(|s| s.max(0.0)).or(directive.assumed)
+        let sizes: Vec<f64> = sizes.iter().filter_map(Json::as_f64).collect();
+        // A list of less than nothing has no price, and one of more than any node holds no honest one.
+        if let Some(size) = sizes.iter().find(|s| !(0.0..=SIZE_MOST).contains(*s)) {
+            let text =
+                format!("field `{}` asks for a list of {size}: allowed is 0 to {SIZE_MOST}", field.name);
+            self.errors.push(Error::new(field.at, text));
+        }
+        sizes.into_iter().reduce(f64::max).map(|s| s.clamp(0.0, SIZE_MOST)).or(directive.assumed)
     }
 
     /// The weight of an argument or an input field that was given, with what lies in it.
--- a/crates/graphql/src/validate.rs
+++ b/crates/graphql/src/validate.rs
@@ -1,7 +1,8 @@
 //! The validation that a gateway needs (GraphQL specification, section 5): what would make the price of an
-//! operation meaningless or let it grow without bound. Merging of fields (5.3.2) is left to the node.
+//! operation meaningless or let it grow without bound. Merging of fields is in `merge.rs`.
 
 use crate::ast::*;
+use crate::merge;
 use crate::schema::{Input, Schema, TypeId};
 use crate::variables::{literal, place};
 use crate::{Error, Limits, OperationKind, Pos};
@@ -94,6 +95,15 @@
         for operation in &document.operations {
             self.operation(operation, &fragments, &uses);
         }
+        if !self.errors.is_empty() {
+            return;
+        }
+        for operation in &document.operations {
+            let root = self.schema.root(operation.kind);
+            let merged =
+                root.map(|root| merge::check(self.schema, document, &fragments, operation.set, root));
+            self.errors.extend(merged.and_then(Result::err));
+        }
     }
 
     /// The fragments, each behind those it spreads; `None` with a fault where they form a cycle.
--- a/crates/graphql/tests/documents.rs
+++ b/crates/graphql/tests/documents.rs
@@ -57,7 +57,10 @@
     assert_eq!(units("query($n: Int = 7) { previews(first: $n) { url } }", json!({"n": 9})), 9.0);
     // A default of the schema counts where no slicing argument is given.
     assert_eq!(units("{ previews { url } }", json!({})), 3.0);
-    assert_eq!(units("{ previews(first: -5) { url } }", json!({})), 0.0);
+    assert_eq!(units("{ previews(first: 0) { url } }", json!({})), 0.0);
+    refused("{ previews(first: -5) { url } }", json!({}), "a list of -5: allowed is 0 to 1000000");
+    refused("{ previews(first: 2000000000) { url } }", json!({}), "a list of 2000000000: allowed");
+    refused("query($n: Int) { previews(first: $n) { url } }", json!({"n": -1}), "a list of -1");
     // sizedFields: the size goes to the edges below.
     assert_eq!(units("{ page(first: 6) { edges { waveform } total } }", json!({})), 1.0 + 1.0 + 6.0 * 1.5);
     // A list without a size counts as the limit says; an assumed one as the schema says, of the dearest type.
@@ -257,3 +260,93 @@
         scan.feed(noise.as_bytes());
     }
 }
+
+#[test]
+fn fields_that_cannot_be_merged_are_refused() {
+    for (source, part) in [
+        (
+            "{ previews(first: 1) { url } previews(first: 40) { url } }",
+            "1:30: the fields `previews` here and at 1:3 have other",
+        ),
+        ("{ previews(first: 1) { url } previews { url } }", "have other arguments"),
+        (
+            "query($a: Int, $b: Int) { previews(first: $a) { url } previews(first: $b) { url } }",
+            "have other arguments",
+        ),
+        ("{ x: preview(id: 1) { url } x: one { __typename } }", "are `preview` and `one`"),
+        (
+            "{ preview(id: 1) { url } ...F } fragment F on Query { preview(id: 2) { title } }",
+            "have other arguments",
+        ),
+        ("{ preview(id: 1) { a: url } preview(id: 1) { a: waveform } }", "are `url` and `waveform`"),
+        (
+            "{ preview(id: 1) { like { a: url } } ... { preview(id: 1) { like { a: waveform } } } }",
+            "are `url` and",
+        ),
+        (
+            "{ one { ... on Preview { a: url } ... on Album { a: tracks(first: 1) { url } } } }",
+            "another shape",
+        ),
+        (
+            "{ one { ... on Preview { a: title } ... on Album { a: title } ... on Preview { a: url } } }",
+            "another shape",
+        ),
+        ("{ one { ... on Named { a: title } ... on Preview { a: waveform } } }", "another shape"),
+        ("{ preview(id: 1) { a: __typename a: title } }", "are `__typename` and `title`"),
+    ] {
+        refused(source, json!({}), part);
+    }
+    for source in [
+        "{ previews(first: 2) { url } previews(first: 2) { title } }",
+        "{ previews(first: 2, filter: {genre: JAZZ, words: [\"a\"]}) { url } previews(filter: {words: [\"a\"], genre: JAZZ}, first: 2) { url } }",
+        "{ one { ... on Preview { a: url(size: 1) } ... on Preview { a: url(size: 1) } } }",
+        "{ one { ... on Preview { n: like { url } } ... on Album { m: tracks(first: 1) { url } } } }",
+        "{ one { ... on Preview { x: title } ... on Album { x: title } } }",
+        "{ ...F ...F } fragment F on Query { preview(id: 1) { url like { url } } }",
+    ] {
+        units(source, json!({}));
+    }
+    // Different objects never answer together: other arguments are of no harm there.
+    units("{ any { ... on Preview { p: like { t: title } } ... on Album { t: title } } }", json!({}));
+}
+
+/// Compared pair by pair these would be millions at each level: this test would not end within minutes.
+#[test]
+fn thousands_of_equal_fields_are_merged_in_near_linear_time() {
+    let limits = Limits { bytes: 1 << 20, tokens: 100_000, expansion: 20_000, ..Limits::default() };
+    let equal = format!("{{ {} }}", "preview(id: 1) { url like { title } } ".repeat(3000));
+    let prepared = Prepared::new(schema(), &equal, None, None, limits);
+    assert!(prepared.is_ok());
+    let odd = equal.replacen("like { title }", "like { title: url }", 1);
+    assert!(Prepared::new(schema(), &odd, None, None, limits).is_err());
+}
+
+#[test]
+fn extensions_that_add_nothing_are_refused() {
+    for bare in [
+        "extend type A",
+        "extend interface A",
+        "extend union A",
+        "extend enum A",
+        "extend input A",
+        "extend scalar A",
+        "extend schema",
+    ] {
+        let error = doorcourse_graphql::parse(bare, &Limits::default()).unwrap_err();
+        assert!(error.to_string().contains("what the extension adds"), "{bare}: {error}");
+        let error = doorcourse_graphql::parse(&format!("{bare} type B {{ a: Int }}"), &Limits::default())
+            .unwrap_err();
+        assert!(error.to_string().contains("what the extension adds"), "{bare}: {error}");
+    }
+    for good in [
+        "extend type A @d",
+        "extend type A implements B",
+        "extend type A { a: Int }",
+        "extend union A = B",
+        "extend enum A { B }",
+        "extend schema @d",
+        "extend schema { query: Q }",
+    ] {
+        assert!(doorcourse_graphql::parse(good, &Limits::default()).is_ok(), "{good}");
+    }
+}
--- a/crates/import/tests/hostile.rs
+++ b/crates/import/tests/hostile.rs
@@ -55,19 +55,25 @@
 fn hostile_files_end_with_one_error() {
     let doubling = |n: usize| {
         let mut text = String::from("<Macro M0>\nServerName x\n</Macro>\n");
-        (1..n).for_each(|n| drop(writeln!(text, "<Macro M{n}>\nUse M{0}\nUse M{0}\n</Macro>", n - 1)));
+        for n in 1..n {
+            let _ = writeln!(text, "<Macro M{n}>\nUse M{0}\nUse M{0}\n</Macro>", n - 1);
+        }
         let _ = writeln!(text, "Use M{}", n - 1);
         text
     };
     let arguments = |n: usize| {
         let mut text = String::from("<Macro M0 $a>\nServerName $a\n</Macro>\n");
-        (1..n).for_each(|n| drop(writeln!(text, "<Macro M{n} $a>\nUse M{} $a$a$a$a\n</Macro>", n - 1)));
+        for n in 1..n {
+            let _ = writeln!(text, "<Macro M{n} $a>\nUse M{} $a$a$a$a\n</Macro>", n - 1);
+        }
         let _ = writeln!(text, "Use M{} abcdefgh", n - 1);
         text
     };
     let variables = |n: usize| {
         let mut text = String::from("Define V0 abcdefgh\n");
-        (1..n).for_each(|n| drop(writeln!(text, "Define V{n} ${{V{0}}}${{V{0}}}", n - 1)));
+        for n in 1..n {
+            let _ = writeln!(text, "Define V{n} ${{V{0}}}${{V{0}}}", n - 1);
+        }
         text
     };
     // Lines just below the bound, over and over.
