Bounds on what is held are a decision module; one that reads nothing is held back and cut

One customer that pipelined queries and read nothing drove the process to 272 MB and took the buffer that all share. What a connection, a customer and all together may hold is now decided in crates/exchange/src/bounds.rs: the next pipelined request waits until the answers before it are read, a customer has a bound within the shared one (limits.customer_bytes), and a client that has bytes to read and takes none for limits.unread_ms is cut. Bounds on connections and requests moved there too.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -566,6 +566,8 @@
     let connections = whole("connections", small(raw.connections), 10_000, 1..=1_000_000) as usize;
     let requests = whole("requests", small(raw.requests), 4096, 1..=1_000_000) as usize;
     let buffered = whole("buffered_bytes", raw.buffered_bytes, 256 << 20, 65_536..=1_000_000_000_000);
+    let quarter = (buffered / 4).max(65_536);
+    let customer_bytes = whole("customer_bytes", raw.customer_bytes, quarter, 65_536..=1_000_000_000_000);
     let line = whole("line_bytes", small(raw.line_bytes), 8192, 64..=1 << 20) as usize;
     let head = whole("head_bytes", small(raw.head_bytes), 32_768, 128..=1 << 20) as usize;
     let fields = whole("fields", small(raw.fields), 64, 1..=10_000) as usize;
@@ -593,6 +595,8 @@
         idle_time: time("idle_ms", raw.idle_ms, 60_000.0, 10.0..=3.6e6),
         node_idle_time: time("node_idle_ms", raw.node_idle_ms, 30_000.0, 10.0..=3.6e6),
         longest_deadline: time("longest_deadline_ms", raw.longest_deadline_ms, 60_000.0, 1.0..=3.6e6),
+        customer_bytes,
+        unread_time: time("unread_ms", raw.unread_ms, 10_000.0, 10.0..=6e5),
         answer_margin: time("answer_margin_ms", raw.answer_margin_ms, 20.0, 0.0..=1000.0),
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -114,6 +114,8 @@
     pub node_idle_time: f64,
     pub longest_deadline: f64,
     pub answer_margin: f64,
+    pub customer_bytes: u64,
+    pub unread_time: f64,
 }
 
 /// Where what was learnt is kept; times in ms.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -9,9 +9,11 @@
 #![warn(missing_docs)]
 
 mod admission;
+mod bounds;
 mod exchange;
 mod session;
 
 pub use admission::{Never, Offer, class_of, fits, patience};
+pub use bounds::{Accounts, Bounds, Full, Held};
 pub use exchange::{Exchange, Failure, Final, Input, Output, Wire};
 pub use session::{cookie, parameter, route_of, split_path};
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -263,7 +263,7 @@
             "counter_calls": self.calls_out,
             "counter_silent": self.decision.is_counter_silent(),
             "requests_so_far": self.next_request,
-            "buffered_bytes": self.buffered,
+            "buffered_bytes": self.accounts.bytes(),
         })
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use doorcourse::{Action, Event, Name, RequestId};
 use doorcourse_config::{Change, Config, Node, compare};
+use doorcourse_exchange::{Accounts, Bounds, Held};
 use doorcourse_http::{Decoder, Framing, Limits as HttpLimits, Part, Role};
 use doorcourse_lifecycle::{Input, Life, Out, Output};
 use doorcourse_net::{Clock, Flow, Interest, Poller, Ready, Socket, Timers, connect, listen};
@@ -125,7 +126,12 @@
     /// When the connection's patience with the client ends.
     until: f64,
     interest: Interest,
-    accounted: usize,
+    /// What it holds, for the accounts; whose it is; whether its client took some since they were told.
+    held: Held,
+    customer: Option<Name>,
+    taken: bool,
+    /// When it is looked at whether its client still reads.
+    cut_alarm: f64,
     /// Close once all is written.
     pub closing: bool,
 }
@@ -167,8 +173,8 @@
     pub(crate) counter: CounterSide,
     pub(crate) generation: u32,
     pub(crate) claims_told: HashSet<doorcourse::Name>,
-    /// Bytes held for clients.
-    pub(crate) buffered: u64,
+    /// What is held for clients.
+    pub(crate) accounts: Accounts,
     signal: UnixStream,
     wake: UnixStream,
     reload_signal: UnixStream,
@@ -304,7 +310,7 @@
             counter,
             generation: 0,
             claims_told: HashSet::new(),
-            buffered: 0,
+            accounts: Accounts::new(bounds(&config)),
             signal,
             wake,
             reload_signal,
@@ -601,6 +607,7 @@
             list.poll = *poll;
         }
         let nodes = config.nodes.clone();
+        self.accounts.set_bounds(bounds(&config));
         self.config = Arc::new(config);
         if self.list.is_none() {
             self.take_list(&nodes);
@@ -719,8 +726,8 @@
                 Err(_) => continue,
             };
             let Ok(mut socket) = Socket::new(stream) else { continue };
-            if self.clients.len() >= self.config.limits.connections {
-                let reply = front::full("too many connections");
+            if let Err(full) = self.accounts.accept(self.clients.len()) {
+                let reply = front::full(full.text());
                 front::write(socket.output(), &reply, false, None);
                 socket.flush();
                 continue;
@@ -747,7 +754,10 @@
                 framing: Framing::None,
                 until,
                 interest: Interest::READ,
-                accounted: 0,
+                held: Held::default(),
+                customer: None,
+                taken: false,
+                cut_alarm: f64::INFINITY,
                 closing: false,
             });
             self.timers.set(until, Alarm::Client(slot, generation));
@@ -768,6 +778,19 @@
     fn client_time(&mut self, slot: usize, generation: u32) {
         let now = self.clock.now();
         let Some(client) = self.clients.get_mut(slot).filter(|c| c.generation == generation) else { return };
+        if client.cut_alarm <= now {
+            client.cut_alarm = f64::INFINITY;
+            let cut = self.accounts.cut_at(&client.held);
+            if cut <= now {
+                tracing::debug!(customer = client.customer.as_deref(), "cut: its client does not read");
+                client.socket.reset_on_close();
+                return self.client_gone(slot);
+            }
+            if cut.is_finite() {
+                client.cut_alarm = cut;
+                self.timers.set(cut, Alarm::Client(slot, generation));
+            }
+        }
         if matches!(client.phase, Phase::Answering(_)) {
             // The request's own time rules; look again when it can be over.
             client.until = now + self.config.limits.idle_time;
@@ -805,6 +828,8 @@
         }
         if ready.write {
             self.flush_client(slot);
+            // A request that waited until its client has read on.
+            self.client_input(slot);
         }
         self.settle_client(slot);
     }
@@ -824,7 +849,7 @@
 
     pub(crate) fn drop_client(&mut self, slot: usize) {
         if let Some(client) = self.clients.try_remove(slot) {
-            self.buffered -= client.accounted as u64;
+            self.accounts.forget(&client.held);
         }
     }
 
@@ -835,6 +860,9 @@
             if client.closing || matches!(client.phase, Phase::Answering(_) | Phase::Lingering) {
                 return;
             }
+            if matches!(client.phase, Phase::Head) && !self.accounts.may_begin(client.socket.pending()) {
+                return;
+            }
             let (used, part) = match client.decoder.decode(&client.socket.input) {
                 Ok(found) => found,
                 Err(fault) => return self.reply(slot, &front::malformed(fault)),
@@ -853,15 +881,16 @@
                     client.keep_alive = head.keep_alive && !self.going;
                     (client.minor, client.head_at) = (head.minor, self.clock.now());
                     let wants_word = head.expects_continue() && head.framing != Framing::None;
-                    let full = self.buffered > self.config.limits.buffered;
-                    let caller = match front::caller(&self.config, &head) {
-                        Ok(_) if full => Err(front::full("too much is held for clients")),
-                        other => other,
+                    let read_on = |caller: Caller| match self.accounts.read_on(&caller.customer.name) {
+                        Ok(()) => Ok(caller),
+                        Err(full) => Err(front::full(full.text())),
                     };
+                    let caller = front::caller(&self.config, &head).and_then(read_on);
                     let caller = match caller {
                         Ok(caller) => caller,
                         Err(reply) => return self.reply(slot, &reply),
                     };
+                    client.customer = Some(caller.customer.name.clone());
                     client.phase = Phase::Body(Box::new(caller));
                     if wants_word && client.socket.input.is_empty() {
                         client.socket.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -909,7 +938,10 @@
     /// Writes what waits; reads a node on once its client has taken enough.
     pub(crate) fn flush_client(&mut self, slot: usize) {
         let Some(client) = self.clients.get_mut(slot) else { return };
-        if client.socket.flush() == Flow::Broken {
+        let before = client.socket.pending();
+        let flow = client.socket.flush();
+        client.taken |= client.socket.pending() < before;
+        if flow == Flow::Broken {
             return self.client_gone(slot);
         }
         let low = client.socket.pending() <= self.config.limits.client_buffer / 2;
@@ -931,13 +963,27 @@
             self.client_until(slot, LINGER);
         }
         let Some(client) = self.clients.get_mut(slot) else { return };
-        let answering = matches!(client.phase, Phase::Answering(_)) || client.closing;
+        let unread = client.socket.pending();
+        let waits = matches!(client.phase, Phase::Head) && !self.accounts.may_begin(unread);
+        let answering = matches!(client.phase, Phase::Answering(_)) || client.closing || waits;
         let lingering = matches!(client.phase, Phase::Lingering);
         let read = lingering || !answering || client.socket.input.len() < PIPELINED;
         let interest = Interest { read, write: client.socket.pending() > 0 };
-        let now = client.socket.input.len() + client.body.len() + client.socket.pending();
-        self.buffered = self.buffered - client.accounted as u64 + now as u64;
-        client.accounted = now;
+        let bytes = (client.socket.input.len() + client.body.len() + unread) as u64;
+        let taken = std::mem::take(&mut client.taken);
+        self.accounts.note(
+            self.clock.now(),
+            &mut client.held,
+            client.customer.as_ref(),
+            bytes,
+            unread,
+            taken,
+        );
+        let cut = self.accounts.cut_at(&client.held);
+        if cut.is_finite() && client.cut_alarm.is_infinite() {
+            client.cut_alarm = cut;
+            self.timers.set(cut, Alarm::Client(slot, client.generation));
+        }
         if interest != client.interest {
             client.interest = interest;
             let token = Token::Client(slot, client.generation).pack();
@@ -1056,6 +1102,18 @@
     doorcourse_lifecycle::Settings { notice, drain, handover, give_back, quiet }
 }
 
+fn bounds(config: &Config) -> Bounds {
+    let limits = &config.limits;
+    Bounds {
+        connections: limits.connections,
+        requests: limits.requests,
+        bytes: limits.buffered,
+        customer_bytes: limits.customer_bytes,
+        unread: limits.client_buffer,
+        unread_time: limits.unread_time,
+    }
+}
+
 /// EMFILE and ENFILE.
 fn out_of_descriptors(error: i32) -> bool {
     [rustix::io::Errno::MFILE, rustix::io::Errno::NFILE].iter().any(|e| e.raw_os_error() == error)
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -66,8 +66,8 @@
     // ---- From clients ----
 
     pub(crate) fn request(&mut self, slot: usize, caller: Caller, body: Vec<u8>) {
-        if self.requests.len() >= self.config.limits.requests {
-            return self.reply(slot, &front::full("too many requests are open"));
+        if let Err(full) = self.accounts.take_on(self.requests.len()) {
+            return self.reply(slot, &front::full(full.text()));
         }
         let now = self.clock.now();
         let spent = self.clients.get(slot).map_or(0.0, |c| now - c.head_at);
@@ -94,7 +94,7 @@
             spread: customer.spread,
             bound,
         };
-        self.buffered += body.len() as u64;
+        self.accounts.add(body.len() as u64);
         let request = Request {
             client: Some(slot),
             name,
@@ -299,7 +299,7 @@
             }
             Output::Over => {
                 if let Some(request) = self.requests.remove(&id) {
-                    self.buffered -= request.body.len() as u64;
+                    self.accounts.release(request.body.len() as u64);
                 }
             }
         }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -449,3 +449,49 @@
         assert_eq!(door.ask("free", PREVIEW).status, 200, "what is not bound is served either way");
     }
 }
+
+#[test]
+fn one_that_pipelines_and_reads_nothing_is_held_back_and_cut_and_others_are_served() {
+    const ASKED: usize = 3000;
+    // A node that answers at once, in answers that are held until they are whole: no node is stopped for them.
+    let long = answer(&format!("{{\"data\":{{\"preview\":{{\"id\":\"{}\"}}}}}}", "7".repeat(80_000)));
+    let act = || {
+        let long = long.clone();
+        Box::new(move |stream: &mut std::net::TcpStream| stream.write_all(&long).is_ok()) as Act
+    };
+    let node = script((0..ASKED + 10).map(|_| act()).collect());
+    let door = Door::new(&[node.address], "limits { unread_ms: 1500 held_answer_bytes: 1000000 }");
+    let greedy = door.client();
+    let many = post("free", PREVIEW, "").repeat(ASKED);
+    let mut stream = greedy.stream.try_clone().expect("a second handle");
+    // The writer may block for good: the gateway does not read on.
+    let writer = std::thread::spawn(move || stream.write_all(&many).is_ok());
+    node.got.recv_timeout(LIMIT).expect("a first request");
+    // It never reads; the reset shows on its socket all the same.
+    let started = Instant::now();
+    while greedy.stream.take_error().expect("a socket").is_none() {
+        assert!(started.elapsed() < LIMIT, "it is never cut");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let all = writer.join().expect("a writer");
+    let begun = node.got.try_iter().count();
+    // What the system's own buffers take (some MB), and one more.
+    assert!(begun < ASKED / 4, "{begun} of {ASKED} were begun; all written: {all}");
+    assert_eq!(door.ask("ten", PREVIEW).status, 200, "others are served");
+    assert_eq!(door.ask("free", PREVIEW).status, 200, "and its customer, once nothing is held for it");
+}
+
+#[test]
+fn pipelined_requests_of_one_that_reads_are_all_answered() {
+    let (world, _) = world(2);
+    (0..2).for_each(|n| world.tell(Command::Node(n, NodeFault::Oversize(2000))));
+    let door = Door::new(&world.nodes, "limits { client_buffer_bytes: 1024 held_answer_bytes: 1000000 }");
+    let mut client = door.client();
+    let many = post("free", "{ previews(first: 8) { id title } }", "").repeat(60);
+    let mut stream = client.stream.try_clone().expect("a second handle");
+    let writer = std::thread::spawn(move || stream.write_all(&many).expect("all written"));
+    for at in 0..60 {
+        assert_eq!(client.answer().map(|a| a.status), Some(200), "answer {at}");
+    }
+    writer.join().expect("a writer");
+}
