Absolute targets, HELLO and CLIENT of the counter stand-in

The absolute form of a target (RFC 9112 section 3.2.2) was 404, and the stand-in refused the first words of ordinary client libraries. Both follow their specifications now; tested on sockets and by the words that such a library says.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -107,7 +107,8 @@
 /// Checks a request's head: who asks, and whether the body is worth reading.
 pub(crate) fn caller(config: &Config, head: &Head) -> Result<Caller, Reply> {
     let refuse = |status, code: &str, text: &str| Err(closing(error(Media::Json, status, code, text)));
-    let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+    let target = origin_form(&head.target);
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let sticky = &config.routing;
     let (path, behind) = if sticky.parameter.is_empty() { (path, "") } else { split_path(path) };
     if path != config.path {
@@ -167,6 +168,18 @@
     Ok(Caller { customer: Arc::clone(customer), media, get, deadline, pass, bound, query })
 }
 
+/// The target without scheme and authority: a server takes the absolute form too (RFC 9112 section 3.2.2).
+fn origin_form(target: &str) -> &str {
+    let scheme = ["http://", "https://"]
+        .iter()
+        .find(|s| target.get(..s.len()).is_some_and(|t| t.eq_ignore_ascii_case(s)));
+    let Some(rest) = scheme.map(|s| &target[s.len()..]) else { return target };
+    match rest.find(['/', '?']) {
+        Some(at) if rest[at..].starts_with('/') => &rest[at..],
+        _ => "/",
+    }
+}
+
 /// The media type to answer in: without a word of the client's, the older one (GraphQL over HTTP, "Legacy").
 fn accepted(head: &Head) -> Option<Media> {
     let mut values = head.fields.iter().filter(|(n, _)| n == "accept").peekable();
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -495,3 +495,22 @@
     }
     writer.join().expect("a writer");
 }
+
+#[test]
+fn the_absolute_form_of_a_target_is_taken() {
+    let (world, _) = world(1);
+    let door = Door::new(&world.nodes, "");
+    for (target, status) in [
+        ("http://any.example:8080/graphql", 200),
+        ("HTTP://any.example/graphql?", 200),
+        ("https://any.example/other", 404),
+        ("http://any.example", 404),
+        ("http://any.example?x=/graphql", 404),
+        ("/http://any.example/graphql", 404),
+    ] {
+        let mut client = door.client();
+        let text = String::from_utf8(post("free", PREVIEW, "")).expect("a text");
+        client.write(text.replacen("/graphql", target, 1).as_bytes());
+        assert_eq!(client.answer().map(|a| a.status), Some(status), "{target}");
+    }
+}
--- a/crates/resp/src/value.rs
+++ b/crates/resp/src/value.rs
@@ -13,8 +13,10 @@
     Integer(i64),
     /// `$3`, and RESP3's verbatim strings.
     Bulk(Vec<u8>),
-    /// `*2`, and RESP3's sets and pushes; a map is an array of keys and values.
+    /// `*2`, and RESP3's sets and pushes; a map that was read is an array of keys and values.
     Array(Vec<Value>),
+    /// RESP3's `%1`, to be written: keys and values by turns.
+    Map(Vec<Value>),
     /// RESP3's `,1.5`
     Double(f64),
     /// RESP3's `#t`
@@ -151,6 +153,11 @@
             out.extend_from_slice(b);
             write!(out, "\r\n")
         }
+        Value::Map(values) => {
+            let head = write!(out, "%{}\r\n", values.len() / 2);
+            values.iter().for_each(|v| encode(out, v));
+            head
+        }
         Value::Array(values) => {
             let head = write!(out, "*{}\r\n", values.len());
             values.iter().for_each(|v| encode(out, v));
--- a/crates/standins/src/counter.rs
+++ b/crates/standins/src/counter.rs
@@ -1,5 +1,5 @@
 //! A stand-in for the shared counter, without I/O: the commands that the link uses, by the public specification
-//! of RESP and of the commands INCRBYFLOAT, PEXPIRE, MULTI, EXEC, AUTH, PING and GET.
+//! of RESP and of the commands INCRBYFLOAT, PEXPIRE, MULTI, EXEC, DISCARD, AUTH, HELLO, CLIENT, SELECT, PING and GET.
 
 use doorcourse_resp::Value;
 use std::collections::HashMap;
@@ -29,6 +29,9 @@
 pub struct Session {
     queued: Option<Vec<Vec<String>>>,
     known: bool,
+    /// Whether the client asked for RESP3, and the name that it gave itself.
+    three: bool,
+    name: String,
 }
 
 impl Counter {
@@ -52,15 +55,31 @@
             return error("ERR a command is an array of bulk strings");
         };
         let name = words[0].to_ascii_uppercase();
-        if let Some(password) = self.password.as_ref().filter(|_| !session.known) {
-            if name != "AUTH" {
-                return error("NOAUTH Authentication required.");
-            }
-            session.known = words.get(1) == Some(password);
-            return if session.known { ok() } else { error("WRONGPASS invalid password") };
+        if name == "HELLO" {
+            return self.hello(session, &words[1..]);
+        }
+        if name == "AUTH" {
+            // With one word the user is the default one.
+            return match &words[1..] {
+                [password] => self.auth(session, "default", password),
+                [user, password] => self.auth(session, user, password),
+                _ => error("ERR wrong number of arguments for 'auth' command"),
+            };
+        }
+        if self.password.is_some() && !session.known {
+            return error("NOAUTH Authentication required.");
         }
         match name.as_str() {
-            "AUTH" => error("ERR no password is set"),
+            "CLIENT" => client(session, &words[1..]),
+            "SELECT" if words.len() == 2 => match words[1].parse::<u8>() {
+                Ok(0) => ok(),
+                Ok(_) => error("ERR DB index is out of range"),
+                Err(_) => error("ERR value is not an integer or out of range"),
+            },
+            "DISCARD" => match session.queued.take() {
+                Some(_) => ok(),
+                None => error("ERR DISCARD without MULTI"),
+            },
             "MULTI" if session.queued.is_some() => error("ERR MULTI calls can not be nested"),
             "MULTI" => {
                 session.queued = Some(Vec::new());
@@ -80,6 +99,64 @@
         }
     }
 
+    fn auth(&self, session: &mut Session, user: &str, password: &str) -> Value {
+        match &self.password {
+            None => error("ERR AUTH <password> called without any password configured for the default user"),
+            Some(wanted) if user == "default" && wanted == password => {
+                session.known = true;
+                ok()
+            }
+            Some(_) => error("WRONGPASS invalid username-password pair or user is disabled."),
+        }
+    }
+
+    /// HELLO [protover [AUTH username password] [SETNAME name]]: the first word of client libraries.
+    fn hello(&self, session: &mut Session, words: &[String]) -> Value {
+        let mut three = session.three;
+        let mut rest = words;
+        if let [version, more @ ..] = words {
+            three = match version.as_str() {
+                "2" => false,
+                "3" => true,
+                _ => return error("NOPROTO unsupported protocol version"),
+            };
+            rest = more;
+        }
+        let mut named = None;
+        while let [word, more @ ..] = rest {
+            rest = match (word.to_ascii_uppercase().as_str(), more) {
+                ("AUTH", [user, password, more @ ..]) => {
+                    if let refused @ Value::Error(_) = self.auth(session, user, password) {
+                        return refused;
+                    }
+                    more
+                }
+                ("SETNAME", [name, more @ ..]) => {
+                    named = Some(name.clone());
+                    more
+                }
+                _ => return error(&format!("ERR Syntax error in HELLO option '{word}'")),
+            };
+        }
+        if self.password.is_some() && !session.known {
+            return error("NOAUTH HELLO must be called with the client already authenticated");
+        }
+        session.three = three;
+        session.name = named.unwrap_or_else(|| std::mem::take(&mut session.name));
+        let bulk = |text: &str| Value::Bulk(text.into());
+        let facts = vec![
+            (bulk("server"), bulk("redis")),
+            (bulk("version"), bulk("7.4.0")),
+            (bulk("proto"), Value::Integer(if three { 3 } else { 2 })),
+            (bulk("id"), Value::Integer(1)),
+            (bulk("mode"), bulk("standalone")),
+            (bulk("role"), bulk("master")),
+            (bulk("modules"), Value::Array(Vec::new())),
+        ];
+        let facts = facts.into_iter().flat_map(|(k, v)| [k, v]).collect();
+        if three { Value::Map(facts) } else { Value::Array(facts) }
+    }
+
     fn run(&mut self, now: f64, words: &[String]) -> Value {
         let name = words[0].to_ascii_uppercase();
         let over =
@@ -116,6 +193,25 @@
     }
 }
 
+/// What client libraries say of themselves.
+fn client(session: &mut Session, words: &[String]) -> Value {
+    let word = words.first().map(|w| w.to_ascii_uppercase()).unwrap_or_default();
+    match (word.as_str(), &words[words.len().min(1)..]) {
+        ("SETINFO", [what, _]) if ["lib-name", "lib-ver"].iter().any(|k| what.eq_ignore_ascii_case(k)) => {
+            ok()
+        }
+        ("SETINFO", [what, _]) => error(&format!("ERR Unrecognized option '{what}'")),
+        ("SETNAME", [name]) => {
+            session.name.clone_from(name);
+            ok()
+        }
+        ("GETNAME", []) if session.name.is_empty() => Value::Null,
+        ("GETNAME", []) => Value::Bulk(session.name.clone().into()),
+        ("ID", []) => Value::Integer(1),
+        _ => error("ERR unknown subcommand or wrong number of arguments for 'client' command"),
+    }
+}
+
 fn ok() -> Value {
     Value::Simple("OK".into())
 }
@@ -158,4 +254,28 @@
         assert_eq!(run(&mut counter, &mut session, 0.0, "AUTH x"), Value::Simple("OK".into()));
         assert_eq!(run(&mut counter, &mut session, 0.0, "PING"), Value::Simple("PONG".into()));
     }
+
+    /// What an ordinary client library says before its first command.
+    #[test]
+    fn a_client_library_s_first_words() {
+        let (mut counter, mut session) = (Counter::new(Some("x".into())), Session::default());
+        let mut say = |line: &str| run(&mut counter, &mut session, 0.0, line);
+        assert!(matches!(say("HELLO 3"), Value::Error(e) if e.starts_with("NOAUTH")));
+        assert!(matches!(say("HELLO 3 AUTH default y"), Value::Error(e) if e.starts_with("WRONGPASS")));
+        assert!(matches!(say("HELLO 4 AUTH default x"), Value::Error(e) if e.starts_with("NOPROTO")));
+        let Value::Map(facts) = say("HELLO 3 AUTH default x SETNAME me") else { panic!("no map") };
+        let proto = facts.chunks(2).find(|p| p[0] == Value::Bulk("proto".into())).expect("the version");
+        assert_eq!(proto[1], Value::Integer(3));
+        assert_eq!(say("CLIENT SETINFO LIB-NAME some"), Value::Simple("OK".into()));
+        assert_eq!(say("CLIENT GETNAME"), Value::Bulk("me".into()));
+        assert!(matches!(say("CLIENT SETINFO colour red"), Value::Error(_)));
+        assert!(
+            matches!(say("CLIENT"), Value::Error(_)) && matches!(say("HELLO 2 NONSENSE"), Value::Error(_))
+        );
+        assert_eq!(say("SELECT 0"), Value::Simple("OK".into()));
+        assert!(matches!(say("HELLO 2"), Value::Array(_)));
+        say("MULTI");
+        assert_eq!(say("DISCARD"), Value::Simple("OK".into()));
+        assert!(matches!(say("EXEC"), Value::Error(_)));
+    }
 }
