--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 mod logic;
 mod mix;
 mod routes;
+mod state;
 
 pub use interface::*;
 pub use logic::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::mix::{hash, mix, unit};
 use crate::routes::{Fit, Routes};
+use crate::state::{Backend, Request, Stage, carry_over};
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Quotas (a turn is burst over rate: the time in which a quota turns over once) ----
@@ -100,22 +101,6 @@
 const SWEEP: Millis = 25.0;
 const SWEEP_TOKEN: u64 = 1;
 
-#[derive(Default)]
-struct Backend {
-    zone: Name,
-    cell: u64,
-    ready: bool,
-    seat: usize,
-    started: Option<Millis>,
-    /// Where starts are not told: when it is tried again after it refused a connection, as if it started then.
-    refused: Option<Millis>,
-    out: u32,
-    /// How many this gateway keeps out here at most.
-    room: f64,
-    failures: u32,
-    eject_until: Millis,
-}
-
 impl Backend {
     /// Bounds what is out so that most answers keep to their aim: room follows the share of late answers.
     /// Guards against overload of any cause; it needs no figure of the backend's size.
@@ -264,50 +249,6 @@
     }
 }
 
-/// Where each old class or plan is among the new ones, by name; one that is gone and in use goes behind.
-fn carry_over<T: Clone>(
-    old: &[T], new: &mut Vec<T>, name: impl Fn(&mut T) -> &mut Name, used: impl Fn(usize) -> bool,
-) -> Vec<Option<usize>> {
-    let mut place = |(at, item): (usize, &T)| {
-        let mut item = item.clone();
-        let known = new.iter_mut().position(|n| !name(&mut item).is_empty() && *name(n) == *name(&mut item));
-        known.or_else(|| {
-            let kept = used(at);
-            *name(&mut item) = Name::default();
-            kept.then(|| new.push(item))?;
-            Some(new.len() - 1)
-        })
-    };
-    old.iter().enumerate().map(&mut place).collect()
-}
-
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Stage {
-    #[default]
-    Block,
-    Queue,
-    Out,
-}
-
-#[derive(Default)]
-struct Request {
-    customer: Name,
-    plan: usize,
-    class: usize,
-    units: f64,
-    /// Let in without a total of its customer; the client has asked for the same before.
-    blind: bool,
-    repeat: bool,
-    arrived: Millis,
-    deadline: Millis,
-    hold_until: Millis,
-    stage: Stage,
-    attempts: u32,
-    may_have_run: Option<(Millis, Name)>,
-    sent_at: Millis,
-    bound: Name,
-}
-
 /// One gateway: build it from settings and a seed, then feed it events.
 #[derive(Default)]
 pub struct Gateway {
@@ -470,7 +411,8 @@
         }
     }
 
-    fn counter_silent(&self) -> bool {
+    /// Whether the counter counts as silent.
+    pub fn is_counter_silent(&self) -> bool {
         let gap = self.now - self.counter_heard;
         !self.settings.counter || self.silences > 1 && gap > self.settings.counter_timeout * SILENT_AFTER
     }
@@ -478,7 +420,7 @@
     /// The quota's gate: the block in hand, else the silence rule, else refusal once block and count are
     /// spent. True when the request has to wait.
     fn admit(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let (now, silent) = (self.now, self.counter_silent());
+        let (now, silent) = (self.now, self.is_counter_silent());
         let Some(request) = self.requests.get(&id) else { return false };
         let (name, units) = (request.customer.clone(), request.units);
         let Some(customer) = self.customers.get_mut(&name) else { return false };
@@ -911,7 +853,7 @@
     /// No answer: the silence rule decides for who waits, and a block that may have counted is let go.
     fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
-        if self.counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
+        if self.is_counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
         let Some(customer) = self.customers.get_mut(name) else { return };
@@ -1027,11 +969,6 @@
         })
     }
 
-    /// Whether the counter counts as silent.
-    pub fn is_counter_silent(&self) -> bool {
-        self.counter_silent()
-    }
-
     fn on_sweep(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
         let now = self.now;
@@ -1055,7 +992,7 @@
             let busy = customer.call.is_some() || customer.open > 0 || !customer.waiting.is_empty();
             busy || idle < turn * IDLE_TURNS
         });
-        if !self.counter_silent() {
+        if !self.is_counter_silent() {
             for name in asking {
                 self.ask(&name, out);
             }
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,63 @@
+//! What the decisions hold of backends and requests, and where things stay when settings change. Nothing is decided here.
+
+use crate::interface::*;
+
+#[derive(Default)]
+pub(crate) struct Backend {
+    pub zone: Name,
+    pub cell: u64,
+    pub ready: bool,
+    pub seat: usize,
+    pub started: Option<Millis>,
+    /// Where starts are not told: when it is tried again after it refused a connection, as if it started then.
+    pub refused: Option<Millis>,
+    pub out: u32,
+    /// How many this gateway keeps out here at most.
+    pub room: f64,
+    pub failures: u32,
+    pub eject_until: Millis,
+}
+
+#[derive(Clone, Copy, Default, PartialEq)]
+pub(crate) enum Stage {
+    #[default]
+    Block,
+    Queue,
+    Out,
+}
+
+#[derive(Default)]
+pub(crate) struct Request {
+    pub customer: Name,
+    pub plan: usize,
+    pub class: usize,
+    pub units: f64,
+    /// Let in without a total of its customer; the client has asked for the same before.
+    pub blind: bool,
+    pub repeat: bool,
+    pub arrived: Millis,
+    pub deadline: Millis,
+    pub hold_until: Millis,
+    pub stage: Stage,
+    pub attempts: u32,
+    pub may_have_run: Option<(Millis, Name)>,
+    pub sent_at: Millis,
+    pub bound: Name,
+}
+
+/// Where each old class or plan is among the new ones, by name; one that is gone and in use goes behind.
+pub(crate) fn carry_over<T: Clone>(
+    old: &[T], new: &mut Vec<T>, name: impl Fn(&mut T) -> &mut Name, used: impl Fn(usize) -> bool,
+) -> Vec<Option<usize>> {
+    let mut place = |(at, item): (usize, &T)| {
+        let mut item = item.clone();
+        let known = new.iter_mut().position(|n| !name(&mut item).is_empty() && *name(n) == *name(&mut item));
+        known.or_else(|| {
+            let kept = used(at);
+            *name(&mut item) = Name::default();
+            kept.then(|| new.push(item))?;
+            Some(new.len() - 1)
+        })
+    };
+    old.iter().enumerate().map(&mut place).collect()
+}
--- /dev/null
+++ b/tests/digests.rs
@@ -0,0 +1,259 @@
+//! Long streams of every kind of event through fleets of one, three and forty gateways; what they did is a digest. A
+//! change that folds code must leave every digest as it is; one that decides otherwise must say so and change it.
+
+mod helper;
+use doorcourse::*;
+use helper::*;
+use std::collections::{BTreeMap, HashMap};
+
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// FNV-1a over what each action looks like.
+struct Digest(u64, usize);
+
+impl Digest {
+    fn take(&mut self, gateway: usize, action: &Action) {
+        let text = format!("{gateway} {action:?}");
+        self.0 = text.bytes().fold(self.0, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+        self.1 += 1;
+    }
+}
+
+#[derive(Default)]
+struct Out {
+    gateway: usize,
+    backend: Name,
+    attempt: u32,
+    sent: Millis,
+    until: Millis,
+    answered: bool,
+}
+
+struct World {
+    random: Random,
+    now: Millis,
+    gateways: Vec<Gateway>,
+    settings: Settings,
+    digest: Digest,
+    counts: HashMap<u64, f64>,
+    silent: bool,
+    /// Calls, timers and attempts that are out, by when they come back.
+    due: BTreeMap<(u64, u64), (usize, Event)>,
+    order: u64,
+    out: BTreeMap<RequestId, Out>,
+    next: RequestId,
+}
+
+impl World {
+    fn new(gateways: u32, seed: u64) -> Self {
+        let mut random = Random(seed.wrapping_mul(77) + 5);
+        let mut settings = Settings { gateways, settles: true, most_units: 4.0, ..settings() };
+        settings.peers = random.below(2) == 0;
+        settings.price_cross_zone = random.below(2) as f64;
+        let make = |number: u32| {
+            Gateway::new(Settings { number, ..settings.clone() }, seed * 1000 + u64::from(number))
+                .expect("usable")
+        };
+        let made = (0..gateways).map(make).collect();
+        let (counts, due, out) = (HashMap::new(), BTreeMap::new(), BTreeMap::new());
+        let digest = Digest(0xcbf2_9ce4_8422_2325, 0);
+        let mut world = Self {
+            random,
+            now: 1000.0,
+            gateways: made,
+            settings,
+            digest,
+            counts,
+            silent: false,
+            due,
+            order: 0,
+            out,
+            next: 0,
+        };
+        let list: Vec<BackendEntry> = NAMES.iter().map(|n| backend(n, BackendState::Ready, None)).collect();
+        (0..gateways as usize).for_each(|g| world.tell(g, Event::BackendList(list.clone())));
+        world
+    }
+
+    fn later(&mut self, after: Millis, gateway: usize, event: Event) {
+        self.order += 1;
+        self.due.insert((((self.now + after) * 1000.0) as u64, self.order), (gateway, event));
+    }
+
+    fn tell(&mut self, gateway: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.gateways[gateway].handle(self.now, event, &mut actions);
+        for action in actions {
+            self.digest.take(gateway, &action);
+            self.carry_out(gateway, action);
+        }
+    }
+
+    fn carry_out(&mut self, gateway: usize, action: Action) {
+        match action {
+            Action::Send { id, backend, .. } => {
+                let known = self.out.entry(id).or_default();
+                let attempt = known.attempt;
+                (known.gateway, known.backend, known.sent) = (gateway, backend.clone(), self.now);
+                known.attempt += 1;
+                let until = known.until;
+                let (outcome, latency) = match self.random.below(20) {
+                    0 => (Outcome::Error, 30.0),
+                    1 => (Outcome::Full, 3.0),
+                    2 => (Outcome::ConnectFailed, 2.0),
+                    3 => (Outcome::Broken, 80.0),
+                    4 => (Outcome::TimedOut, (until - self.now).max(1.0)),
+                    _ => (Outcome::Served, 20.0 + self.random.below(700) as f64),
+                };
+                let true_units = (outcome == Outcome::Served).then(|| self.random.below(4) as f64);
+                let finished = outcome == Outcome::Served;
+                let load = None;
+                let end = AttemptEnd { id, attempt, backend, outcome, latency, true_units, finished, load };
+                self.later(latency, gateway, Event::AttemptEnded(end));
+            }
+            Action::Refuse { id, .. } | Action::Fail { id } => {
+                self.out.entry(id).or_default().answered = true;
+            }
+            Action::SetTimer { after, token } => self.later(after, gateway, Event::Timer { token }),
+            Action::Count { name, amount, .. } => {
+                if self.silent {
+                    return self.later(
+                        50.0,
+                        gateway,
+                        Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 },
+                    );
+                }
+                let total = self.counts.entry(name).or_default();
+                *total += amount;
+                let (outcome, latency) = (CountOutcome::Total(*total), 1.0 + self.random.below(30) as f64);
+                self.later(latency, gateway, Event::Counted { name, outcome, latency });
+            }
+            Action::Tell { bytes } => {
+                for to in (0..self.gateways.len()).filter(|to| *to != gateway) {
+                    self.later(2.0, to, Event::PeerMessage { from: gateway as u32, bytes: bytes.clone() });
+                }
+            }
+            Action::CallOff { .. } | Action::Probe { .. } | Action::WatchBackends | Action::Log(_) => {}
+        }
+    }
+
+    fn step(&mut self) {
+        let until = self.now + self.random.below(8) as f64;
+        while let Some((&(at, order), _)) = self.due.first_key_value() {
+            if at as f64 > until * 1000.0 {
+                break;
+            }
+            let Some((gateway, event)) = self.due.remove(&(at, order)) else { break };
+            self.now = self.now.max(at as f64 / 1000.0);
+            self.tell(gateway, event);
+        }
+        self.now = until;
+        let count = self.gateways.len() as u64;
+        let gateway = self.random.below(count) as usize;
+        match self.random.below(400) {
+            0 => self.silent = !self.silent,
+            1 => self.counts.clear(),
+            2 | 3 => {
+                let name = NAMES[self.random.below(6) as usize];
+                let states =
+                    [BackendState::Ready, BackendState::Draining, BackendState::Gone, BackendState::Ready];
+                let state = states[self.random.below(4) as usize];
+                let started = (self.random.below(2) == 0).then_some(self.now);
+                let entry = backend(name, state, started);
+                (0..count as usize).for_each(|g| self.tell(g, Event::BackendChanges(vec![entry.clone()])));
+            }
+            4 => {
+                let times = [0.5, 1.0, 2.0][self.random.below(3) as usize];
+                for plan in &mut self.settings.plans {
+                    (plan.rate, plan.burst) = (5.0 * times, 10.0 * times);
+                    if plan.ceiling_rate > 0.0 {
+                        (plan.ceiling_rate, plan.ceiling_burst) = (8.0 * times, 16.0 * times);
+                    }
+                }
+                for g in 0..count as usize {
+                    let settings = Settings { number: g as u32, ..self.settings.clone() };
+                    self.tell(g, Event::Settings(Box::new(settings)));
+                }
+            }
+            5 => {
+                let views: Vec<BackendView> = self.gateways[gateway].backends().collect();
+                self.tell(gateway, Event::Remembered(views));
+            }
+            6 if self.next > 3000 => self.tell(gateway, Event::Leaving),
+            7..12 => {
+                let known = self.out.iter().rev().find(|(_, o)| !o.answered).map(|(id, o)| (*id, o.gateway));
+                if let Some((id, gateway)) = known {
+                    self.tell(gateway, Event::ClientLeft { id });
+                }
+            }
+            _ => self.ask(gateway),
+        }
+    }
+
+    fn ask(&mut self, gateway: usize) {
+        self.next += 1;
+        let id = self.next;
+        let plan = ["plain", "ceiling", "capped"][self.random.below(3) as usize];
+        let customer = if self.random.below(6) == 0 { 1000 + id } else { self.random.below(9) };
+        let patience = 200.0 + self.random.below(2500) as f64;
+        let (spread, repeat) =
+            (self.random.below(self.gateways.len() as u64 + 1) as u32, self.random.below(5) == 0);
+        let (units, class) = (1.0 + self.random.below(3) as f64, self.random.below(3) as usize);
+        self.out.insert(id, Out { gateway, until: self.now + patience, ..Out::default() });
+        let arrival = Arrival {
+            id,
+            customer: format!("{plan}-{customer}").as_str().into(),
+            plan: plan.into(),
+            class: ["safe", "keyed", "unsafe"][class].into(),
+            units,
+            repeat,
+            patience,
+            first: gateway as u32,
+            spread,
+            bound: Name::default(),
+        };
+        self.tell(gateway, Event::Request(arrival));
+    }
+}
+
+const NAMES: [&str; 6] = ["a1", "a2", "a3", "b1", "b2", "b3"];
+
+fn play(gateways: u32, seed: u64) -> (u64, usize) {
+    let mut world = World::new(gateways, seed);
+    (0..6000).for_each(|_| world.step());
+    (world.digest.0, world.digest.1)
+}
+
+#[test]
+fn every_action_is_as_it_was() {
+    let mut wrong = Vec::new();
+    for (gateways, seed, digest) in DIGESTS {
+        let (found, actions) = play(*gateways, *seed);
+        assert!(actions > 6000, "{gateways} gateways, seed {seed}: only {actions} actions");
+        if found != *digest {
+            wrong.push(format!("    ({gateways}, {seed}, 0x{found:016x}),"));
+        }
+    }
+    assert!(wrong.is_empty(), "other decisions than before:\n{}", wrong.join("\n"));
+}
+
+/// Gateways, seed, digest.
+const DIGESTS: &[(u32, u64, u64)] = &[
+    (1, 1, 0x5198_0a7d_e01b_f480),
+    (1, 2, 0xaa19_2db6_5f71_9a05),
+    (1, 3, 0x48f2_39ff_6662_c70c),
+    (3, 1, 0x79a2_787d_61aa_6a31),
+    (3, 2, 0xbc88_c0c5_2c59_9bf3),
+    (3, 3, 0xd776_1d20_5a74_7f6f),
+    (3, 4, 0x9b9c_6674_8cd7_72eb),
+    (40, 1, 0xec9d_1447_b17f_45d3),
+    (40, 2, 0xf5b6_72d8_f862_e4a3),
+    (40, 3, 0xf64e_a36f_a395_8d82),
+];
