--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,8 +12,10 @@
 mod bounds;
 mod exchange;
 mod session;
+mod stop;
 
 pub use admission::{Never, Offer, class_of, fits, patience};
 pub use bounds::{Accounts, Bounds, Full, Held};
 pub use exchange::{Exchange, Failure, Final, Input, Output, Wire};
 pub use session::{cookie, parameter, route_of, split_path};
+pub use stop::{HandDrains, LastRounds, Round};
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,27 +1,55 @@
-//! The admin socket: JSON-RPC 2.0 over a local socket, one object a line. It translates; what is done about a
-//! request is the life cycle's and the decisions' affair.
+//! The room of the admin socket: JSON-RPC 2.0 over a local socket, one object a line. It translates; what is done about
+//! a call is the life cycle's and the decisions' affair.
 
-use crate::run::{Gateway, Token};
+use crate::io::{Io, Token};
 use anyhow::Context;
 use doorcourse_config::Change;
-use doorcourse_lifecycle::Input;
 use doorcourse_net::Interest;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags,
 };
 use serde_json::{Value, json};
+use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, IoSlice, IoSliceMut, Read, Write};
 use std::net::TcpListener;
 use std::os::fd::{AsFd, OwnedFd};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 
+/// What a call asks for.
+#[derive(Debug)]
+pub(crate) enum Asked {
+    Status,
+    Nodes,
+    Customers,
+    DrainNode {
+        name: String,
+        drain: bool,
+    },
+    Drain,
+    Reload {
+        dry_run: bool,
+    },
+    TakeOver,
+    TookOver,
+    /// The process that was to take over is gone.
+    TakeoverLost,
+}
+
+/// A call, and where its answer goes.
+#[derive(Debug)]
+pub(crate) struct Called {
+    pub slot: usize,
+    pub id: Value,
+    pub asked: Asked,
+}
+
 /// One connection of a person or of a process that takes over.
 #[derive(Debug)]
 pub(crate) struct Peer {
     stream: UnixStream,
-    pub generation: u32,
+    generation: u32,
     held: Vec<u8>,
     /// The id of the call that is answered later.
     waiting: Value,
@@ -43,7 +71,9 @@
 pub(crate) struct Admin {
     listener: UnixListener,
     path: PathBuf,
-    pub peers: slab::Slab<Peer>,
+    peers: slab::Slab<Peer>,
+    /// Calls that wait to be carried out.
+    pub calls: VecDeque<Called>,
     /// Another process has bound the path since: it is not ours to remove.
     pub passed_on: bool,
 }
@@ -71,7 +101,13 @@
         let listener = UnixListener::bind(&beside).with_context(|| beside.display().to_string())?;
         std::fs::rename(&beside, path).with_context(|| path.display().to_string())?;
         listener.set_nonblocking(true)?;
-        Ok(Self { listener, path: path.to_owned(), peers: slab::Slab::new(), passed_on: false })
+        Ok(Self {
+            listener,
+            path: path.to_owned(),
+            peers: slab::Slab::new(),
+            calls: VecDeque::new(),
+            passed_on: false,
+        })
     }
 
     pub fn fd(&self) -> &UnixListener {
@@ -95,65 +131,88 @@
     json!({"jsonrpc": "2.0", "id": id, "result": result})
 }
 
-impl Gateway {
-    pub(crate) fn admin_accept(&mut self) {
-        self.generation = self.generation.wrapping_add(1);
-        let generation = self.generation;
-        let Some(admin) = &mut self.admin else { return };
-        let Ok((stream, _)) = admin.listener.accept() else { return };
+impl Admin {
+    pub fn accept(&mut self, io: &mut Io) {
+        let generation = io.generation();
+        let Ok((stream, _)) = self.listener.accept() else { return };
         if stream.set_nonblocking(true).is_err() {
             return;
         }
-        let entry = admin.peers.vacant_entry();
-        if self.poller.add(&stream, Token::Peer(entry.key(), generation).pack(), Interest::READ).is_ok() {
-            entry.insert(Peer {
-                stream,
-                generation,
-                held: Vec::new(),
-                waiting: Value::Null,
-                takes_over: false,
-            });
+        let entry = self.peers.vacant_entry();
+        let token = Token::Peer(entry.key(), generation).pack();
+        if io.poller.add(&stream, token, Interest::READ).is_ok() {
+            let (held, waiting) = (Vec::new(), Value::Null);
+            entry.insert(Peer { stream, generation, held, waiting, takes_over: false });
         }
     }
 
-    pub(crate) fn peer_ready(&mut self, slot: usize) {
-        let Some(peer) = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot)) else { return };
+    /// Reads calls of a connection; those that can be carried out wait in `calls`.
+    pub fn ready(&mut self, slot: usize, generation: u32) {
+        let Some(peer) = self.peers.get_mut(slot).filter(|p| p.generation == generation) else { return };
         let mut bytes = [0; 4096];
         match peer.stream.read(&mut bytes) {
             Ok(n) if n > 0 && peer.held.len() + n <= LINE => peer.held.extend_from_slice(&bytes[..n]),
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            _ => return self.peer_gone(slot),
+            _ => return self.gone(slot),
         }
         loop {
-            let Some(peer) = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot)) else { return };
+            let Some(peer) = self.peers.get_mut(slot) else { return };
             let Some(end) = peer.held.iter().position(|b| *b == b'\n') else { return };
             let line: Vec<u8> = peer.held.drain(..=end).collect();
-            let reply = match serde_json::from_slice::<Value>(&line) {
-                Err(fault) => Some(error(&Value::Null, PARSE, &fault.to_string())),
+            match serde_json::from_slice::<Value>(&line) {
+                Err(fault) => self.write(slot, &error(&Value::Null, PARSE, &fault.to_string())),
                 Ok(call) => self.call(slot, &call),
-            };
-            if let Some(reply) = reply {
-                self.peer_write(slot, &reply);
             }
         }
     }
 
-    fn peer_gone(&mut self, slot: usize) {
-        let Some(admin) = &mut self.admin else { return };
-        let Some(peer) = admin.peers.try_remove(slot) else { return };
+    fn call(&mut self, slot: usize, call: &Value) {
+        let (id, parameters) = (call["id"].clone(), &call["params"]);
+        let asked = match call["method"].as_str().unwrap_or("") {
+            "status" => Asked::Status,
+            "nodes" => Asked::Nodes,
+            "customers" => Asked::Customers,
+            "node.drain" | "node.undrain" => {
+                let Some(name) = parameters["name"].as_str() else {
+                    let text = "params.name is needed, a node's name";
+                    return self.write(slot, &error(&id, BAD_PARAMETERS, text));
+                };
+                Asked::DrainNode { name: name.to_owned(), drain: call["method"] == "node.drain" }
+            }
+            "drain" => Asked::Drain,
+            "reload" => Asked::Reload { dry_run: parameters["dry_run"] == true },
+            "takeover" => {
+                if let Some(peer) = self.peers.get_mut(slot) {
+                    (peer.waiting, peer.takes_over) = (id.clone(), true);
+                }
+                Asked::TakeOver
+            }
+            "takeover.ready" => {
+                // The path is the new process's from now on.
+                self.passed_on = true;
+                Asked::TookOver
+            }
+            other => {
+                let text = format!("there is no method `{other}`");
+                return self.write(slot, &error(&id, NO_METHOD, &text));
+            }
+        };
+        self.calls.push_back(Called { slot, id, asked });
+    }
+
+    fn gone(&mut self, slot: usize) {
+        let Some(peer) = self.peers.try_remove(slot) else { return };
         if peer.takes_over {
-            self.life(Input::TakeoverLost { peer: slot as u64 });
+            self.calls.push_back(Called { slot, id: Value::Null, asked: Asked::TakeoverLost });
         }
     }
 
-    pub(crate) fn drop_peer(&mut self, peer: u64) {
-        if let Some(admin) = &mut self.admin {
-            drop(admin.peers.try_remove(peer as usize));
-        }
+    pub fn drop_peer(&mut self, peer: u64) {
+        drop(self.peers.try_remove(peer as usize));
     }
 
-    fn peer_write(&mut self, slot: usize, reply: &Value) {
-        let Some(peer) = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot)) else { return };
+    fn write(&mut self, slot: usize, reply: &Value) {
+        let Some(peer) = self.peers.get_mut(slot) else { return };
         let mut line = reply.to_string().into_bytes();
         line.push(b'\n');
         // A person's terminal reads at once; one that does not is not waited for.
@@ -162,78 +221,49 @@
         let written = peer.stream.write_all(&line);
         let _ = peer.stream.set_nonblocking(true);
         if written.is_err() {
-            self.peer_gone(slot);
+            self.gone(slot);
         }
     }
 
-    fn call(&mut self, slot: usize, call: &Value) -> Option<Value> {
-        let id = call["id"].clone();
-        let parameters = &call["params"];
-        Some(match call["method"].as_str().unwrap_or("") {
-            "status" => result(&id, self.status()),
-            "nodes" => result(&id, self.node_views()),
-            "customers" => result(&id, self.customer_views()),
-            "node.drain" | "node.undrain" => {
-                let Some(name) = parameters["name"].as_str() else {
-                    return Some(error(&id, BAD_PARAMETERS, "params.name is needed, a node's name"));
-                };
-                match self.drain_node(name, call["method"] == "node.drain") {
-                    true => result(&id, json!({"node": name})),
-                    false => error(&id, BAD_PARAMETERS, &format!("`{name}` is no node of the list")),
-                }
-            }
-            "drain" => {
-                self.life(Input::Drain);
-                result(&id, json!({"state": self.life.state().name()}))
-            }
-            "reload" => {
-                let generation = self.admin.as_ref().and_then(|a| a.peers.get(slot)).map(|p| p.generation)?;
-                self.ask_reload(Asker { slot, generation, id, dry_run: parameters["dry_run"] == true });
-                return None;
-            }
-            "takeover" => {
-                let peer = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot))?;
-                (peer.waiting, peer.takes_over) = (id, true);
-                self.life(Input::TakeoverAsked { peer: slot as u64 });
-                return None;
-            }
-            "takeover.ready" => {
-                // The path is the new process's from now on.
-                if let Some(admin) = &mut self.admin {
-                    admin.passed_on = true;
-                }
-                self.life(Input::TakeoverReady { peer: slot as u64 });
-                result(&id, json!({"state": self.life.state().name()}))
-            }
-            other => error(&id, NO_METHOD, &format!("there is no method `{other}`")),
-        })
+    /// Answers a call.
+    pub fn answer(&mut self, slot: usize, id: &Value, value: Value) {
+        self.write(slot, &result(id, value));
     }
 
-    pub(crate) fn answer_reload(&mut self, asker: &Asker, told: &Result<Change, String>) {
-        let known = self.admin.as_ref().and_then(|a| a.peers.get(asker.slot));
-        if known.is_none_or(|p| p.generation != asker.generation) {
+    /// A call's parameters name nothing that is there.
+    pub fn bad_parameters(&mut self, slot: usize, id: &Value, why: &str) {
+        self.write(slot, &error(id, BAD_PARAMETERS, why));
+    }
+
+    /// Who waits on a connection for settings to be read.
+    pub fn asker(&self, slot: usize, id: Value, dry_run: bool) -> Option<Asker> {
+        let generation = self.peers.get(slot)?.generation;
+        Some(Asker { slot, generation, id, dry_run })
+    }
+
+    pub fn answer_reload(&mut self, asker: &Asker, told: &Result<Change, String>) {
+        if self.peers.get(asker.slot).is_none_or(|p| p.generation != asker.generation) {
             return;
         }
         let reply = match told {
             Ok(change) => result(&asker.id, json!({"refused": change.refused, "changes": change.lines})),
             Err(why) => error(&asker.id, REFUSED, why),
         };
-        self.peer_write(asker.slot, &reply);
+        self.write(asker.slot, &reply);
     }
 
-    pub(crate) fn refuse_takeover(&mut self, peer: u64, why: &str) {
+    pub fn refuse_takeover(&mut self, peer: u64, why: &str) {
         let slot = peer as usize;
-        let Some(known) = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot)) else { return };
+        let Some(known) = self.peers.get_mut(slot) else { return };
         known.takes_over = false;
         let reply = error(&known.waiting.clone(), REFUSED, why);
-        self.peer_write(slot, &reply);
+        self.write(slot, &reply);
     }
 
     /// Passes the listening sockets with the first byte of the reply.
-    pub(crate) fn pass_listeners(&mut self, peer: u64) {
+    pub fn pass_listeners(&mut self, peer: u64, listeners: &[TcpListener]) {
         let slot = peer as usize;
-        let listeners = std::mem::take(&mut self.listeners);
-        let Some(known) = self.admin.as_mut().and_then(|a| a.peers.get_mut(slot)) else { return };
+        let Some(known) = self.peers.get_mut(slot) else { return };
         let mut line = result(&known.waiting, json!({"listeners": listeners.len()})).to_string().into_bytes();
         line.push(b'\n');
         let fds: Vec<_> = listeners.iter().map(AsFd::as_fd).collect();
@@ -242,48 +272,10 @@
         let fits = ancillary.push(SendAncillaryMessage::ScmRights(&fds));
         let sent =
             rustix::net::sendmsg(&known.stream, &[IoSlice::new(&line)], &mut ancillary, SendFlags::empty());
-        let passed = fits && sent.is_ok_and(|n| n == line.len());
-        drop(fds);
-        self.listeners = listeners;
-        if !passed {
-            self.peer_gone(slot);
+        if !fits || !sent.is_ok_and(|n| n == line.len()) {
+            self.gone(slot);
         }
     }
-
-    fn status(&self) -> Value {
-        json!({
-            "state": self.life.state().name(),
-            "ready": self.life.wants_clients(),
-            "name": self.name,
-            "number": self.config.decisions.number,
-            "gateways": self.config.decisions.gateways,
-            "listeners": self.addresses().unwrap_or_default().iter().map(ToString::to_string).collect::<Vec<_>>(),
-            "requests": self.requests.len(),
-            "clients": self.clients.len(),
-            "counter_calls": self.calls_out,
-            "counter_silent": self.decision.is_counter_silent(),
-            "requests_so_far": self.next_request,
-            "buffered_bytes": self.accounts.bytes(),
-        })
-    }
-
-    fn node_views(&self) -> Value {
-        let now = self.clock.now();
-        let one = |b: doorcourse::BackendView| {
-            json!({"name": &*b.name, "ready": b.ready, "drained_here": self.drained.contains(&b.name), "out": b.out,
-                "room": b.room, "failures": b.failures, "ejected_for_ms": (b.eject_until - now).max(0.0),
-                "started_ms": b.started})
-        };
-        self.decision.backends().map(one).collect()
-    }
-
-    fn customer_views(&self) -> Value {
-        let one = |c: doorcourse::CustomerView| {
-            json!({"name": &*c.name, "plan": &*c.plan, "lease": c.lease, "store": c.store, "owed": c.owed,
-                "waiting": c.waiting, "open": c.open})
-        };
-        self.decision.customers().map(one).collect()
-    }
 }
 
 /// Asks the process that serves for its listening sockets. The stream is kept: the old process takes its end as
--- /dev/null
+++ b/crates/gateway/src/clients.rs
@@ -0,0 +1,487 @@
+//! The room of the clients: listeners and connections. Bytes in, calls out: what a front makes of the bytes is its own
+//! affair, what becomes of a call is decided elsewhere and comes back as `reply`, `pass` and their like.
+
+use crate::front::{self, Caller, Reply};
+use crate::io::{Alarm, Io, Token};
+use doorcourse::{Name, RequestId};
+use doorcourse_config::Config;
+use doorcourse_exchange::{Accounts, Bounds, Held};
+use doorcourse_http::{Decoder, Framing, Limits as HttpLimits, Part, Role, chunk, chunk_end, response_head};
+use doorcourse_net::{Flow, Interest, Ready, Socket};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener};
+
+/// Where a client's connection stands.
+#[derive(Debug)]
+enum Phase {
+    /// Between requests, or in a head.
+    Head,
+    /// In a body.
+    Body(Box<Caller>),
+    /// A call is given out, and nobody said yet what becomes of it.
+    Asked,
+    /// A request is with the decisions, or its answer on the way.
+    Answering(RequestId),
+    /// Everything was said; what the client still sends is read over, so that it reads our last words.
+    Lingering,
+}
+
+#[derive(Debug)]
+struct Client {
+    socket: Socket,
+    generation: u32,
+    decoder: Decoder,
+    phase: Phase,
+    body: Vec<u8>,
+    /// When the head of the present request came.
+    head_at: f64,
+    /// Whether the connection may carry another request after this one.
+    keep_alive: bool,
+    minor: u8,
+    /// How the answer that is being passed on is framed.
+    framing: Framing,
+    /// When the connection's patience with the client ends.
+    until: f64,
+    interest: Interest,
+    /// What it holds, for the accounts; whose it is; whether its client took some since they were told.
+    held: Held,
+    customer: Option<Name>,
+    taken: bool,
+    /// When it is looked at whether its client still reads.
+    cut_alarm: f64,
+    /// Close once all is written.
+    closing: bool,
+}
+
+/// What the clients' side has to say.
+#[derive(Debug)]
+pub(crate) enum Said {
+    /// A whole request: `answering` or `reply` must follow.
+    Call { slot: usize, caller: Box<Caller>, body: Vec<u8>, head_at: f64 },
+    /// The client of a request is gone.
+    Gone(RequestId),
+    /// The client of a request has read enough for more of its answer.
+    Drained(RequestId),
+}
+
+/// The head of an answer that is passed on.
+#[derive(Debug)]
+pub(crate) struct PassedHead {
+    pub status: u16,
+    pub content_type: String,
+    /// As the node framed it, or of a length once it is whole.
+    pub framing: Framing,
+    pub cookies: Vec<String>,
+}
+
+pub(crate) struct Clients {
+    listeners: Vec<TcpListener>,
+    connections: Slab<Client>,
+    pub accounts: Accounts,
+    /// What is to be told, in its order.
+    pub said: VecDeque<Said>,
+    /// When a client's byte was heard last.
+    pub spoke_at: f64,
+    /// Clients are told to go with their next answer.
+    pub going: bool,
+    spare: Option<std::fs::File>,
+}
+
+/// Input of one client that is held while its request is answered: pipelining, but not without bound.
+const PIPELINED: usize = 16 << 10;
+/// How long a client that was told to go may still talk, in ms.
+const LINGER: f64 = 1000.0;
+
+impl Clients {
+    pub fn new(io: &Io, config: &Config, listeners: Vec<TcpListener>) -> std::io::Result<Self> {
+        for (at, listener) in listeners.iter().enumerate() {
+            io.poller.add(listener, Token::Listener(at).pack(), Interest::READ)?;
+        }
+        Ok(Self {
+            listeners,
+            connections: Slab::new(),
+            accounts: Accounts::new(bounds(config)),
+            said: VecDeque::new(),
+            spoke_at: io.now(),
+            going: false,
+            spare: std::fs::File::open("/dev/null").ok(),
+        })
+    }
+
+    pub fn take_settings(&mut self, config: &Config) {
+        self.accounts.set_bounds(bounds(config));
+    }
+
+    pub fn addresses(&self) -> std::io::Result<Vec<SocketAddr>> {
+        self.listeners.iter().map(TcpListener::local_addr).collect()
+    }
+
+    pub fn listeners(&self) -> &[TcpListener] {
+        &self.listeners
+    }
+
+    pub fn close_listeners(&mut self) {
+        self.listeners.clear();
+    }
+
+    pub fn count(&self) -> usize {
+        self.connections.len()
+    }
+
+    pub fn accept(&mut self, io: &mut Io, config: &Config, at: usize) {
+        // Bounded, so that a flood of connections does not hold up those that are open.
+        for _ in 0..64 {
+            let Some(listener) = self.listeners.get(at) else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
+                    // Without a descriptor the listener would stay ready for ever: one kept for this takes the
+                    // connection and closes it.
+                    drop(self.spare.take());
+                    let _ = listener.accept();
+                    self.spare = std::fs::File::open("/dev/null").ok();
+                    continue;
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(_) => continue,
+            };
+            let Ok(mut socket) = Socket::new(stream) else { continue };
+            if let Err(full) = self.accounts.accept(self.connections.len()) {
+                front::write(socket.output(), &front::full(full.text()), false, None);
+                socket.flush();
+                continue;
+            }
+            let (generation, limits) = (io.generation(), &config.limits);
+            let (line, head, fields, body) = (limits.line, limits.head, limits.fields, limits.body);
+            let decoder = Decoder::new(Role::Requests, HttpLimits { line, head, fields, body });
+            let entry = self.connections.vacant_entry();
+            let slot = entry.key();
+            if io.poller.add(&socket, Token::Client(slot, generation).pack(), Interest::READ).is_err() {
+                continue;
+            }
+            let until = io.now() + limits.idle_time.min(limits.head_time);
+            entry.insert(Client {
+                socket,
+                generation,
+                decoder,
+                phase: Phase::Head,
+                body: Vec::new(),
+                head_at: 0.0,
+                keep_alive: true,
+                minor: 1,
+                framing: Framing::None,
+                until,
+                interest: Interest::READ,
+                held: Held::default(),
+                customer: None,
+                taken: false,
+                cut_alarm: f64::INFINITY,
+                closing: false,
+            });
+            io.timers.set(until, Alarm::Client(slot, generation));
+        }
+    }
+
+    /// Sets when the connection's patience ends. An earlier alarm finds the later time and sets itself again.
+    fn until(&mut self, io: &mut Io, slot: usize, after: f64) {
+        let until = io.now() + after;
+        let Some(client) = self.connections.get_mut(slot) else { return };
+        let sooner = until < client.until;
+        client.until = until;
+        if sooner {
+            io.timers.set(until, Alarm::Client(slot, client.generation));
+        }
+    }
+
+    /// A connection's alarm.
+    pub fn time(&mut self, io: &mut Io, config: &Config, slot: usize, generation: u32) {
+        let now = io.now();
+        let known = self.connections.get_mut(slot).filter(|c| c.generation == generation);
+        let Some(client) = known else { return };
+        if client.cut_alarm <= now {
+            client.cut_alarm = f64::INFINITY;
+            let cut = self.accounts.cut_at(&client.held);
+            if cut <= now {
+                tracing::debug!(customer = client.customer.as_deref(), "cut: its client does not read");
+                client.socket.reset_on_close();
+                return self.gone(slot);
+            }
+            if cut.is_finite() {
+                client.cut_alarm = cut;
+                io.timers.set(cut, Alarm::Client(slot, generation));
+            }
+        }
+        if matches!(client.phase, Phase::Answering(_) | Phase::Asked) {
+            // The request's own time rules; look again when it can be over.
+            client.until = now + config.limits.idle_time;
+        }
+        if client.until > now {
+            return io.timers.set(client.until, Alarm::Client(slot, generation));
+        }
+        let begun = client.decoder.in_message(!client.socket.input.is_empty());
+        match client.phase {
+            Phase::Head | Phase::Body(_) if begun => self.reply(io, config, slot, &front::too_slow(), None),
+            _ => self.drop(slot),
+        }
+    }
+
+    pub fn ready(&mut self, io: &mut Io, config: &Config, slot: usize, generation: u32, ready: Ready) {
+        let known = self.connections.get_mut(slot).filter(|c| c.generation == generation);
+        let Some(client) = known else { return };
+        if ready.read {
+            if let Phase::Lingering = client.phase {
+                client.socket.input.clear();
+            }
+            let idle = client.socket.input.is_empty();
+            let paused = !client.interest.read;
+            let (count, flow) = if paused && ready.broken { (0, Flow::Broken) } else { client.socket.read() };
+            if flow != Flow::Open {
+                // A client that ends its side is taken as gone: it is how a tool that gives up looks.
+                return self.gone(slot);
+            }
+            if count > 0 {
+                self.spoke_at = io.now();
+            }
+            if count > 0 && idle && matches!(client.phase, Phase::Head) {
+                self.until(io, slot, config.limits.head_time);
+            }
+            self.input(io, config, slot);
+        }
+        if ready.write {
+            self.flush(config, slot);
+            // A request that waited until its client has read on.
+            self.input(io, config, slot);
+        }
+        self.settle(io, slot);
+    }
+
+    /// The client is gone: whoever has its request is told.
+    fn gone(&mut self, slot: usize) {
+        let Some(client) = self.connections.get(slot) else { return };
+        if let Phase::Answering(id) = client.phase {
+            self.said.push_back(Said::Gone(id));
+        }
+        self.drop(slot);
+    }
+
+    fn drop(&mut self, slot: usize) {
+        if let Some(client) = self.connections.try_remove(slot) {
+            self.accounts.forget(&client.held);
+        }
+    }
+
+    /// All connections are closed, whatever they carry.
+    pub fn drop_all(&mut self) {
+        let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
+        slots.into_iter().for_each(|slot| self.drop(slot));
+    }
+
+    /// Reads on in what a client sent, until a request is whole or more is needed.
+    fn input(&mut self, io: &mut Io, config: &Config, slot: usize) {
+        loop {
+            let Some(client) = self.connections.get_mut(slot) else { return };
+            if client.closing || matches!(client.phase, Phase::Answering(_) | Phase::Asked | Phase::Lingering)
+            {
+                return;
+            }
+            if matches!(client.phase, Phase::Head) && !self.accounts.may_begin(client.socket.pending()) {
+                return;
+            }
+            let (used, part) = match client.decoder.decode(&client.socket.input) {
+                Ok(found) => found,
+                Err(fault) => return self.reply(io, config, slot, &front::malformed(fault), None),
+            };
+            match part {
+                None => {
+                    client.socket.consume(used);
+                    return;
+                }
+                Some(Part::Data(data)) => {
+                    client.body.extend_from_slice(data);
+                    client.socket.consume(used);
+                }
+                Some(Part::Head(head)) => {
+                    client.socket.consume(used);
+                    client.keep_alive = head.keep_alive && !self.going;
+                    (client.minor, client.head_at) = (head.minor, io.now());
+                    let wants_word = head.expects_continue() && head.framing != Framing::None;
+                    let read_on = |caller: Caller| match self.accounts.read_on(&caller.customer.name) {
+                        Ok(()) => Ok(caller),
+                        Err(full) => Err(front::full(full.text())),
+                    };
+                    let caller = match front::caller(config, &head).and_then(read_on) {
+                        Ok(caller) => caller,
+                        Err(reply) => return self.reply(io, config, slot, &reply, None),
+                    };
+                    client.customer = Some(caller.customer.name.clone());
+                    client.phase = Phase::Body(Box::new(caller));
+                    if wants_word && client.socket.input.is_empty() {
+                        client.socket.output().extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        client.socket.flush();
+                    }
+                    self.until(io, slot, config.limits.body_time);
+                }
+                Some(Part::End) => {
+                    client.socket.consume(used);
+                    let (body, head_at) = (std::mem::take(&mut client.body), client.head_at);
+                    let Phase::Body(caller) = std::mem::replace(&mut client.phase, Phase::Asked) else {
+                        client.phase = Phase::Head;
+                        continue;
+                    };
+                    self.said.push_back(Said::Call { slot, caller, body, head_at });
+                }
+            }
+        }
+    }
+
+    /// A call is taken on as this request.
+    pub fn answering(&mut self, slot: usize, id: RequestId) {
+        if let Some(client) = self.connections.get_mut(slot) {
+            client.phase = Phase::Answering(id);
+        }
+    }
+
+    /// Writes an answer of the gateway's own and makes the connection ready for what comes next.
+    pub fn reply(&mut self, io: &mut Io, config: &Config, slot: usize, reply: &Reply, name: Option<&Name>) {
+        let going = self.going;
+        let Some(client) = self.connections.get_mut(slot) else { return };
+        client.keep_alive &= !going;
+        front::write(client.socket.output(), reply, client.keep_alive, name);
+        client.keep_alive &= !reply.close;
+        self.answered(io, config, slot);
+    }
+
+    /// Writes bytes of an answer that is passed on, with its head in front of the first; how many wait to be read.
+    pub fn pass(
+        &mut self, io: &mut Io, config: &Config, slot: usize, head: Option<PassedHead>, name: &Name,
+        bytes: &[u8],
+    ) -> usize {
+        let going = self.going;
+        let Some(client) = self.connections.get_mut(slot) else { return 0 };
+        if let Some(head) = head {
+            let framing = match head.framing {
+                Framing::Length(n) => Framing::Length(n),
+                _ if client.minor == 0 => Framing::Close,
+                _ => Framing::Chunked,
+            };
+            client.framing = framing;
+            client.keep_alive &= framing != Framing::Close && !going;
+            let mut fields =
+                vec![("content-type", head.content_type.as_str()), (front::REQUEST_ID_FIELD, name)];
+            fields.extend(head.cookies.iter().map(|c| ("set-cookie", c.as_str())));
+            if !client.keep_alive && framing != Framing::Close {
+                fields.push(("connection", "close"));
+            }
+            response_head(client.socket.output(), head.status, &fields, framing);
+        }
+        if client.framing == Framing::Chunked {
+            chunk(client.socket.output(), bytes);
+        } else {
+            client.socket.output().extend_from_slice(bytes);
+        }
+        let pending = client.socket.pending();
+        self.flush(config, slot);
+        self.settle(io, slot);
+        pending
+    }
+
+    /// The answer that was passed on is at its end.
+    pub fn pass_end(&mut self, io: &mut Io, config: &Config, slot: usize) {
+        let Some(client) = self.connections.get_mut(slot) else { return };
+        if client.framing == Framing::Chunked {
+            chunk_end(client.socket.output());
+        }
+        self.answered(io, config, slot);
+    }
+
+    /// Breaks the connection, so that its client cannot take what it has for the whole.
+    pub fn cut(&mut self, slot: usize) {
+        if let Some(client) = self.connections.get(slot) {
+            client.socket.reset_on_close();
+        }
+        self.drop(slot);
+    }
+
+    /// A whole answer is in the connection's output.
+    fn answered(&mut self, io: &mut Io, config: &Config, slot: usize) {
+        let Some(client) = self.connections.get_mut(slot) else { return };
+        client.phase = Phase::Head;
+        client.closing = !client.keep_alive;
+        self.until(io, slot, config.limits.idle_time);
+        self.flush(config, slot);
+        self.settle(io, slot);
+    }
+
+    /// Goes on with what a client sent behind the request that was answered.
+    pub fn next(&mut self, io: &mut Io, config: &Config, slot: usize) {
+        self.input(io, config, slot);
+        self.settle(io, slot);
+    }
+
+    /// Writes what waits; tells when the client has taken enough for more.
+    fn flush(&mut self, config: &Config, slot: usize) {
+        let Some(client) = self.connections.get_mut(slot) else { return };
+        let before = client.socket.pending();
+        let flow = client.socket.flush();
+        client.taken |= client.socket.pending() < before;
+        if flow == Flow::Broken {
+            return self.gone(slot);
+        }
+        if let (true, Phase::Answering(id)) =
+            (client.socket.pending() <= config.limits.client_buffer / 2, &client.phase)
+        {
+            self.said.push_back(Said::Drained(*id));
+        }
+    }
+
+    /// Brings the connection's registration and accounts in line with its state.
+    fn settle(&mut self, io: &mut Io, slot: usize) {
+        let Some(client) = self.connections.get_mut(slot) else { return };
+        if client.closing && client.socket.pending() == 0 && !matches!(client.phase, Phase::Lingering) {
+            // Closing with input unread would reset the connection and could destroy our answer on its way
+            // (RFC 9112 section 9.6): end our side, and read over what comes for a while.
+            client.phase = Phase::Lingering;
+            client.socket.end_writing();
+            client.socket.input = Vec::new();
+            self.until(io, slot, LINGER);
+        }
+        let Some(client) = self.connections.get_mut(slot) else { return };
+        let unread = client.socket.pending();
+        let waits = matches!(client.phase, Phase::Head) && !self.accounts.may_begin(unread);
+        let answering = matches!(client.phase, Phase::Answering(_) | Phase::Asked) || client.closing || waits;
+        let lingering = matches!(client.phase, Phase::Lingering);
+        let read = lingering || !answering || client.socket.input.len() < PIPELINED;
+        let interest = Interest { read, write: unread > 0 };
+        let bytes = (client.socket.input.len() + client.body.len() + unread) as u64;
+        let taken = std::mem::take(&mut client.taken);
+        self.accounts.note(io.now(), &mut client.held, client.customer.as_ref(), bytes, unread, taken);
+        let cut = self.accounts.cut_at(&client.held);
+        if cut.is_finite() && client.cut_alarm.is_infinite() {
+            client.cut_alarm = cut;
+            io.timers.set(cut, Alarm::Client(slot, client.generation));
+        }
+        if interest != client.interest {
+            client.interest = interest;
+            let token = Token::Client(slot, client.generation).pack();
+            let _ = io.poller.change(&client.socket, token, interest);
+        }
+    }
+}
+
+fn bounds(config: &Config) -> Bounds {
+    let limits = &config.limits;
+    Bounds {
+        connections: limits.connections,
+        requests: limits.requests,
+        bytes: limits.buffered,
+        customer_bytes: limits.customer_bytes,
+        unread: limits.client_buffer,
+        unread_time: limits.unread_time,
+    }
+}
+
+/// EMFILE and ENFILE.
+fn out_of_descriptors(error: i32) -> bool {
+    [rustix::io::Errno::MFILE, rustix::io::Errno::NFILE].iter().any(|e| e.raw_os_error() == error)
+}
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -1,12 +1,16 @@
-//! The counter: in this process, or behind a link that speaks RESP. Both end each call once.
+//! The room of the counter: in this process, or behind a link that speaks RESP. Each call ends once, as an event for the
+//! decisions.
 
+use crate::io::{Io, Token};
+use doorcourse::{CountOutcome, Event};
 use doorcourse_config::Counter as Settings;
+use doorcourse_net::{Flow, Interest, Ready, Socket, connect};
 use doorcourse_resp::{Call, Ended, Link, LinkAction, LinkSettings};
 use std::collections::HashMap;
 
 /// Counts in the process: a fleet of one.
 #[derive(Debug, Default)]
-pub(crate) struct Own {
+struct Own {
     counts: HashMap<u64, (f64, f64)>,
     swept: f64,
 }
@@ -16,7 +20,7 @@
 
 impl Own {
     /// Adds and answers the total. A name's life is set when it is new, as the shared counter does.
-    pub fn add(&mut self, now: f64, call: Call) -> f64 {
+    fn add(&mut self, now: f64, call: Call) -> f64 {
         if now >= self.swept + SWEEP {
             self.counts.retain(|_, (_, until)| *until > now);
             self.swept = now;
@@ -30,24 +34,160 @@
     }
 }
 
-/// Makes the state of a link from settings.
-pub(crate) fn link(settings: &Settings) -> Link {
-    Link::new(LinkSettings {
-        timeout: settings.timeout,
-        first_wait: settings.first_wait(),
-        longest_wait: settings.longest_wait,
-        dead_after: settings.dead_after,
-        password: settings.password.clone(),
-    })
+struct Connection {
+    socket: Socket,
+    generation: u32,
+    connected: bool,
+    interest: Interest,
 }
 
-/// The end of a call in the words of the decisions.
-pub(crate) fn counted(action: LinkAction) -> Option<doorcourse::Event> {
-    let LinkAction::End { name, ended, latency } = action else { return None };
-    let outcome = match ended {
-        Ended::Total(total) => doorcourse::CountOutcome::Total(total),
-        Ended::NotAdded => doorcourse::CountOutcome::NotAdded,
-        Ended::Unknown => doorcourse::CountOutcome::Unknown,
-    };
-    Some(doorcourse::Event::Counted { name, outcome, latency })
+enum Side {
+    Own(Own),
+    Shared { settings: Settings, link: Box<Link>, connection: Option<Connection> },
+}
+
+pub(crate) struct Counter {
+    side: Side,
+    /// Calls that have not ended.
+    pub out: usize,
+}
+
+impl Counter {
+    pub fn new(settings: Option<&Settings>) -> Self {
+        let side = match settings {
+            None => Side::Own(Own::default()),
+            Some(settings) => {
+                let link = Link::new(LinkSettings {
+                    timeout: settings.timeout,
+                    first_wait: settings.first_wait(),
+                    longest_wait: settings.longest_wait,
+                    dead_after: settings.dead_after,
+                    password: settings.password.clone(),
+                });
+                Side::Shared { settings: settings.clone(), link: Box::new(link), connection: None }
+            }
+        };
+        Self { side, out: 0 }
+    }
+
+    pub fn call(&mut self, io: &mut Io, call: Call) {
+        let now = io.now();
+        self.out += 1;
+        match &mut self.side {
+            Side::Own(own) => {
+                let (name, outcome) = (call.name, CountOutcome::Total(own.add(now, call)));
+                self.end(io, Event::Counted { name, outcome, latency: 0.0 });
+            }
+            Side::Shared { link, .. } => {
+                let mut actions = Vec::new();
+                link.call(now, call, &mut actions);
+                self.carry_out(io, actions);
+            }
+        }
+    }
+
+    /// What is due by now; when the next is.
+    pub fn tick(&mut self, io: &mut Io) -> f64 {
+        let Side::Shared { link, .. } = &mut self.side else { return f64::INFINITY };
+        let mut actions = Vec::new();
+        let due = link.tick(io.now(), &mut actions);
+        self.carry_out(io, actions);
+        self.flush(io);
+        due
+    }
+
+    pub fn ready(&mut self, io: &mut Io, generation: u32, ready: Ready) {
+        let now = io.now();
+        let Side::Shared { link, connection, .. } = &mut self.side else { return };
+        let Some(made) = connection.as_mut().filter(|c| c.generation == generation) else { return };
+        let (mut actions, mut lost) = (Vec::new(), None);
+        if !made.connected && (ready.write || ready.broken) {
+            match made.socket.finish_connect() {
+                Ok(()) => {
+                    made.connected = true;
+                    link.connected(now);
+                }
+                Err(error) => lost = Some(error.to_string()),
+            }
+        }
+        if lost.is_none() && made.connected && ready.read {
+            let (_, flow) = made.socket.read();
+            let input = std::mem::take(&mut made.socket.input);
+            if !input.is_empty() {
+                link.input(now, &input, &mut actions);
+            }
+            if flow != Flow::Open && !actions.contains(&LinkAction::Close) {
+                lost = Some("closed by the counter".into());
+            }
+        }
+        if let Some(why) = lost {
+            *connection = None;
+            link.lost(now, &why, &mut actions);
+        }
+        self.carry_out(io, actions);
+        self.flush(io);
+    }
+
+    fn end(&mut self, io: &mut Io, event: Event) {
+        self.out = self.out.saturating_sub(1);
+        io.events.push_back(event);
+    }
+
+    fn carry_out(&mut self, io: &mut Io, actions: Vec<LinkAction>) {
+        for action in actions {
+            match action {
+                LinkAction::Connect => self.connect(io),
+                LinkAction::Close => {
+                    if let Side::Shared { connection, .. } = &mut self.side {
+                        *connection = None;
+                    }
+                }
+                LinkAction::Log(line) => tracing::info!(target: "doorcourse::counter", "{line}"),
+                LinkAction::End { name, ended, latency } => {
+                    let outcome = match ended {
+                        Ended::Total(total) => CountOutcome::Total(total),
+                        Ended::NotAdded => CountOutcome::NotAdded,
+                        Ended::Unknown => CountOutcome::Unknown,
+                    };
+                    self.end(io, Event::Counted { name, outcome, latency });
+                }
+            }
+        }
+    }
+
+    fn connect(&mut self, io: &mut Io) {
+        let (generation, now) = (io.generation(), io.now());
+        let Side::Shared { settings, link, connection } = &mut self.side else { return };
+        let interest = Interest { read: true, write: true };
+        let made = connect(settings.address).and_then(|socket| {
+            io.poller.add(&socket, Token::Counter(generation).pack(), interest)?;
+            Ok(Connection { socket, generation, connected: false, interest })
+        });
+        match made {
+            Ok(made) => *connection = Some(made),
+            Err(error) => {
+                let mut actions = Vec::new();
+                link.lost(now, &error.to_string(), &mut actions);
+                self.carry_out(io, actions);
+            }
+        }
+    }
+
+    fn flush(&mut self, io: &mut Io) {
+        let now = io.now();
+        let Side::Shared { link, connection, .. } = &mut self.side else { return };
+        let Some(made) = connection.as_mut().filter(|c| c.connected) else { return };
+        made.socket.output().append(&mut link.output);
+        if made.socket.flush() == Flow::Broken {
+            *connection = None;
+            let mut actions = Vec::new();
+            link.lost(now, "broken while writing", &mut actions);
+            return self.carry_out(io, actions);
+        }
+        let interest = Interest { read: true, write: made.socket.pending() > 0 };
+        if interest != made.interest {
+            made.interest = interest;
+            let _ = io.poller.change(&made.socket, Token::Counter(made.generation).pack(), interest);
+        }
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/exchanges.rs
@@ -0,0 +1,307 @@
+//! The room of the requests: each one's exchange, what is held of its answer, and where its client and its attempt are.
+//! It knows neither sockets nor fronts' bytes: what is to be done goes out as `Do`, in order.
+
+use crate::clients::PassedHead;
+use crate::front::{Ask, Media, REQUEST_ID_FIELD};
+use crate::nodes::{Heard, Wire};
+use doorcourse::{Arrival, AttemptEnd, Effect, Event, Name, RequestId};
+use doorcourse_config::Config;
+use doorcourse_exchange::{Exchange, Final, Input, Output};
+use doorcourse_graphql::Scan;
+use doorcourse_http::Framing;
+use std::collections::{HashMap, HashSet, VecDeque};
+
+/// The head of a node's answer, as far as it is passed on.
+#[derive(Debug)]
+struct AnswerHead {
+    status: u16,
+    content_type: String,
+    framing: Framing,
+    /// Set-Cookie fields, passed on where sessions keep to nodes.
+    cookies: Vec<String>,
+}
+
+/// One request that is with the decisions or whose attempt is still out.
+#[derive(Debug)]
+struct Request {
+    client: Option<usize>,
+    name: Name,
+    exchange: Exchange,
+    media: Media,
+    body: Vec<u8>,
+    pass: Vec<(String, String)>,
+    keyed: bool,
+    units: f64,
+    scan: Scan,
+    /// The connection of the attempt that is out, its node, and when it was sent.
+    node: Option<(usize, u32)>,
+    backend: Name,
+    sent_at: f64,
+    head: Option<AnswerHead>,
+    /// What of the answer is not passed on yet.
+    held: Vec<u8>,
+    /// Whether the held bytes are the whole answer.
+    whole: bool,
+    passing: bool,
+}
+
+/// What is to be done for a request.
+#[derive(Debug)]
+pub(crate) enum Do {
+    /// Tell the decisions.
+    Tell(Event),
+    /// Give a client this answer.
+    Answer { client: usize, media: Media, answer: Final, name: Name },
+    /// Pass bytes of a node's answer on to a client, behind a head where one is given.
+    Pass { client: usize, head: Option<PassedHead>, name: Name, bytes: Vec<u8>, node: Option<usize> },
+    /// The answer that is passed on is at its end.
+    PassEnd { client: usize },
+    /// Break a client's connection.
+    Cut { client: usize },
+    /// Close a node's connection.
+    LetGo { node: usize },
+    /// Read a node on that was stopped for its client.
+    Resume { node: usize },
+    /// The request is over; so many bytes are let go.
+    Over { bytes: u64 },
+}
+
+#[derive(Default)]
+pub(crate) struct Exchanges {
+    requests: HashMap<RequestId, Request>,
+    /// How many there were so far.
+    pub so_far: RequestId,
+    claims_told: HashSet<Name>,
+    pub todo: VecDeque<Do>,
+}
+
+impl Exchanges {
+    pub fn count(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub fn open(&self) -> Vec<RequestId> {
+        self.requests.keys().copied().collect()
+    }
+
+    /// Takes a request on: its number, what the decisions are told, and how many bytes it holds.
+    pub fn begin(&mut self, config: &Config, client: usize, process: &str, ask: Ask) -> (Arrival, u64) {
+        let Ask { customer, media, class, units, patience, body, pass, prepared, bound } = ask;
+        self.so_far += 1;
+        let id = self.so_far;
+        let told = pass.iter().find(|(n, _)| n == REQUEST_ID_FIELD).map(|(_, v)| v.as_str());
+        let name = told.map_or_else(|| format!("{process}-{id}").into(), Name::from);
+        let decisions = &config.decisions;
+        let (class, plan) = (&decisions.classes[class], decisions.plans[customer.plan].name.clone());
+        let arrival = Arrival {
+            id,
+            customer: customer.name.clone(),
+            plan,
+            class: class.name.clone(),
+            units,
+            repeat: false,
+            patience,
+            first: customer.first,
+            spread: customer.spread,
+            bound,
+        };
+        let bytes = body.len() as u64;
+        let request = Request {
+            client: Some(client),
+            name,
+            exchange: Exchange::new(config.limits.held_answer),
+            media,
+            body,
+            pass,
+            keyed: class.effect == Effect::Keyed,
+            units,
+            scan: prepared.scan(config.answer_depth),
+            node: None,
+            backend: Name::default(),
+            sent_at: 0.0,
+            head: None,
+            held: Vec::new(),
+            whole: false,
+            passing: false,
+        };
+        self.requests.insert(id, request);
+        (arrival, bytes)
+    }
+
+    /// The decisions send a request to a node: what goes onto the wire.
+    pub fn sent(&mut self, now: f64, id: RequestId, backend: Name) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        (request.backend, request.sent_at) = (backend, now);
+        // Nothing of an earlier attempt's answer may colour this one's.
+        (request.head, request.whole) = (None, false);
+        request.held.clear();
+        request.scan.reset();
+        request.exchange.handle(Input::Sent, &mut Vec::new());
+    }
+
+    pub fn wire<'a>(&'a self, id: RequestId, path: &'a str) -> Option<Wire<'a>> {
+        let request = self.requests.get(&id)?;
+        let mut fields: Vec<(&str, &str)> = vec![
+            ("content-type", "application/json"),
+            ("accept", "application/graphql-response+json, application/json;q=0.9"),
+        ];
+        fields.extend(request.pass.iter().map(|(n, v)| (n.as_str(), v.as_str())));
+        let has = |name: &str| request.pass.iter().any(|(n, _)| n == name);
+        if !has(REQUEST_ID_FIELD) {
+            fields.push((REQUEST_ID_FIELD, &request.name));
+        }
+        if request.keyed && !has("idempotency-key") {
+            // Without a key of the client's the request's own name makes our repeats known as such.
+            fields.push(("idempotency-key", &request.name));
+        }
+        Some(Wire { path, fields, body: &request.body })
+    }
+
+    /// The attempt is out on this connection.
+    pub fn on(&mut self, id: RequestId, connection: (usize, u32)) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.node = Some(connection);
+        }
+    }
+
+    /// Something was heard of a request's attempt.
+    pub fn heard(&mut self, now: f64, sticky: bool, id: RequestId, heard: Heard) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let input = match heard {
+            Heard::Connected => Input::Connected,
+            Heard::Written => Input::Written,
+            Heard::Broken => Input::Broken,
+            Heard::Lost => {
+                request.node = None;
+                Input::Lost
+            }
+            Heard::Head(head) => {
+                let content_type = head.field("content-type").unwrap_or("application/json").to_owned();
+                let set = head.fields.iter().filter(|(n, _)| sticky && n == "set-cookie");
+                let cookies = set.map(|(_, v)| v.clone()).collect();
+                let (status, framing) = (head.status, head.framing);
+                request.head = Some(AnswerHead { status, content_type, framing, cookies });
+                Input::Head { status }
+            }
+            Heard::Data(mut data) => {
+                request.scan.feed(&data);
+                let bytes = data.len();
+                if request.held.is_empty() {
+                    request.held = data;
+                } else {
+                    request.held.append(&mut data);
+                }
+                Input::Data { bytes }
+            }
+            Heard::End => {
+                let counted = request.scan.counted();
+                (request.whole, request.node) = (true, None);
+                if let Some(claim) = counted.claim.filter(|c| (c - counted.units).abs() > 1e-6) {
+                    // Compared and told, never believed: what the account ends with is counted here.
+                    let (node, counted, priced) = (&request.backend, counted.units, request.units);
+                    tracing::debug!(%node, claim, counted, "node claims another cost");
+                    if self.claims_told.insert(node.clone()) {
+                        tracing::warn!(%node, claim, counted, priced, "node claims another cost; told once");
+                    }
+                }
+                Input::End { whole: counted.whole, units: counted.units }
+            }
+        };
+        self.tell(now, id, input);
+    }
+
+    /// The client of a request is gone.
+    pub fn client_gone(&mut self, now: f64, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.client = None;
+        }
+        self.tell(now, id, Input::ClientGone);
+        self.drained(id);
+    }
+
+    /// The client of a request has read enough.
+    pub fn drained(&mut self, id: RequestId) {
+        if let Some((node, _)) = self.requests.get(&id).and_then(|r| r.node) {
+            self.todo.push_back(Do::Resume { node });
+        }
+    }
+
+    /// What is left of a request's client is cut, and the request forgotten: at a stop that would not end else.
+    pub fn forget(&mut self, id: RequestId) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.todo.extend(request.client.map(|client| Do::Cut { client }));
+        self.todo.extend(request.node.map(|(node, _)| Do::LetGo { node }));
+        self.todo.push_back(Do::Over { bytes: request.body.len() as u64 });
+    }
+
+    /// Tells a request's exchange, and gives out what follows.
+    pub fn tell(&mut self, now: f64, id: RequestId, input: Input) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let mut outputs = Vec::new();
+        request.exchange.handle(input, &mut outputs);
+        for output in outputs {
+            self.give(now, id, output);
+        }
+    }
+
+    fn give(&mut self, now: f64, id: RequestId, output: Output) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        match output {
+            Output::Ended { outcome, true_units, finished } => {
+                request.node = None;
+                self.todo.push_back(Do::Tell(Event::AttemptEnded(AttemptEnd {
+                    id,
+                    attempt: request.exchange.attempts() - 1,
+                    backend: request.backend.clone(),
+                    outcome,
+                    latency: now - request.sent_at,
+                    true_units,
+                    finished,
+                    load: None,
+                })));
+            }
+            Output::Left => self.todo.push_back(Do::Tell(Event::ClientLeft { id })),
+            Output::Answer(answer) => {
+                let (media, name) = (request.media, request.name.clone());
+                let client = request.client.take();
+                self.todo.extend(client.map(|client| Do::Answer { client, media, answer, name }));
+            }
+            Output::Pass => self.pass(id),
+            Output::PassEnd => {
+                self.todo.extend(request.client.take().map(|client| Do::PassEnd { client }));
+            }
+            Output::Forget => {
+                request.held.clear();
+                request.head = None;
+            }
+            Output::Cut => self.todo.extend(request.client.take().map(|client| Do::Cut { client })),
+            Output::Abandon => {
+                self.todo.extend(request.node.take().map(|(node, _)| Do::LetGo { node }));
+            }
+            Output::Over => {
+                if let Some(request) = self.requests.remove(&id) {
+                    self.todo.push_back(Do::Over { bytes: request.body.len() as u64 });
+                }
+            }
+        }
+    }
+
+    /// Passes on what is held of an answer, with its head where that has not gone yet.
+    fn pass(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(client) = request.client else { return request.held.clear() };
+        let mut head = None;
+        if !request.passing {
+            let Some(known) = &request.head else { return };
+            let framing =
+                if request.whole { Framing::Length(request.held.len() as u64) } else { known.framing };
+            let (status, content_type, cookies) =
+                (known.status, known.content_type.clone(), known.cookies.clone());
+            head = Some(PassedHead { status, content_type, framing, cookies });
+            request.passing = true;
+        }
+        let (bytes, name) = (std::mem::take(&mut request.held), request.name.clone());
+        let node = request.node.map(|(node, _)| node);
+        self.todo.push_back(Do::Pass { client, head, name, bytes, node });
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,12 +2,17 @@
 //! decision library and of a request's exchange, and their actions into bytes. It decides nothing itself.
 
 mod admin;
+mod clients;
 mod counter;
+mod exchanges;
 mod front;
+mod io;
+mod list;
 mod nodes;
+mod reload;
 mod run;
-mod serve;
 mod state;
 
 pub use front::{DEADLINE_FIELD, REQUEST_ID_FIELD};
-pub use run::{Gateway, Reread, Start, Stopper};
+pub use reload::Reread;
+pub use run::{Gateway, Start, Stopper};
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -1,28 +1,86 @@
-//! The node list as a file, and the pool of connections to each node.
+//! The room of the nodes: their connections, and a pool of idle ones for each. What is heard on a connection is given out
+//! piece by piece (`hear`), so that whoever listens may let the connection go between two pieces.
 
-use doorcourse::{BackendEntry, BackendState, Name};
-use doorcourse_config::{Node, NodeFile, Routing, read_nodes};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::io::{Alarm, Io, Token};
+use doorcourse::{Name, RequestId};
+use doorcourse_config::{Limits, Node};
+use doorcourse_http::{Decoder, Head, Limits as HttpLimits, Part, Role, request};
+use doorcourse_net::{Flow, Interest, Ready, Socket, connect};
+use slab::Slab;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::time::SystemTime;
 
 /// Connections to one node that carry no request, the one used last at the end.
 #[derive(Debug)]
-pub(crate) struct Pool {
-    pub address: SocketAddr,
-    pub idle: Vec<usize>,
+struct Pool {
+    address: SocketAddr,
+    idle: Vec<usize>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    socket: Socket,
+    generation: u32,
+    node: Name,
+    decoder: Decoder,
+    request: Option<RequestId>,
+    connecting: bool,
+    /// What is to be said of the connection and of bytes to write before anything that was read.
+    made: bool,
+    writes: bool,
+    /// How reading goes, and whether bytes or an end wait to be looked at.
+    flow: Flow,
+    news: bool,
+    /// How much of the input is looked at.
+    at: usize,
+    /// Whether the client of its answer must read first.
+    paused: bool,
+    interest: Interest,
+    idle_until: f64,
+    keep_alive: bool,
+}
+
+impl Connection {
+    /// Lets go of the input that was looked at, once for all pieces of a reading.
+    fn consume(&mut self) {
+        let at = std::mem::take(&mut self.at);
+        self.socket.consume(at);
+    }
+}
+
+/// One piece of what is heard of an attempt.
+#[derive(Debug)]
+pub(crate) enum Heard {
+    /// The connection is made.
+    Connected,
+    /// The system took bytes of the request.
+    Written,
+    Head(Box<Head>),
+    Data(Vec<u8>),
+    /// The answer is at its end; the connection is free again or gone.
+    End,
+    /// The connection is gone.
+    Lost,
+    /// The answer breaks the protocol or a limit.
+    Broken,
+}
+
+/// What a request is to be on the wire.
+pub(crate) struct Wire<'a> {
+    pub path: &'a str,
+    pub fields: Vec<(&'a str, &'a str)>,
+    pub body: &'a [u8],
 }
 
-/// The nodes by name.
 #[derive(Debug, Default)]
-pub(crate) struct Pools {
+pub(crate) struct Nodes {
+    connections: Slab<Connection>,
     pools: BTreeMap<Name, Pool>,
 }
 
-impl Pools {
-    /// Takes a list over; answers the idle connections that are of no further use.
-    pub fn update(&mut self, nodes: &[Node]) -> Vec<usize> {
+impl Nodes {
+    /// Takes a list over; idle connections to what is gone are closed.
+    pub fn update(&mut self, nodes: &[Node]) {
         let mut old = std::mem::take(&mut self.pools);
         for node in nodes {
             let name = node.entry.name.clone();
@@ -30,70 +88,212 @@
             let pool = known.unwrap_or(Pool { address: node.address, idle: Vec::new() });
             self.pools.insert(name, pool);
         }
-        old.into_values().flat_map(|p| p.idle).collect()
+        old.into_values().flat_map(|p| p.idle).for_each(|slot| self.let_go(slot));
     }
 
-    pub fn get_mut(&mut self, name: &str) -> Option<&mut Pool> {
-        self.pools.get_mut(name)
+    /// Begins an attempt: on an idle connection, else on a new one. `None` where none can even be begun.
+    pub fn send(
+        &mut self, io: &mut Io, limits: &Limits, id: RequestId, node: &Name, wire: &Wire,
+    ) -> Option<(usize, u32)> {
+        let pool = self.pools.get_mut(node)?;
+        let address = pool.address;
+        let slot = match pool.idle.pop() {
+            Some(slot) => slot,
+            None => self.open(io, limits, node, address).ok()?,
+        };
+        let connection = self.connections.get_mut(slot)?;
+        let host = address.to_string();
+        let mut fields = vec![("host", host.as_str())];
+        fields.extend_from_slice(&wire.fields);
+        request(connection.socket.output(), "POST", wire.path, &fields, wire.body);
+        (connection.request, connection.idle_until) = (Some(id), f64::INFINITY);
+        (connection.made, connection.writes) = (!connection.connecting, !connection.connecting);
+        Some((slot, connection.generation))
     }
 
-    /// Takes a connection out of its pool.
-    pub fn forget(&mut self, name: &str, connection: usize) {
-        if let Some(pool) = self.pools.get_mut(name) {
-            pool.idle.retain(|c| *c != connection);
-        }
+    fn open(
+        &mut self, io: &mut Io, limits: &Limits, node: &Name, address: SocketAddr,
+    ) -> std::io::Result<usize> {
+        let socket = connect(address)?;
+        let generation = io.generation();
+        let entry = self.connections.vacant_entry();
+        let slot = entry.key();
+        let interest = Interest { read: true, write: true };
+        io.poller.add(&socket, Token::Node(slot, generation).pack(), interest)?;
+        let limits =
+            HttpLimits { line: limits.line, head: limits.head, fields: limits.fields, body: limits.answer };
+        entry.insert(Connection {
+            socket,
+            generation,
+            node: node.clone(),
+            decoder: Decoder::new(Role::Responses, limits),
+            request: None,
+            connecting: true,
+            made: false,
+            writes: false,
+            flow: Flow::Open,
+            news: false,
+            at: 0,
+            paused: false,
+            interest,
+            idle_until: f64::INFINITY,
+            keep_alive: false,
+        });
+        Ok(slot)
     }
-}
 
-/// A list file that is read again when it changes.
-#[derive(Debug)]
-pub(crate) struct ListFile {
-    path: PathBuf,
-    pub poll: f64,
-    seen: Option<(SystemTime, u64)>,
-    /// The routing that the list read last states.
-    pub routing: Option<Routing>,
-}
+    /// Reads and notes what a connection is ready for; `hear` tells of it.
+    pub fn ready(&mut self, slot: usize, generation: u32, ready: Ready) {
+        let known = self.connections.get_mut(slot).filter(|c| c.generation == generation);
+        let Some(connection) = known else { return };
+        if connection.connecting {
+            if !ready.write && !ready.broken {
+                return;
+            }
+            if connection.socket.finish_connect().is_err() {
+                (connection.flow, connection.news) = (Flow::Broken, true);
+                return;
+            }
+            connection.connecting = false;
+            (connection.made, connection.writes) = (true, true);
+            return;
+        }
+        connection.writes |= ready.write;
+        if ready.read && (!connection.paused || ready.broken) {
+            let (count, flow) = connection.socket.read();
+            if connection.request.is_none() && (count > 0 || flow != Flow::Open) {
+                // An idle connection that ends, or speaks unasked, is of no further use.
+                return self.let_go(slot);
+            }
+            (connection.flow, connection.news) = (flow, connection.news || count > 0 || flow != Flow::Open);
+        }
+    }
 
-impl ListFile {
-    pub fn new(path: PathBuf, poll: f64) -> Self {
-        Self { path, poll, seen: None, routing: None }
+    /// The next piece of what is heard on a connection, and of which request. `None`: nothing more for now.
+    pub fn hear(
+        &mut self, io: &mut Io, limits: &Limits, slot: usize, generation: u32,
+    ) -> Option<(RequestId, Heard)> {
+        let connection = self.connections.get_mut(slot).filter(|c| c.generation == generation)?;
+        if let Some(id) = connection.request {
+            if std::mem::take(&mut connection.made) {
+                return Some((id, Heard::Connected));
+            }
+            if std::mem::take(&mut connection.writes) {
+                let before = connection.socket.pending();
+                if connection.socket.flush() == Flow::Broken {
+                    (connection.flow, connection.news) = (Flow::Broken, true);
+                }
+                if connection.socket.pending() < before {
+                    return Some((id, Heard::Written));
+                }
+            }
+            if connection.news
+                && let Some(heard) = self.answer(io, limits, slot)
+            {
+                return Some((id, heard));
+            }
+        } else if connection.news && !connection.socket.input.is_empty() {
+            // More than the answer: nothing on it can be trusted.
+            self.let_go(slot);
+        }
+        self.settle(io, slot);
+        None
     }
 
-    /// The list, if the file changed since it was read last; an error changes nothing and is told once.
-    pub fn look(&mut self) -> Option<Result<NodeFile, String>> {
-        let stamp = std::fs::metadata(&self.path).and_then(|m| Ok((m.modified()?, m.len())));
-        let stamp = match stamp {
-            Ok(stamp) => stamp,
-            Err(_) if self.seen.is_some_and(|(at, _)| at == SystemTime::UNIX_EPOCH) => return None,
-            Err(error) => {
-                self.seen = Some((SystemTime::UNIX_EPOCH, 0));
-                return Some(Err(format!("{}: {error}", self.path.display())));
+    /// The next piece of an answer out of what was read.
+    fn answer(&mut self, io: &mut Io, limits: &Limits, slot: usize) -> Option<Heard> {
+        let connection = self.connections.get_mut(slot)?;
+        if !connection.connecting {
+            // Also without a byte at hand: a message may be at its end.
+            let input = &connection.socket.input[connection.at..];
+            let (used, heard) = match connection.decoder.decode(input) {
+                Err(_) => {
+                    connection.news = false;
+                    return Some(Heard::Broken);
+                }
+                Ok((used, None)) => (used, None),
+                Ok((used, Some(Part::Head(head)))) => {
+                    connection.keep_alive = head.keep_alive;
+                    (used, Some(Heard::Head(head)))
+                }
+                Ok((used, Some(Part::Data(data)))) => (used, Some(Heard::Data(data.to_vec()))),
+                Ok((used, Some(Part::End))) => (used, Some(Heard::End)),
+            };
+            connection.at += used;
+            if let Some(Heard::End) = heard {
+                self.free(io, limits, slot);
             }
-        };
-        if self.seen.replace(stamp) == Some(stamp) {
+            if heard.is_some() {
+                return heard;
+            }
+        }
+        let connection = self.connections.get_mut(slot)?;
+        connection.news = false;
+        connection.consume();
+        if connection.flow == Flow::Open {
             return None;
         }
-        let shown = self.path.display().to_string();
-        let text = match std::fs::read_to_string(&self.path) {
-            Ok(text) => text,
-            Err(error) => return Some(Err(format!("{shown}: {error}"))),
-        };
-        Some(
-            read_nodes(&shown, &text)
-                .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")),
-        )
+        let rest = !connection.socket.input.is_empty();
+        let whole = connection.flow == Flow::Ended && connection.decoder.closed(rest).unwrap_or(false);
+        self.let_go(slot);
+        Some(if whole { Heard::End } else { Heard::Lost })
+    }
+
+    /// An answer is at its end: the connection goes back to its pool where it may carry another request.
+    fn free(&mut self, io: &mut Io, limits: &Limits, slot: usize) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        connection.consume();
+        (connection.request, connection.paused) = (None, false);
+        let keep = connection.keep_alive
+            && connection.socket.pending() == 0
+            && connection.socket.input.is_empty()
+            && connection.flow == Flow::Open;
+        connection.news = false;
+        connection.idle_until = io.now() + limits.node_idle_time;
+        match self.pools.get_mut(&connection.node) {
+            Some(pool) if keep => {
+                pool.idle.push(slot);
+                let alarm = Alarm::NodeIdle(slot, connection.generation);
+                io.timers.set(connection.idle_until, alarm);
+            }
+            _ => self.let_go(slot),
+        }
+    }
+
+    /// An idle connection's time may be over.
+    pub fn idle_over(&mut self, io: &Io, slot: usize, generation: u32) {
+        let now = io.now();
+        let over = |c: &Connection| c.generation == generation && c.request.is_none() && c.idle_until <= now;
+        if self.connections.get(slot).is_some_and(over) {
+            self.let_go(slot);
+        }
     }
-}
 
-/// The list in the words of the decisions; what a person drained here drains, whatever the list says.
-pub(crate) fn entries(nodes: &[Node], drained: &BTreeSet<Name>) -> Vec<BackendEntry> {
-    let one = |node: &Node| {
-        let mut entry = node.entry.clone();
-        if drained.contains(&entry.name) {
-            entry.state = BackendState::Draining;
+    /// Closes a connection, whatever it carries.
+    pub fn let_go(&mut self, slot: usize) {
+        let Some(connection) = self.connections.try_remove(slot) else { return };
+        if let Some(pool) = self.pools.get_mut(&connection.node) {
+            pool.idle.retain(|s| *s != slot);
         }
-        entry
-    };
-    nodes.iter().map(one).collect()
+    }
+
+    /// Stops reading an answer until its client has read, or goes on.
+    pub fn pause(&mut self, io: &Io, slot: usize, paused: bool) {
+        if let Some(connection) = self.connections.get_mut(slot) {
+            connection.paused = paused;
+        }
+        self.settle(io, slot);
+    }
+
+    /// Brings a registration in line with what the connection waits for.
+    fn settle(&mut self, io: &Io, slot: usize) {
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let write = connection.connecting || connection.socket.pending() > 0;
+        let interest = Interest { read: !connection.paused, write };
+        if interest != connection.interest {
+            connection.interest = interest;
+            let token = Token::Node(slot, connection.generation).pack();
+            let _ = io.poller.change(&connection.socket, token, interest);
+        }
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/reload.rs
@@ -0,0 +1,165 @@
+//! The room of the settings' reading: beside the loop, in a thread of its own, for those who asked. Whether what was read
+//! is taken is the life cycle's affair.
+
+use crate::admin::Asker;
+use doorcourse_config::{Change, Config, compare};
+use std::collections::VecDeque;
+use std::os::unix::net::UnixStream;
+use std::sync::{Arc, mpsc};
+
+/// Reads the settings again, or says every fault.
+pub type Reread = Arc<dyn Fn() -> Result<Config, String> + Send + Sync>;
+
+/// Settings that were read beside the loop, and the difference that they make.
+type Read = Result<(Config, Change), String>;
+
+/// What the reading thread writes to the pipe of SIGHUP; signals and `Stopper` write other bytes.
+const READ: u8 = 0xff;
+
+pub(crate) struct Reload {
+    reread: Option<Reread>,
+    /// Settings being read; whoever asked meanwhile has them read once more behind that.
+    reading: Option<mpsc::Receiver<Read>>,
+    again: bool,
+    /// What was read and waits for the life cycle's word.
+    read: Option<(Config, Change)>,
+    /// Who waits for this reading, and for the next.
+    askers: Vec<Asker>,
+    next_askers: Vec<Asker>,
+    wake: UnixStream,
+    signal: UnixStream,
+    /// Answers for those who asked.
+    pub told: VecDeque<(Asker, Result<Change, String>)>,
+}
+
+/// What the pipe had to say.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Heard {
+    /// Somebody wants a reload: a signal, or another thread.
+    pub asked: bool,
+    /// Settings are read and wait for the life cycle's word.
+    pub read: bool,
+}
+
+impl Reload {
+    pub fn new(reread: Option<Reread>) -> anyhow::Result<Self> {
+        let (wake, signal) = UnixStream::pair()?;
+        signal.set_nonblocking(true)?;
+        wake.set_nonblocking(true)?;
+        let (askers, next_askers, told) = (Vec::new(), Vec::new(), VecDeque::new());
+        Ok(Self { reread, reading: None, again: false, read: None, askers, next_askers, wake, signal, told })
+    }
+
+    /// The end of the pipe that is waited on.
+    pub fn signal(&self) -> &UnixStream {
+        &self.signal
+    }
+
+    /// An end of the pipe for signals and other threads.
+    pub fn wake(&self) -> std::io::Result<UnixStream> {
+        self.wake.try_clone()
+    }
+
+    /// The pipe speaks.
+    pub fn ready(&mut self, config: &Arc<Config>) -> Heard {
+        let (mut bytes, mut asked) = ([0; 16], false);
+        while let Ok(n @ 1..) = std::io::Read::read(&mut self.signal, &mut bytes) {
+            asked |= bytes[..n].iter().any(|b| *b != READ);
+        }
+        Heard { asked, read: self.finish(config) }
+    }
+
+    /// Somebody on the admin socket waits for settings to be read.
+    pub fn ask(&mut self, asker: Asker) {
+        if self.reading.is_some() { self.next_askers.push(asker) } else { self.askers.push(asker) }
+    }
+
+    /// Reads and compares in a thread of its own: thousands of customers must not stop the loop.
+    pub fn start(&mut self, config: &Arc<Config>) {
+        if self.reading.is_some() {
+            self.again = true;
+            return;
+        }
+        let Some(reread) = self.reread.clone() else {
+            return self.over(Err("this gateway cannot read its settings again".into()));
+        };
+        let (told, receiver) = mpsc::channel();
+        let (old, wake) = (Arc::clone(config), self.wake.try_clone());
+        let started = std::thread::Builder::new().name("settings".into()).spawn(move || {
+            let read = reread().map(|config| {
+                let change = compare(&old, &config);
+                (config, change)
+            });
+            let _ = told.send(read);
+            // An empty word: the loop looks at the channel whenever this pipe speaks.
+            let _ = wake.map(|w| std::io::Write::write(&mut &w, &[READ]));
+        });
+        match started {
+            Ok(_) => self.reading = Some(receiver),
+            Err(error) => self.over(Err(error.to_string())),
+        }
+    }
+
+    /// The settings may be read; whether they wait for the life cycle's word.
+    fn finish(&mut self, config: &Arc<Config>) -> bool {
+        let Some(read) = self.reading.as_ref().and_then(|r| r.try_recv().ok()) else { return false };
+        self.reading = None;
+        let waits = match read {
+            Err(why) => {
+                self.over(Err(why));
+                false
+            }
+            Ok((_, change)) if self.is_dry() => {
+                self.over(Ok(change));
+                false
+            }
+            Ok((_, change)) if !change.refused.is_empty() => {
+                self.over(Err(change.refused.join("; ")));
+                false
+            }
+            Ok(read) => {
+                self.read = Some(read);
+                true
+            }
+        };
+        // What is asked for next is read behind the word on this one.
+        if !waits {
+            self.read_again(config);
+        }
+        waits
+    }
+
+    /// Reads once more where somebody asked meanwhile.
+    pub fn read_again(&mut self, config: &Arc<Config>) {
+        if std::mem::take(&mut self.again) {
+            self.askers = std::mem::take(&mut self.next_askers);
+            self.start(config);
+        }
+    }
+
+    /// What was read, once the life cycle allows it.
+    pub fn take(&mut self) -> Option<(Config, Change)> {
+        self.read.take()
+    }
+
+    /// The life cycle refuses: all who wait are told.
+    pub fn refuse(&mut self, why: String) {
+        let mut waiting = std::mem::take(&mut self.next_askers);
+        self.askers.append(&mut waiting);
+        self.over(Err(why));
+    }
+
+    fn is_dry(&self) -> bool {
+        !self.askers.is_empty() && self.askers.iter().all(|a| a.dry_run)
+    }
+
+    /// A reading is over: all who waited for it are told.
+    pub fn over(&mut self, told: Result<Change, String>) {
+        if let (Err(why), false) = (&told, self.is_dry()) {
+            tracing::error!(why, "settings not reloaded, the old ones hold");
+        }
+        self.read = None;
+        let askers = std::mem::take(&mut self.askers);
+        self.told.extend(askers.into_iter().map(|a| (a, told.clone())));
+    }
+}
