/live, /ready and /metrics on a listener of their own

No address told a balancer in front whether the gateway is ready, and nothing was exported to a metrics system. health.listen answers watchers apart from clients: answers by code and plan, latency by class, leases, silent counter, node rooms, by a library in OpenMetrics text. Never counted as requests; a takeover passes its socket with the others.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -28,6 +28,7 @@
     );
     fixed("fleet.zone", old.decisions.zone == new.decisions.zone, "a gateway does not move");
     fixed("listen", old.listen == new.listen, "start a new process that takes over");
+    fixed("health.listen", old.health == new.health, "start a new process that takes over");
     fixed("admin.socket", old.admin == new.admin, "it is the way this reload came");
     let counter = |c: &Config| c.counter.as_ref().map(|c| (c.address, c.password.clone()));
     fixed("counter", counter(old) == counter(new), "two counters would each grant the quota");
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -285,6 +285,7 @@
         }
         a.socket.clone()
     });
+    let health = raw.health.as_ref().map(|h| check.address("health.listen", &h.listen));
     let state = raw.state.as_ref().map(|s| {
         if s.file.is_empty() {
             check.fault("state.file", "a file's name is needed");
@@ -309,6 +310,7 @@
     };
     let schema = schema?;
     Some(Config {
+        health,
         admin,
         state,
         life,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -179,6 +179,8 @@
     pub introspection: bool,
     /// Bounds of the gateway.
     pub limits: Limits,
+    /// Where who watches asks.
+    pub health: Option<SocketAddr>,
     /// The path of the admin socket.
     pub admin: Option<String>,
     /// Where what was learnt is kept.
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -261,12 +261,12 @@
     }
 
     /// Passes the listening sockets with the first byte of the reply.
-    pub fn pass_listeners(&mut self, peer: u64, listeners: &[TcpListener]) {
+    pub fn pass_listeners(&mut self, peer: u64, listeners: &[&TcpListener]) {
         let slot = peer as usize;
         let Some(known) = self.peers.get_mut(slot) else { return };
         let mut line = result(&known.waiting, json!({"listeners": listeners.len()})).to_string().into_bytes();
         line.push(b'\n');
-        let fds: Vec<_> = listeners.iter().map(AsFd::as_fd).collect();
+        let fds: Vec<_> = listeners.iter().map(|l| l.as_fd()).collect();
         let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(LISTENERS))];
         let mut ancillary = SendAncillaryBuffer::new(&mut space);
         let fits = ancillary.push(SendAncillaryMessage::ScmRights(&fds));
--- a/crates/gateway/src/exchanges.rs
+++ b/crates/gateway/src/exchanges.rs
@@ -2,7 +2,7 @@
 //! It knows neither sockets nor fronts' bytes: what is to be done goes out as `Do`, in order.
 
 use crate::clients::PassedHead;
-use crate::front::{Ask, Media, REQUEST_ID_FIELD};
+use crate::front::{Ask, Media, REQUEST_ID_FIELD, code_of};
 use crate::nodes::{Heard, Wire};
 use doorcourse::{Arrival, AttemptEnd, Effect, Event, Name, RequestId};
 use doorcourse_config::Config;
@@ -25,6 +25,9 @@
 #[derive(Debug)]
 struct Request {
     client: Option<usize>,
+    plan: Name,
+    class: Name,
+    began: f64,
     name: Name,
     exchange: Exchange,
     media: Media,
@@ -45,6 +48,12 @@
     passing: bool,
 }
 
+impl Request {
+    fn done(&self, now: f64, code: &'static str) -> Do {
+        Do::Done { code, plan: self.plan.clone(), class: self.class.clone(), time: now - self.began }
+    }
+}
+
 /// What is to be done for a request.
 #[derive(Debug)]
 pub(crate) enum Do {
@@ -62,6 +71,8 @@
     LetGo { node: usize },
     /// Read a node on that was stopped for its client.
     Resume { node: usize },
+    /// A request has its final answer, after so many ms.
+    Done { code: &'static str, plan: Name, class: Name, time: f64 },
     /// The request is over; so many bytes are let go.
     Over { bytes: u64 },
 }
@@ -85,7 +96,9 @@
     }
 
     /// Takes a request on: its number, what the decisions are told, and how many bytes it holds.
-    pub fn begin(&mut self, config: &Config, client: usize, process: &str, ask: Ask) -> (Arrival, u64) {
+    pub fn begin(
+        &mut self, now: f64, config: &Config, client: usize, process: &str, ask: Ask,
+    ) -> (Arrival, u64) {
         let Ask { customer, media, class, units, patience, body, pass, prepared, bound } = ask;
         self.so_far += 1;
         let id = self.so_far;
@@ -108,6 +121,9 @@
         let bytes = body.len() as u64;
         let request = Request {
             client: Some(client),
+            plan: arrival.plan.clone(),
+            class: arrival.class.clone(),
+            began: now,
             name,
             exchange: Exchange::new(config.limits.held_answer),
             media,
@@ -260,21 +276,29 @@
                     load: None,
                 })));
             }
-            Output::Left => self.todo.push_back(Do::Tell(Event::ClientLeft { id })),
+            Output::Left => {
+                self.todo.push_back(request.done(now, "CLIENT_LEFT"));
+                self.todo.push_back(Do::Tell(Event::ClientLeft { id }));
+            }
             Output::Answer(answer) => {
                 let (media, name) = (request.media, request.name.clone());
+                self.todo.push_back(request.done(now, code_of(answer)));
                 let client = request.client.take();
                 self.todo.extend(client.map(|client| Do::Answer { client, media, answer, name }));
             }
             Output::Pass => self.pass(id),
             Output::PassEnd => {
+                self.todo.push_back(request.done(now, "SERVED"));
                 self.todo.extend(request.client.take().map(|client| Do::PassEnd { client }));
             }
             Output::Forget => {
                 request.held.clear();
                 request.head = None;
             }
-            Output::Cut => self.todo.extend(request.client.take().map(|client| Do::Cut { client })),
+            Output::Cut => {
+                self.todo.push_back(request.done(now, "CUT"));
+                self.todo.extend(request.client.take().map(|client| Do::Cut { client }));
+            }
             Output::Abandon => {
                 self.todo.extend(request.node.take().map(|(node, _)| Do::LetGo { node }));
             }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -330,13 +330,25 @@
     Ok(Ask { customer, media, class, units, patience, body, pass, prepared, bound })
 }
 
+/// The stable code of a final answer of the gateway's own.
+pub(crate) fn code_of(answer: Final) -> &'static str {
+    match answer {
+        Final::Refused { why: Refusal::Quota, .. } => "QUOTA_EXCEEDED",
+        Final::Refused { why: Refusal::Busy, .. } => "BUSY",
+        Final::Failed(Failure::Time) => "DEADLINE_EXCEEDED",
+        Final::Failed(Failure::Node) => "NODE_FAILED",
+        Final::Failed(Failure::NoNode) => "NO_NODE",
+    }
+}
+
 /// The HTTP form of a final answer of the gateway's own.
 pub(crate) fn last_word(media: Media, answer: Final) -> Reply {
+    let code = code_of(answer);
     match answer {
         Final::Refused { retry_after, why } => {
-            let (status, code, text) = match why {
-                Refusal::Quota => (429, "QUOTA_EXCEEDED", "the quota is used up; to try again is harmless"),
-                Refusal::Busy => (503, "BUSY", "no node has room; to try again is harmless"),
+            let (status, text) = match why {
+                Refusal::Quota => (429, "the quota is used up; to try again is harmless"),
+                Refusal::Busy => (503, "no node has room; to try again is harmless"),
             };
             let mut reply = error(media, status, code, text);
             // Whole seconds, rounded up: an earlier return would be refused again (RFC 9110 section 10.2.3).
@@ -344,12 +356,10 @@
             reply
         }
         Final::Failed(failure) => {
-            let (status, code, text) = match failure {
-                Failure::Time => {
-                    (504, "DEADLINE_EXCEEDED", "no answer came in time; the operation may have run")
-                }
-                Failure::Node => (502, "NODE_FAILED", "a node failed; the operation may have run"),
-                Failure::NoNode => (503, "NO_NODE", "no node could be reached; the operation did not run"),
+            let (status, text) = match failure {
+                Failure::Time => (504, "no answer came in time; the operation may have run"),
+                Failure::Node => (502, "a node failed; the operation may have run"),
+                Failure::NoNode => (503, "no node could be reached; the operation did not run"),
             };
             error(media, status, code, text)
         }
--- a/crates/gateway/src/io.rs
+++ b/crates/gateway/src/io.rs
@@ -15,6 +15,8 @@
     Reload,
     Admin,
     Peer(usize, u32),
+    Health,
+    Watcher(usize, u32),
 }
 
 /// The bits of a generation that a token carries.
@@ -32,6 +34,8 @@
             Self::Reload => (6, 0, 0),
             Self::Admin => (7, 0, 0),
             Self::Peer(slot, generation) => (8, slot, generation),
+            Self::Health => (9, 0, 0),
+            Self::Watcher(slot, generation) => (10, slot, generation),
         };
         kind << 60 | u64::from(generation) << 32 | slot as u64
     }
@@ -46,6 +50,8 @@
             6 => Self::Reload,
             7 => Self::Admin,
             8 => Self::Peer(slot, generation),
+            9 => Self::Health,
+            10 => Self::Watcher(slot, generation),
             _ => Self::Signal,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod counter;
 mod exchanges;
 mod front;
+mod health;
 mod io;
 mod list;
 mod nodes;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 use crate::counter::Counter;
 use crate::exchanges::{Do, Exchanges};
 use crate::front;
+use crate::health::{Health, Now};
 use crate::io::{Alarm, Io, Token};
 use crate::list::ListFile;
 use crate::nodes::{Heard, Nodes};
@@ -48,6 +49,7 @@
     exchanges: Exchanges,
     counter: Counter,
     admin: Option<Admin>,
+    health: Option<Health>,
     reload: Reload,
     list: Option<ListFile>,
     listed: Vec<Node>,
@@ -96,16 +98,18 @@
         let io = Io::new()?;
         let decision = doorcourse::Gateway::new(config.decisions.clone(), seed.unwrap_or_else(chance))?;
         let admin_path = config.admin.as_ref().map(|p| folder.join(p));
-        let (mut listeners, mut old) = (Vec::new(), None);
+        let (mut listeners, mut watched, mut old) = (Vec::new(), None, None);
         if take_over {
             let path = admin_path.as_ref().context("to take over, the settings must have admin.socket")?;
-            let (passed, stream) = crate::admin::take_over(path)?;
+            let (mut passed, stream) = crate::admin::take_over(path)?;
+            let wanted = config.listen.len() + usize::from(config.health.is_some());
             anyhow::ensure!(
-                passed.len() == config.listen.len(),
-                "the old process passed {} sockets, the settings listen at {}",
-                passed.len(),
-                config.listen.len()
+                passed.len() == wanted,
+                "the old process passed {} sockets, the settings listen at {wanted}",
+                passed.len()
             );
+            // The watchers' listener comes last.
+            watched = config.health.and_then(|_| passed.pop());
             (listeners, old) = (passed, Some(stream));
         } else {
             for address in &config.listen {
@@ -115,6 +119,15 @@
             }
         }
         let clients = Clients::new(&io, &config, listeners)?;
+        let health = match (watched, config.health) {
+            (Some(passed), _) => Some(Health::new(&io, passed)?),
+            (None, None) => None,
+            (None, Some(address)) => {
+                let made = listen(address)
+                    .map_err(|e| anyhow::anyhow!("health.listen: cannot listen on {address}: {e}"))?;
+                Some(Health::new(&io, made)?)
+            }
+        };
         let admin = admin_path.map(|path| Admin::bind(&path, take_over)).transpose()?;
         if let Some(admin) = &admin {
             io.poller.add(admin.fd(), Token::Admin.pack(), Interest::READ)?;
@@ -136,6 +149,7 @@
             exchanges: Exchanges::default(),
             counter: Counter::new(config.counter.as_ref()),
             admin,
+            health,
             reload,
             list: config.node_list.as_ref().map(|(file, poll)| ListFile::new(folder.join(file), *poll)),
             listed: Vec::new(),
@@ -191,6 +205,12 @@
         self.clients.addresses()
     }
 
+    /// Where who watches asks, if anywhere.
+    #[must_use]
+    pub fn health_address(&self) -> Option<SocketAddr> {
+        self.health.as_ref().and_then(|h| h.address().ok())
+    }
+
     /// Serves until told to stop.
     ///
     /// # Errors
@@ -199,6 +219,9 @@
         for address in self.addresses()? {
             tracing::info!(%address, name = self.name, "serving");
         }
+        if let Some(address) = self.health_address() {
+            tracing::info!(%address, "watchers are answered");
+        }
         self.life(Input::Ready);
         if let Some(old) = self.old.take() {
             crate::admin::taken_over(old)?;
@@ -264,6 +287,16 @@
                     self.reload.read_again(&self.config);
                 }
             }
+            Token::Health => {
+                if let Some(health) = &mut self.health {
+                    health.accept(&mut self.io);
+                }
+            }
+            Token::Watcher(slot, generation) => {
+                if let Some(health) = &mut self.health {
+                    health.ready(&self.io, slot, generation, ready);
+                }
+            }
             Token::Admin => {
                 if let Some(admin) = &mut self.admin {
                     admin.accept(&mut self.io);
@@ -308,6 +341,11 @@
                 self.decide(event);
             } else if let Some(called) = self.admin.as_mut().and_then(|a| a.calls.pop_front()) {
                 self.called(called);
+            } else if let Some(question) = self.health.as_mut().and_then(|h| h.questions.pop_front()) {
+                let now = self.now();
+                if let Some(health) = &mut self.health {
+                    health.answer(&self.io, &question, &now);
+                }
             } else if let Some((asker, told)) = self.reload.told.pop_front() {
                 if let Some(admin) = &mut self.admin {
                     admin.answer_reload(&asker, &told);
@@ -391,6 +429,11 @@
             Do::Cut { client } => self.clients.cut(client),
             Do::LetGo { node } => self.nodes.let_go(node),
             Do::Resume { node } => self.nodes.pause(io, node, false),
+            Do::Done { code, plan, class, time } => {
+                if let Some(health) = &self.health {
+                    health.answered(code, &plan, &class, time);
+                }
+            }
             Do::Over { bytes } => self.clients.accounts.release(bytes),
         }
     }
@@ -406,7 +449,7 @@
                 };
                 match ask {
                     Ok(ask) => {
-                        let (arrival, bytes) = self.exchanges.begin(config, slot, &self.name, ask);
+                        let (arrival, bytes) = self.exchanges.begin(io.now(), config, slot, &self.name, ask);
                         self.clients.accounts.add(bytes);
                         self.clients.answering(slot, arrival.id);
                         io.timers.set(io.clock.now() + arrival.patience, Alarm::TimeUp(arrival.id));
@@ -438,7 +481,9 @@
                 Output::RefuseReload(why) => self.reload.refuse(why.to_string()),
                 Output::Pass { peer } => {
                     if let Some(admin) = &mut self.admin {
-                        admin.pass_listeners(peer, self.clients.listeners());
+                        let watched = self.health.as_ref().map(Health::listener);
+                        let all: Vec<_> = self.clients.listeners().iter().chain(watched).collect();
+                        admin.pass_listeners(peer, &all);
                     }
                 }
                 Output::RefuseTakeover { peer, why } => {
@@ -624,6 +669,27 @@
         }
     }
 
+    /// What is so now, for who watches.
+    fn now(&self) -> Now {
+        let time = self.io.now();
+        let mut leases = std::collections::BTreeMap::<String, f64>::new();
+        for customer in self.decision.customers() {
+            *leases.entry(customer.plan.to_string()).or_default() += customer.lease;
+        }
+        let node = |b: doorcourse::BackendView| {
+            (b.name.to_string(), b.room, b.out, b.ready && b.eject_until <= time)
+        };
+        Now {
+            ready: self.life.wants_clients(),
+            requests: self.exchanges.count(),
+            clients: self.clients.count(),
+            bytes: self.clients.accounts.bytes(),
+            silent: self.decision.is_counter_silent(),
+            leases: leases.into_iter().collect(),
+            nodes: self.decision.backends().map(node).collect(),
+        }
+    }
+
     fn status(&self) -> Value {
         json!({
             "state": self.life.state().name(),
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -33,6 +33,8 @@
 
 pub struct Door {
     pub address: SocketAddr,
+    /// Where who watches asks.
+    pub health: Option<SocketAddr>,
     pub stopper: Stopper,
     thread: Option<JoinHandle<()>>,
 }
@@ -73,9 +75,10 @@
         let start = Start { config, folder: Path::new("."), seed: Some(7), reread, take_over: false };
         let mut gateway = Gateway::new(start).expect("a gateway");
         let address = gateway.addresses().expect("addresses")[0];
+        let health = gateway.health_address();
         let stopper = gateway.stopper().expect("a stopper");
         let thread = std::thread::spawn(move || gateway.run().expect("the loop runs to its end"));
-        Self { address, stopper, thread: Some(thread) }
+        Self { address, health, stopper, thread: Some(thread) }
     }
 
     /// Stops it and waits: its loop must come to its end.
@@ -141,6 +144,10 @@
 }
 
 impl Client {
+    pub fn over(stream: TcpStream) -> Self {
+        Self { stream, held: Vec::new() }
+    }
+
     pub fn send(&mut self, key: &str, query: &str, fields: &str) {
         self.write(&post(key, query, fields));
     }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -514,3 +514,65 @@
         assert_eq!(client.answer().map(|a| a.status), Some(status), "{target}");
     }
 }
+
+/// One GET of a watcher's on a connection of its own.
+fn watch(door: &Door, target: &str) -> Answer {
+    let stream =
+        std::net::TcpStream::connect(door.health.expect("a listener for watchers")).expect("a connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+    let mut client = Client::over(stream);
+    client.write(format!("GET {target} HTTP/1.1\r\nhost: a\r\n\r\n").as_bytes());
+    client.answer().expect("an answer")
+}
+
+#[test]
+fn who_watches_is_told_apart_from_clients() {
+    let (world, _) = world(1);
+    let door = Door::new(&world.nodes, "health { listen: \"127.0.0.1:0\" }");
+    assert_eq!(
+        (watch(&door, "/live").status, watch(&door, "/ready").status, watch(&door, "/x").status),
+        (200, 200, 404)
+    );
+    assert_eq!(door.ask("free", PREVIEW).status, 200);
+    assert_eq!(door.ask("ten", "{ previews(first: 10) { id } }").status, 200);
+    assert_eq!(door.ask("ten", PREVIEW).code(), "QUOTA_EXCEEDED");
+    let metrics = watch(&door, "/metrics");
+    assert!(metrics.has("content-type: application/openmetrics-text; version=1.0.0"), "{}", metrics.head);
+    for line in [
+        "doorcourse_answers_total{code=\"SERVED\",plan=\"free\"} 1",
+        "doorcourse_answers_total{code=\"SERVED\",plan=\"ten\"} 1",
+        "doorcourse_answers_total{code=\"QUOTA_EXCEEDED\",plan=\"ten\"} 1",
+        "doorcourse_served_seconds_count{class=\"preview\"} 2",
+        "doorcourse_node_usable{node=\"n0\"} 1",
+        "doorcourse_counter_silent 0",
+        "doorcourse_requests_open 0",
+        "# EOF",
+    ] {
+        assert!(metrics.body.contains(line), "{line} is not in\n{}", metrics.body);
+    }
+    assert_eq!(watch(&door, "/metrics?x").status, 200);
+    // Bytes that are no request, and a method that is not answered.
+    let stream = std::net::TcpStream::connect(door.health.expect("a listener")).expect("a connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+    let mut client = Client::over(stream);
+    client.write(b"POST /ready HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\nnonsense\r\n\r\n");
+    assert_eq!(client.answer().map(|a| a.status), Some(405));
+    assert_eq!(client.answer().map(|a| a.status), Some(400));
+    assert!(client.ends());
+}
+
+#[test]
+fn a_drain_is_told_to_who_watches_before_anything_is_closed() {
+    let (world, _) = world(1);
+    let mut door = Door::new(&world.nodes, "health { listen: \"127.0.0.1:0\" } life { notice_ms: 60000 }");
+    assert_eq!(watch(&door, "/ready").status, 200);
+    door.stopper.stop();
+    let started = Instant::now();
+    while watch(&door, "/ready").status != 503 {
+        assert!(started.elapsed() < LIMIT, "it stays ready");
+    }
+    assert_eq!(watch(&door, "/live").status, 200);
+    assert_eq!(door.ask("free", PREVIEW).status, 200, "who still comes is served");
+    // A second word: at once.
+    door.stop();
+}
