Watchers that say nothing shut nobody out

The listener for /ready took 64 connections and then no more: ones left open would have kept a balancer out. The one that was silent for longest goes instead; tested with 200 that say nothing (a connection refused at the bound before).

--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -139,6 +139,8 @@
     decoder: Decoder,
     interest: Interest,
     closing: bool,
+    /// When it was heard last.
+    spoke: f64,
 }
 
 /// What a watcher wants to know.
@@ -191,20 +193,25 @@
         let Ok((stream, _)) = self.listener.accept() else { return };
         let Ok(socket) = Socket::new(stream) else { return };
         if self.watchers.len() >= CONNECTIONS {
-            return;
+            // Whoever was silent for longest goes: connections left open must not shut out who asks now.
+            let oldest =
+                self.watchers.iter().min_by(|a, b| a.1.spoke.total_cmp(&b.1.spoke)).map(|(slot, _)| slot);
+            oldest.into_iter().for_each(|slot| drop(self.watchers.remove(slot)));
         }
         let generation = io.generation();
         let entry = self.watchers.vacant_entry();
         let token = Token::Watcher(entry.key(), generation).pack();
         if io.poller.add(&socket, token, Interest::READ).is_ok() {
             let decoder = Decoder::new(Role::Requests, LIMITS);
-            entry.insert(Watcher { socket, generation, decoder, interest: Interest::READ, closing: false });
+            let (interest, closing, spoke) = (Interest::READ, false, io.now());
+            entry.insert(Watcher { socket, generation, decoder, interest, closing, spoke });
         }
     }
 
     pub fn ready(&mut self, io: &Io, slot: usize, generation: u32, ready: Ready) {
         let known = self.watchers.get_mut(slot).filter(|w| w.generation == generation);
         let Some(watcher) = known else { return };
+        watcher.spoke = io.now();
         if ready.read && watcher.socket.read().1 != Flow::Open {
             drop(self.watchers.remove(slot));
             return;
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -559,6 +559,11 @@
     assert_eq!(client.answer().map(|a| a.status), Some(405));
     assert_eq!(client.answer().map(|a| a.status), Some(400));
     assert!(client.ends());
+    // Connections that are left open shut nobody out.
+    let open: Vec<_> = (0..200)
+        .map(|_| std::net::TcpStream::connect(door.health.expect("a listener")).expect("one"))
+        .collect();
+    assert_eq!(watch(&door, "/ready").status, 200, "beside {} that say nothing", open.len());
 }
 
 #[test]
