--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,7 +229,7 @@
     pub balance: Balance,
     /// A bound request waits and is refused rather than served elsewhere.
     pub strict: bool,
-    /// A backend whose start is not known and that refuses connections counts as started at the last refusal.
+    /// A backend whose start is not known and that refused a connection counts as started when it is tried again.
     pub assume_restart: bool,
 }
 
