--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -21,6 +21,7 @@
 mod fleet;
 mod import;
 mod load;
+mod platform;
 mod query;
 mod serve;
 mod standin;
@@ -64,6 +65,7 @@
         #[arg(long)]
         take_over: bool,
     },
+    Platform(platform::Platform),
     /// Check settings or a node list and tell every fault; 1 if there is any.
     Check {
         /// Settings or a node list, in protobuf text format.
@@ -105,6 +107,7 @@
     }
     let done = match arguments.command {
         Command::Serve { config, seed, take_over } => serve::serve(&config, seed, take_over),
+        Command::Platform(platform) => platform::run(&platform),
         Command::Check { file } => serve::check(&file),
         Command::Query(command) => query::run(command),
         Command::Import(command) => import::run(command),
--- /dev/null
+++ b/crates/counter/src/http.rs
@@ -0,0 +1,127 @@
+//! Calls as HTTP/1.1 requests of the platform's counter: POST /v1/count/NAME?add=AMOUNT&ttl_ms=LIFE.
+
+use crate::link::{Call, Codec, Ended, Reply};
+use doorcourse_http::{Decoder, Limits, Part, Role};
+use std::io::Write;
+
+/// The longest life of a name in ms; the counter takes any longer one for this.
+const LONGEST: f64 = 60_000.0;
+/// Bytes of a body that may hold a total: more is none.
+const BODY: u64 = 256;
+
+/// How each answer begins: noise shows at its first byte, not when a head's worth of it has come.
+const START: &[u8] = b"HTTP/1.";
+
+/// The codec of a counter that speaks HTTP/1.1.
+#[derive(Debug)]
+pub struct HttpCodec {
+    host: String,
+    decoder: Decoder,
+    status: u16,
+    keep_alive: bool,
+    body: Vec<u8>,
+}
+
+impl HttpCodec {
+    /// A codec for the counter at an address, which the Host field names.
+    #[must_use]
+    pub fn new(host: &str) -> Self {
+        Self { host: host.into(), decoder: decoder(), status: 0, keep_alive: true, body: Vec::new() }
+    }
+}
+
+fn decoder() -> Decoder {
+    Decoder::new(Role::Responses, Limits { line: 512, head: 4 << 10, fields: 32, body: BODY })
+}
+
+impl Codec for HttpCodec {
+    fn open(&mut self, _: &mut Vec<u8>) {
+        self.decoder = decoder();
+        self.body.clear();
+    }
+
+    fn call(&mut self, call: &Call, out: &mut Vec<u8>) {
+        let keep = call.keep.ceil().clamp(1.0, LONGEST) as u64;
+        let _ = write!(
+            out,
+            "POST /v1/count/{:x}?add={}&ttl_ms={keep} HTTP/1.1\r\nhost: {}\r\ncontent-length: 0\r\n\r\n",
+            call.name, call.amount, self.host
+        );
+    }
+
+    fn waits(&self) -> bool {
+        false
+    }
+
+    fn read(&mut self, input: &[u8]) -> Result<(usize, Option<Reply>), String> {
+        let mut used = 0;
+        loop {
+            let begun = &input[used..];
+            if !self.decoder.in_message(false) && begun.iter().zip(START).any(|(a, b)| a != b) {
+                return Err("noise in place of an answer".into());
+            }
+            // What cannot be read is the answer to a call that had its turn all the same: the link makes of the
+            // fault that the call may have been added.
+            let (took, part) = self.decoder.decode(&input[used..]).map_err(|e| e.to_string())?;
+            used += took;
+            match part {
+                None => return Ok((used, None)),
+                Some(Part::Head(head)) => {
+                    (self.status, self.keep_alive) = (head.status, head.keep_alive);
+                    self.body.clear();
+                }
+                Some(Part::Data(bytes)) => self.body.extend_from_slice(bytes),
+                Some(Part::End) => {
+                    let text = std::str::from_utf8(&self.body).ok().map(str::trim);
+                    let total = text.and_then(|t| t.parse().ok()).filter(|t: &f64| t.is_finite());
+                    let ended = match (self.status, total) {
+                        (200, Some(total)) => Ended::Total(total),
+                        (400 | 404 | 503, _) => Ended::NotAdded,
+                        _ => Ended::Unknown,
+                    };
+                    let last = !self.keep_alive || ended == Ended::Unknown;
+                    return Ok((used, Some(Reply { ended, last })));
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(bytes: &[u8]) -> Result<Option<Reply>, String> {
+        HttpCodec::new("h").read(bytes).map(|r| r.1)
+    }
+
+    #[test]
+    fn each_answer_of_the_page() {
+        let total = |ended, last| Ok(Some(Reply { ended, last }));
+        let body =
+            |b: &str| format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{b}", b.len()).into_bytes();
+        assert_eq!(read(&body("12.5")), total(Ended::Total(12.5), false));
+        assert_eq!(read(&body("-3\n")), total(Ended::Total(-3.0), false));
+        assert_eq!(read(&body("NaN")), total(Ended::Unknown, true));
+        assert_eq!(read(&body("none")), total(Ended::Unknown, true));
+        assert_eq!(read(&body("")), total(Ended::Unknown, true));
+        for status in [400, 404, 503] {
+            let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+            assert_eq!(read(text.as_bytes()), total(Ended::NotAdded, false));
+        }
+        let early =
+            b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n7";
+        assert_eq!(read(early), total(Ended::Total(7.0), false));
+        assert!(read(b"\x00\x01noise\r\n").is_err());
+        assert_eq!(read(b"HTTP/1.1 200 OK\r\ncontent-le"), Ok(None));
+    }
+
+    #[test]
+    fn a_call_s_amount_is_a_plain_decimal() {
+        let mut out = Vec::new();
+        let call = Call { name: 0xabc, amount: -2.5e-7, keep: 1e9 };
+        HttpCodec::new("10.0.0.1:6400").call(&call, &mut out);
+        let text = String::from_utf8(out).unwrap();
+        assert!(text.starts_with("POST /v1/count/abc?add=-0.00000025&ttl_ms=60000 HTTP/1.1\r\n"), "{text}");
+    }
+}
--- a/crates/resp/src/link.rs
+++ b/crates/counter/src/link.rs
@@ -1,7 +1,6 @@
 //! The counter link as a state machine: calls in, bytes out; bytes in, ends out. It decides when a call is given
 //! up, when a connection is not worth keeping and how long to wait before the next one. It reads no clock.
 
-use crate::value::{Value, command, decode};
 use std::collections::VecDeque;
 
 /// How the link behaves. Times in ms.
@@ -13,10 +12,12 @@
     pub first_wait: f64,
     /// The longest wait before connecting again.
     pub longest_wait: f64,
-    /// A connection on which nothing was answered for this long, with calls out, is replaced.
+    /// A connection on which nothing was answered for this long, with calls out, is replaced; so is one that is not
+    /// made by then.
     pub dead_after: f64,
-    /// The password for AUTH, where one is needed.
-    pub password: Option<String>,
+    /// A connection without a call for this long is replaced before the counter closes it: a call written to one
+    /// that just closed may have been added. Infinity where the counter keeps idle connections.
+    pub idle_after: f64,
 }
 
 /// One call to the counter.
@@ -41,12 +42,36 @@
     Unknown,
 }
 
+/// The reply to one call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reply {
+    /// What it says of the call.
+    pub ended: Ended,
+    /// Whether nothing more is to be read from the connection.
+    pub last: bool,
+}
+
+/// How calls look on the wire.
+pub trait Codec {
+    /// A connection is made: forgets the last one and writes what comes before calls.
+    fn open(&mut self, out: &mut Vec<u8>);
+    /// Writes one call.
+    fn call(&mut self, call: &Call, out: &mut Vec<u8>);
+    /// Whether a reply is to come before the first call's.
+    fn waits(&self) -> bool;
+    /// Reads on: how many bytes were consumed, and the reply that they held.
+    ///
+    /// # Errors
+    /// When the bytes are of no meaning: the connection is of no further use.
+    fn read(&mut self, input: &[u8]) -> Result<(usize, Option<Reply>), String>;
+}
+
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LinkAction {
     /// Open a connection; then tell `connected` or `lost`.
     Connect,
-    /// Close the connection; no `lost` follows.
+    /// Close the connection, also one that is not made yet; no `lost` follows.
     Close,
     /// A call ended.
     End {
@@ -63,11 +88,8 @@
 
 #[derive(Debug, PartialEq)]
 enum State {
-    Waiting {
-        until: f64,
-    },
-    Connecting,
-    /// AUTH was sent; calls may be behind it.
+    Waiting { until: f64 },
+    Connecting { since: f64 },
     Ready,
 }
 
@@ -75,57 +97,81 @@
 struct Out {
     call: Call,
     at: f64,
+    /// Where the call ends among all bytes of the connection.
+    end: u64,
     /// Whether the call's end was told: its reply is dropped then.
     over: bool,
 }
 
 /// The state of the link.
 #[derive(Debug)]
-pub struct Link {
+pub struct Link<C> {
     settings: LinkSettings,
+    codec: C,
     state: State,
     out: VecDeque<Out>,
-    /// Replies to come before the first call's: AUTH.
-    greeting: u32,
-    /// Replies of the first call's transaction so far.
-    step: u32,
     /// Bytes to write.
     pub output: Vec<u8>,
+    /// Bytes of this connection before those in `output`, and how many of all are not written.
+    passed: u64,
+    unwritten: u64,
     input: Vec<u8>,
     wait: f64,
+    /// When something was answered last, or the first of the calls now out was made.
     heard: f64,
     up: bool,
 }
 
-const REPLIES: u32 = 4;
+/// The most that a call may add: the counter turns away more.
+const MOST: f64 = 1e9;
 
-impl Link {
+impl<C: Codec> Link<C> {
     /// A link that has never been connected.
     #[must_use]
-    pub fn new(settings: LinkSettings) -> Self {
+    pub fn new(settings: LinkSettings, codec: C) -> Self {
         let (wait, state) = (settings.first_wait, State::Waiting { until: f64::NEG_INFINITY });
         let (out, output, input) = (VecDeque::new(), Vec::new(), Vec::new());
-        Self { settings, state, out, greeting: 0, step: 0, output, input, wait, heard: 0.0, up: false }
+        let (passed, unwritten, heard, up) = (0, 0, 0.0, false);
+        Self { settings, codec, state, out, output, passed, unwritten, input, wait, heard, up }
+    }
+
+    /// Calls out, those given up whose replies are still to come among them.
+    #[must_use]
+    pub fn load(&self) -> usize {
+        self.out.len()
+    }
+
+    /// Whether calls can be written.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state == State::Ready
     }
 
     /// A call: written at once where there is a connection, else nothing was added. Holding it back would add
     /// to a window that may be over by then.
     pub fn call(&mut self, now: f64, call: Call, actions: &mut Vec<LinkAction>) {
-        if self.state != State::Ready || !call.amount.is_finite() {
+        // Not a number is no amount either.
+        if self.state != State::Ready || !matches!(call.amount.abs(), 0.0..=MOST) {
             let (name, ended) = (call.name, Ended::NotAdded);
             return actions.push(LinkAction::End { name, ended, latency: 0.0 });
         }
         if self.out.is_empty() {
             self.heard = now;
         }
-        let (name, amount) = (format!("doorcourse:{:x}", call.name), call.amount.to_string());
-        let keep = (call.keep.ceil().max(1.0) as u64).to_string();
-        // The expiry is set only where there is none (NX): a window's name must not live on by being used.
-        command(&mut self.output, &["MULTI"]);
-        command(&mut self.output, &["INCRBYFLOAT", &name, &amount]);
-        command(&mut self.output, &["PEXPIRE", &name, &keep, "NX"]);
-        command(&mut self.output, &["EXEC"]);
-        self.out.push_back(Out { call, at: now, over: false });
+        self.codec.call(&call, &mut self.output);
+        let end = self.passed + self.output.len() as u64;
+        self.out.push_back(Out { call, at: now, end, over: false });
+    }
+
+    /// The host takes the bytes to write.
+    pub fn take_output(&mut self) -> Vec<u8> {
+        self.passed += self.output.len() as u64;
+        std::mem::take(&mut self.output)
+    }
+
+    /// How many of the bytes taken are not written yet; a call whose last byte is among them was not made.
+    pub fn unwritten(&mut self, bytes: usize) {
+        self.unwritten = bytes as u64;
     }
 
     /// Time passes: calls are given up, dead connections replaced. Answers when to come again at the latest.
@@ -136,42 +182,48 @@
             let (name, latency) = (out.call.name, now - out.at);
             actions.push(LinkAction::End { name, ended: Ended::Unknown, latency });
         }
-        let dead = !self.out.is_empty() || self.greeting > 0;
-        if self.state == State::Ready && dead && now >= self.heard + self.settings.dead_after {
-            actions.push(LinkAction::Close);
-            self.lost(now, "nothing answered", actions);
+        let asked = !self.out.is_empty() || self.codec.waits();
+        let due = match self.state {
+            State::Waiting { until } => until,
+            State::Connecting { since } => since + self.settings.dead_after,
+            State::Ready if asked => self.heard + self.settings.dead_after,
+            State::Ready => self.heard + self.settings.idle_after,
+        };
+        if now < due {
+            let first = self.out.iter().find(|o| !o.over).map_or(f64::INFINITY, |o| o.at + timeout);
+            return first.min(due);
         }
         match self.state {
-            State::Waiting { until } if now >= until => {
-                self.state = State::Connecting;
-                actions.push(LinkAction::Connect);
-                now + self.settings.dead_after
-            }
-            State::Waiting { until } => until,
-            _ => {
-                let first = self.out.iter().find(|o| !o.over).map_or(f64::INFINITY, |o| o.at + timeout);
-                first.min(if dead { self.heard + self.settings.dead_after } else { f64::INFINITY })
+            State::Ready if !asked => actions.push(LinkAction::Close),
+            State::Ready | State::Connecting { .. } => {
+                actions.push(LinkAction::Close);
+                self.lost(now, "nothing answered", actions);
+                let State::Waiting { until } = self.state else { return now };
+                return until;
             }
+            State::Waiting { .. } => {}
         }
+        self.state = State::Connecting { since: now };
+        actions.push(LinkAction::Connect);
+        now + self.settings.dead_after
     }
 
     /// The connection that was asked for is there.
     pub fn connected(&mut self, now: f64) {
-        (self.state, self.heard, self.step) = (State::Ready, now, 0);
+        (self.state, self.heard) = (State::Ready, now);
+        (self.passed, self.unwritten) = (0, 0);
         self.input.clear();
         self.output.clear();
-        self.greeting = 0;
-        if let Some(password) = &self.settings.password {
-            command(&mut self.output, &["AUTH", password]);
-            self.greeting = 1;
-        }
+        self.codec.open(&mut self.output);
     }
 
-    /// The connection broke or was never made. Calls out may have been added.
+    /// The connection broke or was never made. Calls that were written whole may have been added.
     pub fn lost(&mut self, now: f64, why: &str, actions: &mut Vec<LinkAction>) {
+        let written = self.passed.saturating_sub(self.unwritten);
         for out in self.out.drain(..).filter(|o| !o.over) {
             let (name, latency) = (out.call.name, now - out.at);
-            actions.push(LinkAction::End { name, ended: Ended::Unknown, latency });
+            let ended = if out.end > written { Ended::NotAdded } else { Ended::Unknown };
+            actions.push(LinkAction::End { name, ended, latency });
         }
         self.output.clear();
         if std::mem::take(&mut self.up) || self.wait == self.settings.first_wait {
@@ -187,79 +239,56 @@
             return;
         }
         self.input.extend_from_slice(bytes);
-        self.heard = now;
         let mut used = 0;
-        loop {
-            let broken = match decode(&self.input[used..]) {
-                Ok(Some((value, took))) => {
+        let broken = loop {
+            match self.codec.read(&self.input[used..]) {
+                Ok((took, reply)) => {
                     used += took;
-                    self.reply(now, value, actions)
+                    let Some(reply) = reply else { break None };
+                    if let Some(why) = self.reply(now, reply, actions) {
+                        break Some(why);
+                    }
                 }
-                Ok(None) => break,
-                Err(error) => Some(error.to_string()),
-            };
-            if let Some(why) = broken {
-                actions.push(LinkAction::Close);
-                return self.lost(now, &why, actions);
+                Err(why) => break Some(why),
             }
+        };
+        if let Some(why) = broken {
+            actions.push(LinkAction::Close);
+            return self.lost(now, &why, actions);
         }
         self.input.drain(..used);
     }
 
     /// One reply; a reason where the connection is of no further use.
-    fn reply(&mut self, now: f64, value: Value, actions: &mut Vec<LinkAction>) -> Option<String> {
-        if self.greeting > 0 {
-            self.greeting -= 1;
-            return match value {
-                Value::Error(error) => Some(format!("authentication refused: {error}")),
-                _ => None,
-            };
-        }
-        if self.out.is_empty() {
-            return Some("a reply to no call".into());
-        }
-        self.step += 1;
-        if self.step < REPLIES {
-            // An error here shows again in the transaction's own reply (EXECABORT).
-            return None;
-        }
-        self.step = 0;
-        let out = self.out.pop_front()?;
-        let total = match &value {
-            Value::Array(values) => values.first().and_then(Value::number),
-            _ => None,
-        };
-        if total.is_some() {
+    fn reply(&mut self, now: f64, reply: Reply, actions: &mut Vec<LinkAction>) -> Option<String> {
+        let Some(out) = self.out.pop_front() else { return Some("a reply to no call".into()) };
+        self.heard = now;
+        if matches!(reply.ended, Ended::Total(_)) {
             self.wait = self.settings.first_wait;
             if !std::mem::replace(&mut self.up, true) {
                 actions.push(LinkAction::Log("counter connection up".into()));
             }
         }
         if !out.over {
-            let ended = match (total, &value) {
-                (Some(total), _) => Ended::Total(total),
-                // The transaction was refused whole: nothing of it ran.
-                (None, Value::Error(_) | Value::Null) => Ended::NotAdded,
-                (None, Value::Array(v)) if matches!(v.first(), Some(Value::Error(_))) => Ended::NotAdded,
-                _ => Ended::Unknown,
-            };
-            actions.push(LinkAction::End { name: out.call.name, ended, latency: now - out.at });
+            let (name, latency) = (out.call.name, now - out.at);
+            actions.push(LinkAction::End { name, ended: reply.ended, latency });
         }
-        None
+        reply.last.then(|| "its last reply came".into())
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::{HttpCodec, RespCodec};
 
     fn settings() -> LinkSettings {
         let (timeout, first_wait, longest_wait, dead_after) = (50.0, 100.0, 1000.0, 500.0);
-        LinkSettings { timeout, first_wait, longest_wait, dead_after, password: None }
+        LinkSettings { timeout, first_wait, longest_wait, dead_after, idle_after: f64::INFINITY }
     }
 
-    fn ready() -> Link {
-        let mut link = Link::new(settings());
+    fn ready() -> Link<RespCodec> {
+        let mut link = Link::new(settings(), RespCodec::default());
         let mut actions = Vec::new();
         link.tick(0.0, &mut actions);
         assert_eq!(actions, [LinkAction::Connect]);
@@ -285,7 +314,9 @@
     fn each_call_ends_once_in_order() {
         let (mut link, mut actions) = (ready(), Vec::new());
         link.call(0.0, call(1), &mut actions);
+        link.take_output();
         link.call(1.0, call(2), &mut actions);
+        link.take_output();
         for byte in [REPLY, REPLY].concat() {
             link.input(2.0, &[byte], &mut actions);
         }
@@ -296,8 +327,10 @@
     fn a_late_total_is_dropped_and_the_next_call_has_its_own() {
         let (mut link, mut actions) = (ready(), Vec::new());
         link.call(0.0, call(1), &mut actions);
+        link.take_output();
         link.tick(50.0, &mut actions);
         link.call(60.0, call(2), &mut actions);
+        link.take_output();
         link.input(61.0, &[REPLY, REPLY].concat(), &mut actions);
         assert_eq!(ends(&actions), [(1, Ended::Unknown), (2, Ended::Total(7.5))]);
     }
@@ -306,6 +339,7 @@
     fn a_silent_connection_is_replaced_after_growing_waits() {
         let (mut link, mut actions) = (ready(), Vec::new());
         link.call(0.0, call(1), &mut actions);
+        link.take_output();
         link.tick(499.0, &mut actions);
         assert!(!actions.contains(&LinkAction::Close));
         assert_eq!(link.tick(500.0, &mut actions), 600.0);
@@ -316,6 +350,7 @@
         assert_eq!(link.tick(601.0, &mut actions), 800.0);
         actions.clear();
         link.call(602.0, call(2), &mut actions);
+        link.take_output();
         assert_eq!(ends(&actions), [(2, Ended::NotAdded)]);
     }
 
@@ -323,9 +358,11 @@
     fn a_refused_transaction_adds_nothing_and_a_broken_one_may_have() {
         let (mut link, mut actions) = (ready(), Vec::new());
         link.call(0.0, call(1), &mut actions);
+        link.take_output();
         let refused = b"+OK\r\n-ERR no\r\n+QUEUED\r\n-EXECABORT discarded\r\n";
         link.input(1.0, refused, &mut actions);
         link.call(2.0, call(2), &mut actions);
+        link.take_output();
         link.lost(3.0, "reset", &mut actions);
         assert_eq!(ends(&actions), [(1, Ended::NotAdded), (2, Ended::Unknown)]);
     }
@@ -334,6 +371,7 @@
     fn junk_closes_the_connection_once() {
         let (mut link, mut actions) = (ready(), Vec::new());
         link.call(0.0, call(1), &mut actions);
+        link.take_output();
         link.input(1.0, b"HTTP/1.1 400\r\n", &mut actions);
         link.input(1.0, REPLY, &mut actions);
         assert_eq!(actions.iter().filter(|a| **a == LinkAction::Close).count(), 1);
@@ -342,13 +380,74 @@
 
     #[test]
     fn a_refused_password_is_no_connection() {
-        let mut link = Link::new(LinkSettings { password: Some("x".into()), ..settings() });
+        let mut link = Link::new(settings(), RespCodec::new(Some("x".into())));
         let mut actions = Vec::new();
         link.tick(0.0, &mut actions);
         link.connected(0.0);
         link.call(0.0, call(1), &mut actions);
+        link.take_output();
         link.input(1.0, b"-WRONGPASS\r\n", &mut actions);
         assert!(actions.contains(&LinkAction::Close));
         assert_eq!(ends(&actions), [(1, Ended::Unknown)]);
     }
+
+    fn http() -> Link<HttpCodec> {
+        let mut link = Link::new(LinkSettings { idle_after: 3000.0, ..settings() }, HttpCodec::new("c"));
+        link.tick(0.0, &mut Vec::new());
+        link.connected(0.0);
+        link
+    }
+
+    #[test]
+    fn what_was_not_written_whole_was_not_added() {
+        let (mut link, mut actions) = (http(), Vec::new());
+        link.call(0.0, call(1), &mut actions);
+        link.call(0.0, call(2), &mut actions);
+        let all = link.take_output().len();
+        link.unwritten(1);
+        link.call(0.0, call(3), &mut actions);
+        link.lost(1.0, "reset", &mut actions);
+        assert!(all > 2);
+        assert_eq!(ends(&actions), [(1, Ended::Unknown), (2, Ended::NotAdded), (3, Ended::NotAdded)]);
+    }
+
+    #[test]
+    fn an_idle_connection_is_replaced_before_the_counter_ends_it() {
+        let (mut link, mut actions) = (http(), Vec::new());
+        assert_eq!(link.tick(2999.0, &mut actions), 3000.0);
+        assert!(actions.is_empty());
+        link.tick(3000.0, &mut actions);
+        assert_eq!(actions, [LinkAction::Close, LinkAction::Connect]);
+        link.connected(3001.0);
+        assert!(link.is_ready());
+    }
+
+    #[test]
+    fn a_connection_that_never_comes_up_is_given_up() {
+        let (mut link, mut actions) = (Link::new(settings(), HttpCodec::new("c")), Vec::new());
+        assert_eq!(link.tick(0.0, &mut actions), 500.0);
+        actions.clear();
+        assert_eq!(link.tick(500.0, &mut actions), 600.0);
+        assert!(actions.contains(&LinkAction::Close));
+        actions.clear();
+        link.tick(600.0, &mut actions);
+        assert_eq!(actions, [LinkAction::Connect]);
+    }
+
+    #[test]
+    fn a_spoilt_total_leaves_its_call_and_those_behind_unknown() {
+        let (mut link, mut actions) = (http(), Vec::new());
+        for name in 1..4 {
+            link.call(0.0, call(name), &mut actions);
+        }
+        link.take_output();
+        let good = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n4";
+        link.input(
+            1.0,
+            &[&good[..], b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n??", good].concat(),
+            &mut actions,
+        );
+        assert_eq!(ends(&actions), [(1, Ended::Total(4.0)), (2, Ended::Unknown), (3, Ended::Unknown)]);
+        assert_eq!(actions.iter().filter(|a| **a == LinkAction::Close).count(), 1);
+    }
 }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -42,10 +42,21 @@
         /// What it came to, by the answer's data.
         units: f64,
     },
+    /// The answer came whole and at once, in a protocol where nothing of it is passed on before.
+    Answered {
+        /// What it says.
+        reply: Reply,
+        /// What it came to, where the answer tells.
+        units: Option<f64>,
+    },
+    /// The node drains, is gone or was started anew before a byte of the request was written: it must not have it.
+    Withdrawn,
     /// The attempt's connection broke or could not be made.
     Lost,
     /// The answer breaks a limit or the protocol.
     Broken,
+    /// The decisions call the attempt off.
+    CalledOff,
     /// The time for the answer is up.
     TimeUp,
     /// The client is gone.
@@ -61,6 +72,17 @@
     Failed,
 }
 
+/// What a node's whole answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The value made for this request.
+    Value,
+    /// It failed, and may have run.
+    Failed,
+    /// Turned away unseen.
+    TurnedAway,
+}
+
 /// Why a request failed, as far as the wire tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -190,13 +212,46 @@
                 }
             }
             Input::Data { bytes } => self.data(bytes, out),
-            Input::End { whole, units } => self.end(whole, units, out),
+            Input::End { whole, units } => {
+                let outcome = match self.attempt.map(|a| a.status) {
+                    // Turned away unseen: RFC 6585 section 4, before any work. 503 says less: it may come after work.
+                    Some(429) => Outcome::Full,
+                    Some(status) if Self::is_answer(status) && whole => Outcome::Served,
+                    _ => Outcome::Error,
+                };
+                self.end(outcome, Some(units), out);
+            }
+            Input::Answered { reply, units } => {
+                // An answer to what was not asked in full answers something else.
+                if self.attempt.is_some_and(|a| a.wire != Wire::Sent) {
+                    return self.handle(Input::Broken, out);
+                }
+                let outcome = match reply {
+                    Reply::Value => Outcome::Served,
+                    Reply::Failed => Outcome::Error,
+                    Reply::TurnedAway => Outcome::Full,
+                };
+                self.end(outcome, units, out);
+            }
+            Input::Withdrawn => {
+                if self.attempt.is_some_and(|a| matches!(a.wire, Wire::Connecting | Wire::Unsent)) {
+                    out.push(Output::Abandon);
+                    self.break_off(Outcome::NeverSent, out);
+                }
+            }
             Input::Lost => self.lost(out),
             Input::Broken if self.attempt.is_some() => {
                 out.push(Output::Abandon);
                 self.break_off(Outcome::Error, out);
             }
             Input::Broken => {}
+            Input::CalledOff => {
+                if let Some(attempt) = self.attempt {
+                    out.push(Output::Abandon);
+                    let sent = matches!(attempt.wire, Wire::Sent | Wire::Answering);
+                    self.break_off(if sent { Outcome::CalledOff } else { Outcome::NeverSent }, out);
+                }
+            }
             Input::TimeUp => self.time_up(out),
             Input::ClientGone => {
                 // An attempt that is out goes on: nothing stops the node's work, and its end is still told.
@@ -263,16 +318,12 @@
         }
     }
 
-    fn end(&mut self, whole: bool, units: f64, out: &mut Vec<Output>) {
-        let Some(attempt) = self.attempt.take() else { return };
-        let outcome = match attempt.status {
-            // Turned away unseen: RFC 6585 section 4, before any work. 503 says less: it may come after work.
-            429 => Outcome::Full,
-            status if Self::is_answer(status) && whole => Outcome::Served,
-            _ => Outcome::Error,
-        };
+    fn end(&mut self, outcome: Outcome, units: Option<f64>, out: &mut Vec<Output>) {
+        if self.attempt.take().is_none() {
+            return;
+        }
         let served = outcome == Outcome::Served;
-        let true_units = if served { Some(units) } else { None };
+        let true_units = units.filter(|_| served);
         match self.client {
             Client::Waits if served => out.extend([Output::Pass, Output::PassEnd]),
             // Its bytes are with the client already: what is wrong with them the client sees itself.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,11 +11,15 @@
 mod admission;
 mod bounds;
 mod exchange;
+mod leave;
 mod session;
 mod stop;
+mod table;
 
 pub use admission::{Never, Offer, class_of, fits, patience};
 pub use bounds::{Accounts, Bounds, Full, Held};
-pub use exchange::{Exchange, Failure, Final, Input, Output, Wire};
+pub use exchange::{Exchange, Failure, Final, Input, Output, Reply, Wire};
+pub use leave::Leave;
 pub use session::{cookie, parameter, route_of, split_path};
 pub use stop::{HandDrains, LastRounds, Round};
+pub use table::{Ages, Held as HeldOpen, Shares, pause};
--- /dev/null
+++ b/crates/exchange/src/table.rs
@@ -0,0 +1,151 @@
+//! How a machine's descriptors are shared out, and which client's connection goes when there are too many. One that is
+//! silent or idle goes before one that may be at work; one with a request open never goes.
+
+use doorcourse::Millis;
+
+/// Descriptors by who uses them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to backends.
+    pub backends: usize,
+}
+
+/// What is kept for the program itself: standard streams, poller, listener, signals, the settings' file, discovery, the
+/// counter, and room for connections that are replaced while the old ones end.
+const RESERVE: usize = 40;
+/// The clients' part of the rest. Each open request may need a connection on either side, and clients hold idle
+/// ones beside; backends keep those of past peaks.
+const CLIENTS: f64 = 0.55;
+
+impl Shares {
+    /// Shares out so many descriptors; at least one connection each way.
+    #[must_use]
+    pub fn of(descriptors: usize) -> Self {
+        let rest = descriptors.saturating_sub(RESERVE.min(descriptors / 4));
+        let clients = ((rest as f64 * CLIENTS) as usize).max(1);
+        Self { clients, backends: rest.saturating_sub(clients).max(1) }
+    }
+}
+
+/// When client connections end by their age.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ages {
+    /// One that has said nothing whole, or is midway in a command.
+    pub silent: Millis,
+    /// One between requests.
+    pub idle: Millis,
+    /// One that takes nothing of what it has to read.
+    pub unread: Millis,
+}
+
+/// A client's connection as far as this matters.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Held {
+    /// When it was opened.
+    pub opened: Millis,
+    /// When a whole command came last.
+    pub spoke: Option<Millis>,
+    /// Since when a command is midway.
+    pub midway: Option<Millis>,
+    /// Since when it has something to read and takes nothing.
+    pub unread: Option<Millis>,
+    /// Requests and answers that are open.
+    pub open: usize,
+    /// It was told of a fault and is to end then.
+    pub ending: Option<Millis>,
+}
+
+impl Held {
+    /// Whether its age is over.
+    #[must_use]
+    pub fn is_over(&self, now: Millis, ages: &Ages) -> bool {
+        let old = |since: Option<Millis>, age: Millis| since.is_some_and(|at| now >= at + age);
+        if self.ending.is_some_and(|at| now >= at) || old(self.unread, ages.unread) {
+            return true;
+        }
+        if self.open > 0 || self.unread.is_some() {
+            return false;
+        }
+        match self.spoke {
+            _ if old(self.midway, ages.silent) => true,
+            None => now >= self.opened + ages.silent,
+            Some(at) => self.midway.is_none() && now >= at + ages.idle,
+        }
+    }
+
+    /// Who goes first when there is no room: the lower, those of one rank by the older time. `None` never goes.
+    #[must_use]
+    pub fn rank(&self) -> Option<(u8, Millis)> {
+        match (self.ending, self.spoke) {
+            (Some(at), _) => Some((0, at)),
+            (None, _) if self.open > 0 || self.unread.is_some() => None,
+            (None, None) => Some((1, self.opened)),
+            (None, Some(at)) => Some((2, at)),
+        }
+    }
+}
+
+/// The pause that a client gets which sends what cannot be taken, before more of it is read: doubled with each fault, so
+/// that one which goes on at full speed costs no more than a few a second.
+#[must_use]
+pub fn pause(faults: u32) -> Millis {
+    const FIRST: Millis = 5.0;
+    const LONGEST: Millis = 1000.0;
+    (FIRST * f64::from(1u32 << faults.saturating_sub(1).min(10))).min(LONGEST)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_leave_room_for_all() {
+        for descriptors in [1, 8, 64, 256, 1024, 4096] {
+            let shares = Shares::of(descriptors);
+            assert!(shares.clients >= 1 && shares.backends >= 1);
+            assert!(descriptors < 64 || shares.clients + shares.backends + 16 <= descriptors);
+            assert!(descriptors < 256 || shares.backends * 3 > descriptors, "a third for requests");
+        }
+    }
+
+    const AGES: Ages = Ages { silent: 2000.0, idle: 5000.0, unread: 2500.0 };
+
+    fn held() -> Held {
+        Held { opened: 100.0, spoke: None, midway: None, unread: None, open: 0, ending: None }
+    }
+
+    #[test]
+    fn ages() {
+        assert!(!held().is_over(2099.0, &AGES) && held().is_over(2100.0, &AGES));
+        let spoke = Held { spoke: Some(1000.0), ..held() };
+        assert!(!spoke.is_over(5999.0, &AGES) && spoke.is_over(6000.0, &AGES));
+        let midway = Held { midway: Some(1500.0), ..spoke };
+        assert!(!midway.is_over(3499.0, &AGES) && midway.is_over(3500.0, &AGES));
+        let open = Held { open: 1, ..midway };
+        assert!(!open.is_over(1e9, &AGES), "a request is open");
+        let unread = Held { unread: Some(2000.0), ..open };
+        assert!(!unread.is_over(4499.0, &AGES) && unread.is_over(4500.0, &AGES));
+        let ending = Held { ending: Some(300.0), ..open };
+        assert!(!ending.is_over(299.0, &AGES) && ending.is_over(300.0, &AGES));
+    }
+
+    #[test]
+    fn who_goes_first() {
+        let idle = Held { spoke: Some(1.0), ..held() };
+        let ending = Held { ending: Some(9e9), open: 1, ..held() };
+        let mut all = [idle, held(), ending];
+        all.sort_by(|a, b| a.rank().partial_cmp(&b.rank()).unwrap());
+        assert_eq!(all, [ending, held(), idle]);
+        assert_eq!(Held { open: 1, ..idle }.rank(), None);
+    }
+
+    #[test]
+    fn pauses_grow_to_a_bound() {
+        assert_eq!(
+            (pause(1), pause(2), pause(8), pause(9), pause(u32::MAX)),
+            (5.0, 10.0, 640.0, 1000.0, 1000.0)
+        );
+    }
+}
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -4,8 +4,9 @@
 use crate::io::{Io, Token};
 use doorcourse::{CountOutcome, Event};
 use doorcourse_config::Counter as Settings;
+use doorcourse_counter::{Call, Ended, Link, LinkAction, LinkSettings, RespCodec};
 use doorcourse_net::{Flow, Interest, Ready, Socket, connect};
-use doorcourse_resp::{Call, Ended, Link, LinkAction, LinkSettings};
+
 use std::collections::HashMap;
 
 /// Counts in the process: a fleet of one.
@@ -43,7 +44,7 @@
 
 enum Side {
     Own(Own),
-    Shared { settings: Settings, link: Box<Link>, connection: Option<Connection> },
+    Shared { settings: Settings, link: Box<Link<RespCodec>>, connection: Option<Connection> },
 }
 
 pub(crate) struct Counter {
@@ -57,13 +58,14 @@
         let side = match settings {
             None => Side::Own(Own::default()),
             Some(settings) => {
-                let link = Link::new(LinkSettings {
+                let wanted = LinkSettings {
                     timeout: settings.timeout,
                     first_wait: settings.first_wait(),
                     longest_wait: settings.longest_wait,
                     dead_after: settings.dead_after,
-                    password: settings.password.clone(),
-                });
+                    idle_after: f64::INFINITY,
+                };
+                let link = Link::new(wanted, RespCodec::new(settings.password.clone()));
                 Side::Shared { settings: settings.clone(), link: Box::new(link), connection: None }
             }
         };
@@ -177,8 +179,10 @@
         let now = io.now();
         let Side::Shared { link, connection, .. } = &mut self.side else { return };
         let Some(made) = connection.as_mut().filter(|c| c.connected) else { return };
-        made.socket.output().append(&mut link.output);
-        if made.socket.flush() == Flow::Broken {
+        made.socket.output().extend_from_slice(&link.take_output());
+        let flow = made.socket.flush();
+        link.unwritten(made.socket.pending());
+        if flow == Flow::Broken {
             *connection = None;
             let mut actions = Vec::new();
             link.lost(now, "broken while writing", &mut actions);
--- /dev/null
+++ b/crates/platform/src/backends.rs
@@ -0,0 +1,442 @@
+//! The room of the backends: for each id its address and its connections, one request at a time on each, the one used
+//! last taken first. Between the decision and the first byte lies the dial: what waits for a connection is taken back
+//! when its backend must not have it any more.
+
+use crate::ask::Passed;
+use crate::io::{Io, Kind, Token, Watched};
+use crate::members::Members;
+use doorcourse::{BackendState, LoadReport, Name, RequestId};
+use doorcourse_exchange::Reply;
+use doorcourse_net::{Flow, Interest, Ready, connect};
+use doorcourse_resp::{Answer, Answers};
+use slab::Slab;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// An idle connection is closed after this share of the time after which the backend would: a request written to one
+/// that was just closed may have run.
+const RETIRE: f64 = 0.7;
+/// Connections to one backend that are on their way at once: each costs it work.
+const DIALS: usize = 4;
+/// How often ages are looked at, in ms.
+const SWEEP: f64 = 200.0;
+
+/// What happens to an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Heard {
+    /// It has a connection.
+    Connected,
+    /// Its last byte was written.
+    Written,
+    /// A whole answer.
+    Answered { reply: Reply, value: Vec<u8>, units: Option<f64>, load: Option<LoadReport> },
+    /// The answer cannot be read.
+    Broken,
+    /// The connection broke, or could not be made.
+    Lost,
+    /// Its backend must not have it.
+    Withdrawn,
+}
+
+enum State {
+    Dialing { since: f64 },
+    Idle { since: f64 },
+    Busy { request: RequestId, written: bool },
+}
+
+struct Conn {
+    watched: Watched,
+    backend: Name,
+    state: State,
+    answers: Answers,
+    dirty: bool,
+}
+
+struct Peer {
+    address: std::net::SocketAddr,
+    started: Option<f64>,
+    ready: bool,
+    listed: bool,
+    idle: Vec<usize>,
+    waiting: VecDeque<RequestId>,
+    dialing: usize,
+    conns: usize,
+}
+
+struct Attempt {
+    backend: Name,
+    passed: Rc<Passed>,
+    /// When the answer must be there.
+    until: f64,
+    conn: Option<usize>,
+}
+
+/// One backend as its sockets show it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Seen {
+    pub busy: usize,
+    pub idle: usize,
+    pub waiting: usize,
+    pub dialing: usize,
+}
+
+#[derive(Default)]
+pub(crate) struct Backends {
+    peers: HashMap<Name, Peer>,
+    conns: Slab<Conn>,
+    attempts: HashMap<RequestId, Attempt>,
+    most: usize,
+    dial_timeout: f64,
+    keepalive: f64,
+    dirty: Vec<usize>,
+    swept: f64,
+    /// Connections made so far, for the record.
+    pub dialed: u64,
+}
+
+impl Backends {
+    pub fn new(most: usize, dial_timeout: f64, keepalive: f64) -> Self {
+        Self { most, dial_timeout, keepalive, ..Self::default() }
+    }
+
+    pub fn configure(&mut self, dial_timeout: f64, keepalive: f64) {
+        (self.dial_timeout, self.keepalive) = (dial_timeout, keepalive);
+    }
+
+    /// A list came; the decisions have heard it already.
+    pub fn list(&mut self, list: &Members, said: &mut Vec<(RequestId, Heard)>) {
+        if list.whole {
+            self.peers.values_mut().for_each(|p| p.listed = false);
+        }
+        for member in &list.members {
+            let entry = &member.entry;
+            let ready = entry.state == BackendState::Ready;
+            let listed = entry.state != BackendState::Gone;
+            match (self.peers.get_mut(&entry.name), member.dial) {
+                (Some(peer), dial) => {
+                    let moved = dial.is_some_and(|d| d != peer.address) || peer.started != entry.started;
+                    (peer.ready, peer.listed, peer.started) = (ready, listed, entry.started);
+                    peer.address = dial.unwrap_or(peer.address);
+                    if moved || !ready {
+                        self.withdraw(&entry.name, said);
+                    }
+                }
+                (None, Some(address)) if listed => {
+                    let peer = Peer {
+                        address,
+                        started: entry.started,
+                        ready,
+                        listed,
+                        idle: Vec::new(),
+                        waiting: VecDeque::new(),
+                        dialing: 0,
+                        conns: 0,
+                    };
+                    self.peers.insert(entry.name.clone(), peer);
+                }
+                (None, _) => {}
+            }
+        }
+        let gone = |(name, p): (&Name, &mut Peer)| {
+            (!p.listed).then(|| {
+                p.ready = false;
+                name.clone()
+            })
+        };
+        let gone: Vec<Name> = self.peers.iter_mut().filter_map(gone).collect();
+        for name in gone {
+            self.withdraw(&name, said);
+            self.tidy(&name);
+        }
+    }
+
+    /// Nothing that waits goes there, and what is idle is of another life of it.
+    fn withdraw(&mut self, name: &Name, said: &mut Vec<(RequestId, Heard)>) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        said.extend(peer.waiting.drain(..).map(|id| (id, Heard::Withdrawn)));
+        for at in std::mem::take(&mut peer.idle) {
+            self.close(at);
+        }
+        // Requests whose first byte is not written yet: the turn's flush is still to come.
+        for (_, conn) in self.conns.iter().filter(|(_, c)| c.backend == *name) {
+            if let State::Busy { request, written: false } = conn.state {
+                said.push((request, Heard::Withdrawn));
+            }
+        }
+    }
+
+    fn tidy(&mut self, name: &Name) {
+        if self.peers.get(name).is_some_and(|p| !p.listed && p.conns == 0 && p.waiting.is_empty()) {
+            self.peers.remove(name);
+        }
+    }
+
+    /// An attempt begins.
+    pub fn send(
+        &mut self, io: &mut Io, request: RequestId, backend: &Name, passed: Rc<Passed>, until: f64,
+        said: &mut Vec<(RequestId, Heard)>,
+    ) {
+        let Some(peer) = self.peers.get_mut(backend).filter(|p| p.ready) else {
+            return said.push((request, Heard::Withdrawn));
+        };
+        let attempt = Attempt { backend: backend.clone(), passed, until, conn: None };
+        self.attempts.insert(request, attempt);
+        while let Some(at) = peer.idle.pop() {
+            let conn = &mut self.conns[at];
+            // Anything unasked for, or an end, shows here: bytes left behind an answer must not become the next.
+            let fresh = conn.watched.socket.read() == (0, Flow::Open);
+            if fresh {
+                return self.write(io, at, request, said);
+            }
+            self.conns.remove(at);
+            peer.conns -= 1;
+        }
+        peer.waiting.push_back(request);
+        self.dial(io, backend, said);
+    }
+
+    fn write(&mut self, io: &Io, at: usize, request: RequestId, said: &mut Vec<(RequestId, Heard)>) {
+        let (Some(attempt), Some(conn)) = (self.attempts.get_mut(&request), self.conns.get_mut(at)) else {
+            return;
+        };
+        attempt.conn = Some(at);
+        conn.state = State::Busy { request, written: false };
+        attempt.passed.encode(attempt.until - io.now, conn.watched.socket.output());
+        said.push((request, Heard::Connected));
+        if !std::mem::replace(&mut conn.dirty, true) {
+            self.dirty.push(at);
+        }
+    }
+
+    /// As many connections as attempts wait for, within the bounds.
+    fn dial(&mut self, io: &mut Io, name: &Name, said: &mut Vec<(RequestId, Heard)>) {
+        loop {
+            if self.conns.len() >= self.most {
+                self.retire_oldest();
+            }
+            let Some(peer) = self.peers.get_mut(name) else { return };
+            if peer.dialing >= peer.waiting.len().min(DIALS) {
+                return;
+            }
+            let full = self.conns.len() >= self.most;
+            let token = Token { kind: Kind::Backend, serial: io.serial(), at: self.conns.vacant_key() };
+            let interest = Interest { read: true, write: true };
+            let made = if full {
+                Err(None)
+            } else {
+                connect(peer.address)
+                    .and_then(|s| Watched::new(io, s, token, interest))
+                    .map_err(|e| Some(e.kind()))
+            };
+            match made {
+                Ok(watched) => {
+                    let (backend, state, dirty) = (name.clone(), State::Dialing { since: io.now }, false);
+                    peer.dialing += 1;
+                    peer.conns += 1;
+                    self.dialed += 1;
+                    self.conns.insert(Conn { watched, backend, state, answers: Answers::default(), dirty });
+                }
+                Err(kind) => {
+                    let Some(request) = peer.waiting.pop_front() else { return };
+                    self.attempts.remove(&request);
+                    // What this machine is short of is no fault of the backend's.
+                    let refused = kind == Some(std::io::ErrorKind::ConnectionRefused);
+                    said.push((request, if refused { Heard::Lost } else { Heard::Withdrawn }));
+                }
+            }
+        }
+    }
+
+    /// Closes the connection that has been idle longest, wherever it is.
+    fn retire_oldest(&mut self) {
+        let idle = self.conns.iter().filter_map(|(at, c)| match c.state {
+            State::Idle { since } => Some((since, at)),
+            _ => None,
+        });
+        if let Some((_, at)) = idle.min_by(|a, b| a.0.total_cmp(&b.0)) {
+            self.close(at);
+        }
+    }
+
+    /// Closes a connection and forgets it at its backend.
+    fn close(&mut self, at: usize) {
+        let Some(conn) = self.conns.try_remove(at) else { return };
+        if let Some(peer) = self.peers.get_mut(&conn.backend) {
+            peer.conns -= 1;
+            match conn.state {
+                State::Dialing { .. } => peer.dialing -= 1,
+                State::Idle { .. } => peer.idle.retain(|i| *i != at),
+                State::Busy { .. } => {}
+            }
+        }
+        self.tidy(&conn.backend);
+    }
+
+    /// Ends an attempt: it is not waited for any more.
+    pub fn abandon(&mut self, request: RequestId) {
+        let Some(attempt) = self.attempts.remove(&request) else { return };
+        match attempt.conn {
+            Some(at) => self.close(at),
+            None => {
+                if let Some(peer) = self.peers.get_mut(&attempt.backend) {
+                    peer.waiting.retain(|w| *w != request);
+                }
+            }
+        }
+    }
+
+    /// The time for an attempt's connection is up, if it has none yet.
+    pub fn dial_is_due(&mut self, request: RequestId) -> bool {
+        self.attempts.get(&request).is_some_and(|a| a.conn.is_none())
+    }
+
+    pub fn ready(&mut self, io: &mut Io, token: Token, ready: Ready, said: &mut Vec<(RequestId, Heard)>) {
+        let at = token.at;
+        let Some(conn) = self.conns.get_mut(at).filter(|c| c.watched.token == token) else { return };
+        match conn.state {
+            State::Dialing { .. } => {
+                if !ready.write && !ready.broken {
+                    return;
+                }
+                match conn.watched.socket.finish_connect() {
+                    Ok(()) => {
+                        conn.watched.want(io, true, false);
+                        if let Some(peer) = self.peers.get_mut(&conn.backend) {
+                            peer.dialing -= 1;
+                        }
+                        self.rest(io, at, said);
+                    }
+                    Err(_) => {
+                        let name = conn.backend.clone();
+                        self.close(at);
+                        if let Some(request) = self.peers.get_mut(&name).and_then(|p| p.waiting.pop_front()) {
+                            self.attempts.remove(&request);
+                            said.push((request, Heard::Lost));
+                        }
+                        self.dial(io, &name, said);
+                    }
+                }
+            }
+            // Nothing was asked for: an end, or what belongs to no request.
+            State::Idle { .. } => self.close(at),
+            State::Busy { request, .. } => {
+                if ready.write && !std::mem::replace(&mut conn.dirty, true) {
+                    self.dirty.push(at);
+                }
+                if !ready.read && !ready.broken {
+                    return;
+                }
+                let (_, flow) = conn.watched.socket.read();
+                let found = match conn.answers.read(&conn.watched.socket.input) {
+                    Ok(None) if flow == Flow::Open => return,
+                    Ok(None) => Err(Heard::Lost),
+                    Err(_) => Err(Heard::Broken),
+                    Ok(Some((answer, took))) => {
+                        let heard = heard(answer, &conn.watched.socket.input);
+                        conn.watched.socket.consume(took);
+                        heard.ok_or(Heard::Broken)
+                    }
+                };
+                let good = flow == Flow::Open && conn.watched.socket.input.is_empty();
+                self.attempts.remove(&request);
+                match found {
+                    Ok(heard) => {
+                        let whole = matches!(conn.state, State::Busy { written: true, .. });
+                        said.push((request, heard));
+                        if good && whole { self.rest(io, at, said) } else { self.close(at) }
+                    }
+                    Err(heard) => {
+                        self.close(at);
+                        said.push((request, heard));
+                    }
+                }
+            }
+        }
+    }
+
+    /// A connection is free: for who waits, else it is kept.
+    fn rest(&mut self, io: &Io, at: usize, said: &mut Vec<(RequestId, Heard)>) {
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        conn.state = State::Idle { since: io.now };
+        let peer = self.peers.get_mut(&conn.backend).filter(|p| p.ready);
+        let Some(peer) = peer else { return self.close(at) };
+        match peer.waiting.pop_front() {
+            Some(request) => self.write(io, at, request, said),
+            None => peer.idle.push(at),
+        }
+    }
+
+    /// Writes what the turn left to write.
+    pub fn flush(&mut self, io: &mut Io, said: &mut Vec<(RequestId, Heard)>) {
+        for at in std::mem::take(&mut self.dirty) {
+            let Some(conn) = self.conns.get_mut(at).filter(|c| c.dirty) else { continue };
+            conn.dirty = false;
+            let State::Busy { request, written: false } = conn.state else { continue };
+            let flow = conn.watched.socket.flush();
+            let pending = conn.watched.socket.pending() > 0;
+            conn.watched.want(io, true, pending);
+            if flow == Flow::Broken {
+                self.attempts.remove(&request);
+                self.close(at);
+                said.push((request, Heard::Lost));
+            } else if !pending {
+                conn.state = State::Busy { request, written: true };
+                said.push((request, Heard::Written));
+            }
+        }
+    }
+
+    pub fn due(&self) -> f64 {
+        if self.conns.is_empty() { f64::INFINITY } else { self.swept + SWEEP }
+    }
+
+    /// Connections that never came up, and those idle for too long.
+    pub fn tick(&mut self, io: &mut Io) {
+        if io.now < self.swept + SWEEP {
+            return;
+        }
+        self.swept = io.now;
+        let keep = if self.keepalive > 0.0 { self.keepalive * RETIRE } else { f64::INFINITY };
+        for at in 0..self.conns.capacity() {
+            let Some(conn) = self.conns.get(at) else { continue };
+            let over = match conn.state {
+                State::Dialing { since } => io.now >= since + self.dial_timeout,
+                State::Idle { since } => io.now >= since + keep,
+                State::Busy { .. } => false,
+            };
+            if over {
+                self.close(at);
+            }
+        }
+    }
+
+    /// One backend as its sockets show it.
+    pub fn seen(&self, name: &Name) -> Seen {
+        let Some(peer) = self.peers.get(name) else { return Seen::default() };
+        let (idle, waiting, dialing) = (peer.idle.len(), peer.waiting.len(), peer.dialing);
+        Seen { busy: peer.conns - idle - dialing, idle, waiting, dialing }
+    }
+
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+/// What an answer says; `None` for one that belongs to no request.
+fn heard(answer: Answer, input: &[u8]) -> Option<Heard> {
+    let load = |text: Option<String>| text.and_then(|t| doorcourse_site::report(&t, '=').ok());
+    Some(match answer {
+        Answer::Served { value, used, report } => {
+            let units = used.and_then(|u| u.parse().ok()).filter(|u: &f64| u.is_finite() && *u > 0.0);
+            let (reply, value) = (Reply::Value, input[value].to_vec());
+            Heard::Answered { reply, value, units, load: load(report) }
+        }
+        Answer::Failed { report } => {
+            Heard::Answered { reply: Reply::Failed, value: Vec::new(), units: None, load: load(report) }
+        }
+        Answer::Busy { report } => {
+            Heard::Answered { reply: Reply::TurnedAway, value: Vec::new(), units: None, load: load(report) }
+        }
+        Answer::Pong | Answer::Bulk(_) => return None,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/clients.rs
@@ -0,0 +1,391 @@
+//! The room of the clients: connections, their commands, and answers in the order of the commands. Who is let in and who
+//! has to go is decided by `doorcourse_exchange`'s table.
+
+use crate::ask::{self, Ask, Wrong};
+use crate::io::{Io, Kind, Token, Watched};
+use doorcourse::RequestId;
+use doorcourse_exchange::{Ages, HeldOpen, pause};
+use doorcourse_net::{Flow, Interest, Ready, Socket};
+use doorcourse_resp::{CommandLimits, Commands, Fault};
+use doorcourse_site::Site;
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io::Write;
+use std::net::TcpListener;
+
+/// A value is 64 KiB at most; the other words are short.
+const LIMITS: CommandLimits = CommandLimits { words: 8, word: 64 << 10, bytes: 66 << 10 };
+/// Commands of one connection that run or wait at once: past them reading stops.
+const PIPELINE: usize = 64;
+/// Bytes of answers that one connection may leave unread before its next command is read.
+const UNREAD: usize = 128 << 10;
+/// Connections taken in one turn, so that a crowd at the door does not hold up those inside.
+const ACCEPTS: usize = 64;
+/// Ages in ms. Bad clients are owed an error or a close within 3 s.
+const AGES: Ages = Ages { silent: 2000.0, idle: 5000.0, unread: 2500.0 };
+/// How long a client that was told of a fault has to read it, in ms, before its connection is closed.
+const LINGER: f64 = 250.0;
+/// How often ages are looked at, in ms.
+const SWEEP: f64 = 100.0;
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Given {
+    Value(Vec<u8>),
+    /// Refused: when to come again, in ms, where clients may be told.
+    Busy(Option<u64>),
+    Failed(&'static str),
+    Wrong(Wrong),
+    Unreadable(Fault),
+    Pong,
+    /// Not ready to serve yet.
+    Loading,
+}
+
+impl Given {
+    fn encode(&self, out: &mut Vec<u8>) {
+        let _ = match self {
+            Self::Value(value) => {
+                let _ = write!(out, "${}\r\n", value.len());
+                out.extend_from_slice(value);
+                write!(out, "\r\n")
+            }
+            Self::Busy(None) => write!(out, "-BUSY\r\n"),
+            Self::Busy(Some(wait)) => write!(out, "-BUSY {wait}\r\n"),
+            Self::Failed(why) => write!(out, "-ERR failed: {why}\r\n"),
+            Self::Wrong(wrong) => write!(out, "-ERR {wrong}\r\n"),
+            Self::Unreadable(fault) => write!(out, "-ERR {fault}\r\n"),
+            Self::Pong => write!(out, "+PONG\r\n"),
+            Self::Loading => write!(out, "-LOADING not ready yet\r\n"),
+        };
+    }
+}
+
+enum Slot {
+    /// The answer is to come.
+    Waits(Option<RequestId>),
+    Ready(Given),
+}
+
+/// Where an answer belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Place {
+    at: usize,
+    serial: u32,
+    number: u64,
+}
+
+/// What clients say.
+pub(crate) enum Told {
+    Ping(Place),
+    Asked(Place, Box<Ask>),
+    /// The client of this request is gone.
+    Gone(RequestId),
+}
+
+struct Conn {
+    watched: Watched,
+    commands: Commands,
+    slots: VecDeque<Slot>,
+    /// The number of the first slot.
+    first: u64,
+    held: HeldOpen,
+    faults: u32,
+    /// Nothing is read before then.
+    resume: f64,
+    /// No command follows: the framing is lost.
+    lost: bool,
+    dirty: bool,
+}
+
+impl Conn {
+    fn push(&mut self, slot: Slot) -> Place {
+        self.slots.push_back(slot);
+        self.held.open = self.slots.len();
+        let number = self.first + self.slots.len() as u64 - 1;
+        Place { at: self.watched.token.at, serial: self.watched.token.serial, number }
+    }
+
+    fn reads(&self, now: f64) -> bool {
+        let room = self.slots.len() < PIPELINE && self.watched.socket.pending() <= UNREAD;
+        room && !self.lost && now >= self.resume
+    }
+
+    /// Moves answers whose turn it is to the output.
+    fn settle(&mut self) {
+        while let Some(Slot::Ready(given)) = self.slots.front() {
+            given.encode(self.watched.socket.output());
+            self.slots.pop_front();
+            self.first += 1;
+        }
+        self.held.open = self.slots.len();
+    }
+}
+
+pub(crate) struct Clients {
+    listener: Option<TcpListener>,
+    conns: Slab<Conn>,
+    most: usize,
+    dirty: Vec<usize>,
+    swept: f64,
+}
+
+impl Clients {
+    pub fn new(io: &mut Io, listener: TcpListener, most: usize) -> std::io::Result<Self> {
+        let token = Token { kind: Kind::Listener, serial: io.serial(), at: 0 };
+        io.poller.add(&listener, token.pack(), Interest::READ)?;
+        let (conns, dirty, swept) = (Slab::new(), Vec::new(), io.now);
+        Ok(Self { listener: Some(listener), conns, most, dirty, swept })
+    }
+
+    /// Takes in who waits at the door. A connection that there is no room for is closed at once: left in the
+    /// listener's queue it would wake the loop for ever.
+    pub fn accept(&mut self, io: &mut Io, site: &Site, told: &mut Vec<Told>) {
+        for _ in 0..ACCEPTS {
+            let Some(listener) = &self.listener else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(_) => {
+                    // The peer is gone again, or descriptors are short, which a connection less mends.
+                    if !self.make_room() {
+                        return;
+                    }
+                    continue;
+                }
+            };
+            if self.conns.len() >= self.most && !self.make_room() {
+                continue;
+            }
+            let Ok(socket) = Socket::new(stream) else { continue };
+            let token = Token { kind: Kind::Client, serial: io.serial(), at: self.conns.vacant_key() };
+            let Ok(watched) = Watched::new(io, socket, token, Interest::READ) else { continue };
+            let held =
+                HeldOpen { opened: io.now, spoke: None, midway: None, unread: None, open: 0, ending: None };
+            let (commands, slots) = (Commands::new(LIMITS), VecDeque::new());
+            let at = self.conns.insert(Conn {
+                watched,
+                commands,
+                slots,
+                first: 0,
+                held,
+                faults: 0,
+                resume: f64::NEG_INFINITY,
+                lost: false,
+                dirty: false,
+            });
+            // What a client sends right behind its connection is mostly there by now.
+            self.read(io, site, at, told);
+        }
+    }
+
+    /// Closes the connection that matters least; false where all matter.
+    fn make_room(&mut self) -> bool {
+        let ranked = self.conns.iter().filter_map(|(at, conn)| Some((conn.held.rank()?, at)));
+        let first = ranked.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let Some((_, at)) = first else { return false };
+        self.conns.remove(at);
+        true
+    }
+
+    pub fn ready(&mut self, io: &mut Io, site: &Site, token: Token, ready: Ready, told: &mut Vec<Told>) {
+        let Some(conn) = self.conns.get_mut(token.at).filter(|c| c.watched.token == token) else { return };
+        if ready.write {
+            mark(&mut self.dirty, conn);
+        }
+        if ready.broken || ready.read && conn.reads(io.now) {
+            self.read(io, site, token.at, told);
+        } else {
+            self.rest(io, token.at);
+        }
+    }
+
+    fn read(&mut self, io: &mut Io, site: &Site, at: usize, told: &mut Vec<Told>) {
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        if conn.lost {
+            // It was told of its fault and breaks off: there is nothing to wait for.
+            self.remove(at, told);
+            return;
+        }
+        let (_, flow) = conn.watched.socket.read();
+        self.take(io, site, at, told);
+        if flow != Flow::Open && self.conns.contains(at) {
+            self.remove(at, told);
+        }
+    }
+
+    /// Takes the commands that are whole.
+    fn take(&mut self, io: &mut Io, site: &Site, at: usize, told: &mut Vec<Told>) {
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        let input = std::mem::take(&mut conn.watched.socket.input);
+        let mut used = 0;
+        while used < input.len() && conn.reads(io.now) {
+            let rest = &input[used..];
+            match conn.commands.read(rest) {
+                Ok(None) => break,
+                Ok(Some((words, took))) => {
+                    used += took;
+                    (conn.held.spoke, conn.held.midway) = (Some(io.now), None);
+                    match ask::read(site, rest, &words) {
+                        Ok(ask::Said::Ping) => told.push(Told::Ping(conn.push(Slot::Waits(None)))),
+                        Ok(ask::Said::Request(ask)) => {
+                            told.push(Told::Asked(conn.push(Slot::Waits(None)), ask));
+                        }
+                        Err(wrong) => {
+                            conn.push(Slot::Ready(Given::Wrong(wrong)));
+                            Self::fault(conn, io.now);
+                        }
+                    }
+                }
+                Err(fault) => {
+                    // The line goes out behind the answers that are still to come, and nothing behind it.
+                    conn.lost = true;
+                    conn.push(Slot::Ready(Given::Unreadable(fault)));
+                    used = input.len();
+                }
+            }
+        }
+        let conn = &mut self.conns[at];
+        conn.watched.socket.input = input;
+        conn.watched.socket.consume(used);
+        if conn.watched.socket.input.is_empty() {
+            conn.held.midway = None;
+        } else {
+            conn.held.midway.get_or_insert(io.now);
+        }
+        conn.settle();
+        mark(&mut self.dirty, conn);
+    }
+
+    fn fault(conn: &mut Conn, now: f64) {
+        conn.faults += 1;
+        conn.resume = now + pause(conn.faults);
+    }
+
+    /// The command at a place is a request of this number from now on.
+    pub fn begun(&mut self, place: Place, id: RequestId) {
+        if let Some(slot) = self.slot(place) {
+            *slot = Slot::Waits(Some(id));
+        }
+    }
+
+    fn slot(&mut self, place: Place) -> Option<&mut Slot> {
+        let conn = self.conns.get_mut(place.at).filter(|c| c.watched.token.serial == place.serial)?;
+        conn.slots.get_mut(usize::try_from(place.number.checked_sub(conn.first)?).ok()?)
+    }
+
+    /// Gives the answer to the command at a place; one whose client is gone is dropped.
+    pub fn answer(&mut self, now: f64, place: Place, given: Given) {
+        let wrong = matches!(given, Given::Wrong(_));
+        let Some(slot) = self.slot(place) else { return };
+        *slot = Slot::Ready(given);
+        let conn = &mut self.conns[place.at];
+        if wrong {
+            Self::fault(conn, now);
+        }
+        conn.settle();
+        mark(&mut self.dirty, conn);
+    }
+
+    fn remove(&mut self, at: usize, told: &mut Vec<Told>) {
+        let conn = self.conns.remove(at);
+        let gone = conn.slots.into_iter().filter_map(|slot| match slot {
+            Slot::Waits(id) => id.map(Told::Gone),
+            Slot::Ready(_) => None,
+        });
+        told.extend(gone);
+    }
+
+    /// Writes what the turn left to write; commands that waited for room to answer are taken then.
+    pub fn flush(&mut self, io: &mut Io, site: &Site, told: &mut Vec<Told>) {
+        for at in std::mem::take(&mut self.dirty) {
+            let Some(conn) = self.conns.get_mut(at).filter(|c| c.dirty) else { continue };
+            conn.dirty = false;
+            let before = conn.watched.socket.pending();
+            if conn.watched.socket.flush() == Flow::Broken {
+                self.remove(at, told);
+                continue;
+            }
+            let pending = conn.watched.socket.pending();
+            if pending == 0 {
+                conn.held.unread = None;
+            } else if pending < before || conn.held.unread.is_none() {
+                conn.held.unread = Some(io.now);
+            }
+            if conn.lost && pending == 0 && conn.slots.is_empty() && conn.held.ending.is_none() {
+                conn.watched.socket.end_writing();
+                conn.held.ending = Some(io.now + LINGER);
+            }
+            if !conn.watched.socket.input.is_empty() && conn.reads(io.now) && conn.held.midway.is_some() {
+                self.take_again(io, site, at, told);
+            }
+            self.rest(io, at);
+        }
+    }
+
+    /// Commands at hand that were left because too many were open.
+    fn take_again(&mut self, io: &mut Io, site: &Site, at: usize, told: &mut Vec<Told>) {
+        let held = self.conns[at].watched.socket.input.len();
+        let midway = self.conns[at].held.midway;
+        self.take(io, site, at, told);
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        if conn.watched.socket.input.len() == held {
+            // Nothing whole is there: its age counts on.
+            conn.held.midway = midway;
+            conn.dirty = false;
+            self.dirty.retain(|d| *d != at);
+        }
+    }
+
+    /// Registers for what is of use now.
+    fn rest(&mut self, io: &Io, at: usize) {
+        let Some(conn) = self.conns.get_mut(at) else { return };
+        let (read, write) = (conn.reads(io.now), conn.watched.socket.pending() > 0);
+        conn.watched.want(io, read, write);
+    }
+
+    pub fn due(&self) -> f64 {
+        if self.conns.is_empty() { f64::INFINITY } else { self.swept + SWEEP }
+    }
+
+    /// Ages, and pauses that are over.
+    pub fn tick(&mut self, io: &mut Io, site: &Site, told: &mut Vec<Told>) {
+        if io.now < self.swept + SWEEP {
+            return;
+        }
+        self.swept = io.now;
+        for at in 0..self.conns.capacity() {
+            let Some(conn) = self.conns.get_mut(at) else { continue };
+            if conn.held.is_over(io.now, &AGES) {
+                self.remove(at, told);
+            } else if conn.faults > 0 && conn.reads(io.now) {
+                if !conn.watched.socket.input.is_empty() {
+                    self.take_again(io, site, at, told);
+                }
+                self.rest(io, at);
+            }
+        }
+    }
+
+    /// Takes nothing new: the door is closed, and so are connections with nothing open.
+    pub fn last_call(&mut self) {
+        self.listener = None;
+        self.conns.retain(|_, conn| !conn.slots.is_empty() || conn.watched.socket.pending() > 0);
+    }
+
+    /// How many connections have something to hear.
+    pub fn busy(&self) -> usize {
+        let busy = |c: &Conn| !c.lost && (!c.slots.is_empty() || c.watched.socket.pending() > 0);
+        self.conns.iter().filter(|(_, c)| busy(c)).count()
+    }
+
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+fn mark(dirty: &mut Vec<usize>, conn: &mut Conn) {
+    if !std::mem::replace(&mut conn.dirty, true) {
+        dirty.push(conn.watched.token.at);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/exchanges.rs
@@ -0,0 +1,176 @@
+//! The room of the open requests: between the decisions and the sockets, one exchange each. What becomes of a request is
+//! decided by `doorcourse_exchange`; this room keeps what belongs to it and says what is to be done.
+
+use crate::ask::{Ask, Passed};
+use crate::backends::Heard;
+use crate::clients::{Given, Place};
+use doorcourse::{Arrival, AttemptEnd, Event, LoadReport, Name, RequestId};
+use doorcourse_exchange::{Exchange, Failure, Final, Input, Output, patience};
+use doorcourse_site::Site;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// An answer travels for about so long, in ms: what comes later than that before the client's time is up is too late.
+const MARGIN: f64 = 4.0;
+
+/// What is to be done for a request.
+pub(crate) enum Do {
+    /// Tell the decisions.
+    Tell(Event),
+    /// Give its client the answer.
+    Give(Place, Given),
+    /// Its attempt is not waited for any more.
+    Abandon(RequestId),
+}
+
+struct Open {
+    exchange: Exchange,
+    id: u64,
+    place: Place,
+    passed: Rc<Passed>,
+    until: f64,
+    backend: Name,
+    sent: f64,
+    value: Vec<u8>,
+    load: Option<LoadReport>,
+}
+
+/// An attempt as it goes out.
+pub(crate) struct Outgoing {
+    pub passed: Rc<Passed>,
+    pub until: f64,
+    pub attempt: u32,
+}
+
+#[derive(Default)]
+pub(crate) struct Exchanges {
+    open: HashMap<RequestId, Open>,
+    /// The ids of clients: one that is open is refused to a newcomer.
+    ids: HashMap<u64, RequestId>,
+    last: RequestId,
+    outputs: Vec<Output>,
+}
+
+impl Exchanges {
+    /// Takes a request on; `None` when its id is open. Answers its number, when its time is up, and what the decisions
+    /// are to hear; a request without time left has no event.
+    pub fn begin(
+        &mut self, now: f64, site: &Site, place: Place, ask: Ask,
+    ) -> Option<(RequestId, f64, Option<Event>)> {
+        if self.ids.contains_key(&ask.id) {
+            return None;
+        }
+        self.last += 1;
+        let id = self.last;
+        let longest =
+            site.host.patience.get(ask.class).copied().filter(|p| *p > 0.0).unwrap_or(f64::INFINITY);
+        let Some(patience) = patience(longest, Some(ask.deadline), longest, MARGIN) else {
+            return Some((id, now, None));
+        };
+        let arrival = Arrival {
+            id,
+            customer: ask.customer,
+            plan: site.settings.plans[ask.plan].name.clone(),
+            class: site.settings.classes[ask.class].name.clone(),
+            units: ask.units,
+            repeat: ask.repeat,
+            patience,
+            first: ask.first,
+            spread: ask.spread,
+            bound: Name::default(),
+        };
+        let (until, passed) = (now + patience, Rc::new(ask.passed));
+        let exchange = Exchange::new(usize::MAX);
+        let (backend, value) = (Name::default(), Vec::new());
+        let open = Open { exchange, id: ask.id, place, passed, until, backend, sent: now, value, load: None };
+        self.ids.insert(ask.id, id);
+        self.open.insert(id, open);
+        Some((id, until, Some(Event::Request(arrival))))
+    }
+
+    /// The decisions send a request to a backend; `None` for one that is over.
+    pub fn send(&mut self, now: f64, id: RequestId, backend: &Name) -> Option<Outgoing> {
+        let open = self.open.get_mut(&id)?;
+        open.exchange.handle(Input::Sent, &mut self.outputs);
+        self.outputs.clear();
+        (open.backend, open.sent, open.load) = (backend.clone(), now, None);
+        Some(Outgoing { passed: open.passed.clone(), until: open.until, attempt: open.exchange.attempts() })
+    }
+
+    /// Whether this attempt is the one that is out.
+    pub fn is_out(&self, id: RequestId, attempt: u32) -> bool {
+        self.open.get(&id).is_some_and(|o| o.exchange.is_out() && o.exchange.attempts() == attempt)
+    }
+
+    /// Something was heard of a request's attempt.
+    pub fn heard(&mut self, now: f64, advice: bool, id: RequestId, heard: Heard, out: &mut Vec<Do>) {
+        let input = match heard {
+            Heard::Connected => Input::Connected,
+            Heard::Written => Input::Written,
+            Heard::Answered { reply, value, units, load } => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    (open.value, open.load) = (value, load);
+                }
+                Input::Answered { reply, units }
+            }
+            Heard::Broken => Input::Broken,
+            Heard::Lost => Input::Lost,
+            Heard::Withdrawn => Input::Withdrawn,
+        };
+        self.handle(now, advice, id, input, out);
+    }
+
+    /// Something happened to a request.
+    pub fn handle(&mut self, now: f64, advice: bool, id: RequestId, input: Input, out: &mut Vec<Do>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let mut outputs = std::mem::take(&mut self.outputs);
+        open.exchange.handle(input, &mut outputs);
+        let mut over = false;
+        for output in outputs.drain(..) {
+            match output {
+                Output::Ended { outcome, true_units, finished } => {
+                    let (attempt, backend) = (open.exchange.attempts(), open.backend.clone());
+                    let (latency, load) = (now - open.sent, open.load.take());
+                    out.push(Do::Tell(Event::AttemptEnded(AttemptEnd {
+                        id,
+                        attempt,
+                        backend,
+                        outcome,
+                        latency,
+                        true_units,
+                        finished,
+                        load,
+                    })));
+                }
+                Output::Left => out.push(Do::Tell(Event::ClientLeft { id })),
+                Output::Answer(answer) => out.push(Do::Give(open.place, given(answer, advice))),
+                Output::Pass => out.push(Do::Give(open.place, Given::Value(std::mem::take(&mut open.value)))),
+                Output::Forget => open.value = Vec::new(),
+                Output::Abandon => out.push(Do::Abandon(id)),
+                // Answers are held whole: none is ever passed in part.
+                Output::PassEnd | Output::Cut => {}
+                Output::Over => over = true,
+            }
+        }
+        self.outputs = outputs;
+        if over && let Some(open) = self.open.remove(&id) {
+            self.ids.remove(&open.id);
+        }
+    }
+
+    /// Requests that are open, and attempts whose clients are gone.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+}
+
+fn given(answer: Final, advice: bool) -> Given {
+    match answer {
+        Final::Refused { retry_after, .. } => {
+            Given::Busy((advice && retry_after > 0.0).then(|| retry_after.ceil() as u64))
+        }
+        Final::Failed(Failure::Time) => Given::Failed("no answer in time"),
+        Final::Failed(Failure::Node) => Given::Failed("the backend failed"),
+        Final::Failed(Failure::NoNode) => Given::Failed("no backend took it"),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/run.rs
@@ -0,0 +1,423 @@
+//! The loop: a thin room over the others. Each turn takes in what was told (discovery, counter, ended attempts) before
+//! timers and clients, carries out what the decisions answer, and writes each socket once.
+
+use crate::backends::{Backends, Heard};
+use crate::clients::{Clients, Given, Told};
+use crate::config::Config;
+use crate::counter::Counter;
+use crate::discovery::Discovery;
+use crate::exchanges::{Do, Exchanges};
+use crate::io::{Alarm, Io, Kind, Token};
+use crate::members::Members;
+use crate::watch::Watch;
+use doorcourse::{Action, Event, Gateway, Outcome, RequestId};
+use doorcourse_counter::Call;
+use doorcourse_exchange::{Input, Leave, Shares};
+use doorcourse_net::{Interest, Ready, listen};
+use doorcourse_site::Site;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+
+/// A gateway that was just started answers that it is ready once discovery has told it the list, or when it has waited
+/// for that as long as this, in ms, and goes by the list it last had.
+const LIST_WAIT: f64 = 1000.0;
+const STOP: u8 = 1;
+const RELOAD: u8 = 2;
+
+/// A running gateway.
+pub struct Platform {
+    io: Io,
+    path: PathBuf,
+    site: Site,
+    gateway: Gateway,
+    clients: Clients,
+    backends: Backends,
+    exchanges: Exchanges,
+    counter: Counter,
+    discovery: Discovery,
+    watch: Watch,
+    leave: Leave,
+    closed: bool,
+    address: SocketAddr,
+    began: f64,
+    listed: bool,
+    /// Pipes that wake the loop, and what a byte on each means; on the first, bytes speak for themselves.
+    signals: Vec<(UnixStream, Option<u8>)>,
+    wake: UnixStream,
+    /// What the decisions are still to hear, in order.
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    said: Vec<(RequestId, Heard)>,
+    told: Vec<Told>,
+    counted: Vec<Event>,
+    doing: Vec<Do>,
+}
+
+/// Does what signals do, for a gateway that runs in another thread.
+#[derive(Debug)]
+pub struct Stopper(UnixStream);
+
+impl Stopper {
+    /// Tells it to leave: SIGTERM.
+    pub fn stop(&self) {
+        let _ = std::io::Write::write(&mut &self.0, &[STOP]);
+    }
+
+    /// Has it read its file again: SIGHUP.
+    pub fn reload(&self) {
+        let _ = std::io::Write::write(&mut &self.0, &[RELOAD]);
+    }
+}
+
+impl Platform {
+    /// Takes the file in and listens; nothing is served before `run`.
+    ///
+    /// # Errors
+    /// When the settings cannot be used or the address cannot be had.
+    pub fn new(path: PathBuf, config: Config) -> anyhow::Result<Self> {
+        let mut io = Io::new()?;
+        let Config { listen: address, discovery, counter, seed, limits, known, site, name } = config;
+        let gateway = Gateway::new(site.settings.clone(), seed)?;
+        let listener = listen(address).map_err(|e| anyhow::anyhow!("cannot listen on {address}: {e}"))?;
+        let address = listener.local_addr()?;
+        let shares = Shares::of(limits.sockets);
+        let clients = Clients::new(&mut io, listener, shares.clients)?;
+        let host = &site.host;
+        let backends = Backends::new(shares.backends, host.dial_timeout, host.keepalive);
+        let counter = Counter::new(counter, site.settings.counter_timeout);
+        let discovery = Discovery::new(discovery, known.as_ref().map(|k| k.seq));
+        let (wake, signal) = UnixStream::pair()?;
+        signal.set_nonblocking(true)?;
+        wake.set_nonblocking(true)?;
+        let token = Token { kind: Kind::Signal, serial: io.serial(), at: 0 };
+        io.poller.add(&signal, token.pack(), Interest::READ)?;
+        let (began, watch) = (io.now, Watch::new(io.now));
+        tracing::info!(%name, %address, ?shares, known = known.as_ref().map(|k| k.members.len()), "started");
+        let mut new = Self {
+            io,
+            path,
+            site,
+            gateway,
+            clients,
+            backends,
+            exchanges: Exchanges::default(),
+            counter,
+            discovery,
+            watch,
+            leave: Leave::default(),
+            closed: false,
+            address,
+            began,
+            listed: false,
+            signals: vec![(signal, None)],
+            wake,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            said: Vec::new(),
+            told: Vec::new(),
+            counted: Vec::new(),
+            doing: Vec::new(),
+        };
+        if let Some(mut known) = known {
+            known.whole = true;
+            new.take_list(known);
+            new.settle();
+        }
+        Ok(new)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Has SIGTERM, SIGINT and SIGHUP wake the loop.
+    ///
+    /// # Errors
+    /// When the system refuses.
+    pub fn heed_signals(&mut self) -> std::io::Result<()> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        for (number, byte) in [(SIGTERM, STOP), (SIGINT, STOP), (SIGHUP, RELOAD)] {
+            let (wake, ours) = UnixStream::pair()?;
+            ours.set_nonblocking(true)?;
+            signal_hook::low_level::pipe::register(number, wake)?;
+            let token = Token { kind: Kind::Signal, serial: self.io.serial(), at: self.signals.len() };
+            self.io.poller.add(&ours, token.pack(), Interest::READ)?;
+            self.signals.push((ours, Some(byte)));
+        }
+        Ok(())
+    }
+
+    /// Stops it or has it read its file again from another thread.
+    ///
+    /// # Errors
+    /// When the system has no descriptor left.
+    pub fn stopper(&self) -> std::io::Result<Stopper> {
+        Ok(Stopper(self.wake.try_clone()?))
+    }
+
+    /// Serves until it was told to leave and all that was open is answered.
+    ///
+    /// # Errors
+    /// When the system fails.
+    pub fn run(&mut self) -> anyhow::Result<()> {
+        let mut ready = Vec::new();
+        while !self.leave.is_over(self.io.now, self.clients.busy()) {
+            let due = self.due();
+            let wait = if due.is_finite() { Some(self.io.clock.until(due)) } else { None };
+            self.io.poller.wait(wait, &mut ready)?;
+            self.turn(&mut ready);
+        }
+        tracing::info!("left");
+        Ok(())
+    }
+
+    fn due(&self) -> f64 {
+        let rooms = [
+            self.discovery.due(),
+            self.counter.due(),
+            self.backends.due(),
+            self.clients.due(),
+            self.io.timers.first().unwrap_or(f64::INFINITY),
+            self.leave.last_call().filter(|_| !self.closed).unwrap_or(f64::INFINITY),
+        ];
+        rooms.into_iter().fold(f64::INFINITY, f64::min)
+    }
+
+    fn turn(&mut self, ready: &mut [Ready]) {
+        self.io.now = self.io.clock.now();
+        ready.sort_unstable_by_key(|r| r.token);
+        let inside = ready.iter().take_while(|r| r.token >> 56 < Kind::Listener as u64).count();
+        let (inside, clients) = ready.split_at(inside);
+        for ready in inside {
+            self.one(*ready);
+        }
+        self.tick();
+        for ready in clients {
+            self.one(*ready);
+        }
+        self.clients.tick(&mut self.io, &self.site, &mut self.told);
+        self.settle();
+        self.flush();
+        if !self.closed && !self.leave.takes_new(self.io.now) {
+            self.closed = true;
+            self.clients.last_call();
+        }
+        self.watch.tick(
+            &self.io,
+            &self.gateway,
+            &self.backends,
+            &self.clients,
+            &self.counter,
+            &self.exchanges,
+        );
+    }
+
+    fn one(&mut self, ready: Ready) {
+        let Some(token) = Token::unpack(ready.token) else { return };
+        match token.kind {
+            Kind::Signal => self.signalled(token.at),
+            Kind::Discovery => {
+                let mut lists = Vec::new();
+                self.discovery.ready(&mut self.io, token, ready, &mut lists);
+                lists.into_iter().for_each(|list| self.take_list(list));
+            }
+            Kind::Counter => self.counter.ready(&mut self.io, token, ready, &mut self.counted),
+            Kind::Backend => self.backends.ready(&mut self.io, token, ready, &mut self.said),
+            Kind::Listener => self.clients.accept(&mut self.io, &self.site, &mut self.told),
+            Kind::Client => self.clients.ready(&mut self.io, &self.site, token, ready, &mut self.told),
+        }
+        self.settle();
+    }
+
+    fn tick(&mut self) {
+        self.discovery.tick(&mut self.io);
+        self.counter.tick(&mut self.io, &mut self.counted);
+        self.backends.tick(&mut self.io);
+        self.settle();
+        while let Some(alarm) = self.io.timers.due(self.io.now) {
+            match alarm {
+                Alarm::Decision(token) => self.events.push_back(Event::Timer { token }),
+                Alarm::TimeUp(id) => self.input(id, Input::TimeUp),
+                Alarm::Dial(id, attempt) => {
+                    if self.exchanges.is_out(id, attempt) && self.backends.dial_is_due(id) {
+                        self.backends.abandon(id);
+                        self.said.push((id, Heard::Lost));
+                    }
+                }
+            }
+            self.settle();
+        }
+    }
+
+    /// Carries what one room has to say to the next until nobody has more to say.
+    fn settle(&mut self) {
+        loop {
+            self.events.extend(self.counted.drain(..));
+            for (id, heard) in std::mem::take(&mut self.said) {
+                let (now, advice) = (self.io.now, self.site.host.advice);
+                self.exchanges.heard(now, advice, id, heard, &mut self.doing);
+                self.carry_out();
+            }
+            for told in std::mem::take(&mut self.told) {
+                self.take(told);
+            }
+            let Some(event) = self.events.pop_front() else {
+                if self.said.is_empty() && self.told.is_empty() && self.counted.is_empty() {
+                    return;
+                }
+                continue;
+            };
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.handle(self.io.now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+            self.actions = actions;
+        }
+    }
+
+    fn input(&mut self, id: RequestId, input: Input) {
+        let (now, advice) = (self.io.now, self.site.host.advice);
+        self.exchanges.handle(now, advice, id, input, &mut self.doing);
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        let mut doing = std::mem::take(&mut self.doing);
+        for what in doing.drain(..) {
+            match what {
+                Do::Tell(event) => {
+                    self.watch.note(&event);
+                    self.events.push_back(event);
+                }
+                Do::Give(place, given) => self.clients.answer(self.io.now, place, given),
+                Do::Abandon(id) => self.backends.abandon(id),
+            }
+        }
+        self.doing = doing;
+    }
+
+    fn take(&mut self, told: Told) {
+        match told {
+            Told::Ping(place) => {
+                let listed = self.listed || self.io.now >= self.began + LIST_WAIT;
+                let given = if listed { Given::Pong } else { Given::Loading };
+                self.clients.answer(self.io.now, place, given);
+            }
+            Told::Asked(place, ask) => match self.exchanges.begin(self.io.now, &self.site, place, *ask) {
+                None => {
+                    let given = Given::Wrong(crate::ask::Wrong::Open);
+                    self.clients.answer(self.io.now, place, given);
+                }
+                Some((_, _, None)) => {
+                    self.clients.answer(self.io.now, place, Given::Failed("no time is left"));
+                }
+                Some((id, until, Some(event))) => {
+                    self.clients.begun(place, id);
+                    self.io.timers.set(until, Alarm::TimeUp(id));
+                    self.events.push_back(event);
+                }
+            },
+            Told::Gone(id) => self.input(id, Input::ClientGone),
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, backend, timeout } => {
+                let Some(out) = self.exchanges.send(self.io.now, id, &backend) else { return };
+                if let Some(timeout) = timeout {
+                    self.io.timers.set(self.io.now + timeout, Alarm::TimeUp(id));
+                }
+                let dial = self.site.host.dial_timeout;
+                let until = out.until;
+                self.backends.send(&mut self.io, id, &backend, out.passed, until, &mut self.said);
+                if self.backends.dial_is_due(id) && dial > 0.0 {
+                    self.io.timers.set(self.io.now + dial, Alarm::Dial(id, out.attempt));
+                }
+            }
+            Action::Refuse { id, retry_after, why } => self.input(id, Input::Refused { retry_after, why }),
+            Action::Fail { id } => self.input(id, Input::Failed),
+            Action::CallOff { id, .. } => self.input(id, Input::CalledOff),
+            Action::SetTimer { after, token } => {
+                self.io.timers.set(self.io.now + after, Alarm::Decision(token));
+            }
+            Action::Probe { backend } => {
+                let (outcome, latency, load) = (Outcome::NeverSent, 0.0, None);
+                self.events.push_back(Event::ProbeEnded { backend, outcome, latency, load });
+            }
+            Action::Count { name, amount, keep } => {
+                self.counter.call(&mut self.io, Call { name, amount, keep }, &mut self.counted);
+            }
+            // Gateways have no way to each other here, and the watch is always on.
+            Action::Tell { .. } | Action::WatchBackends => {}
+            Action::Log(line) => tracing::info!(target: "doorcourse::decisions", "{line}"),
+        }
+    }
+
+    fn take_list(&mut self, list: Members) {
+        self.listed = self.listed || list.seq > 0;
+        let entries = list.members.iter().map(|m| m.entry.clone()).collect();
+        self.events.push_back(if list.whole {
+            Event::BackendList(entries)
+        } else {
+            Event::BackendChanges(entries)
+        });
+        // An address must be known before the decisions send there, and the decisions must know of a drain before what
+        // it takes back is placed anew: what was said of attempts is carried after the list.
+        let mut withdrawn = Vec::new();
+        self.backends.list(&list, &mut withdrawn);
+        self.settle();
+        self.said.extend(withdrawn);
+        self.settle();
+    }
+
+    fn flush(&mut self) {
+        // Writing may tell of ends, and ends may bring more to write: a few rounds, the rest has the next turn.
+        for _ in 0..4 {
+            self.backends.flush(&mut self.io, &mut self.said);
+            self.counter.flush(&mut self.io, &mut self.counted);
+            self.clients.flush(&mut self.io, &self.site, &mut self.told);
+            if self.said.is_empty() && self.told.is_empty() && self.counted.is_empty() {
+                return;
+            }
+            self.settle();
+        }
+    }
+
+    fn signalled(&mut self, at: usize) {
+        let mut bytes = [0; 16];
+        let Some((pipe, means)) = self.signals.get_mut(at) else { return };
+        let Ok(count @ 1..) = std::io::Read::read(pipe, &mut bytes) else { return };
+        let means = *means;
+        for byte in &bytes[..count] {
+            match means.unwrap_or(*byte) {
+                STOP if self.leave.tell(self.io.now) => {
+                    tracing::info!(open = self.exchanges.len(), "leaving");
+                    self.events.push_back(Event::Leaving);
+                }
+                RELOAD => self.reload(),
+                _ => {}
+            }
+        }
+    }
+
+    /// Takes the file in again. One that cannot be used changes nothing.
+    fn reload(&mut self) {
+        let config = match Config::open(&self.path) {
+            Ok(config) => config,
+            Err(error) => return tracing::error!("the old configuration stays: {error:#}"),
+        };
+        let Config { discovery, counter, site, .. } = config;
+        tracing::info!(%discovery, counter = counter.map(|c| c.to_string()), "configuration read");
+        self.discovery.move_to(discovery);
+        self.counter.move_to(&self.io, counter, site.settings.counter_timeout);
+        self.backends.configure(site.host.dial_timeout, site.host.keepalive);
+        if format!("{:?}", site.settings) != format!("{:?}", self.site.settings) {
+            self.events.push_back(Event::Settings(Box::new(site.settings.clone())));
+        }
+        self.site = site;
+    }
+}
--- /dev/null
+++ b/crates/site/src/load.rs
@@ -0,0 +1,40 @@
+//! Load reports: names and values, by the names that the settings give them.
+
+use doorcourse::LoadReport;
+
+/// Reads a report of pairs `name=value` or `name:value`, by the separator given.
+///
+/// # Errors
+/// When a pair has no separator or a value is not a finite number.
+pub fn report(text: &str, separator: char) -> Result<LoadReport, String> {
+    let mut report = LoadReport::default();
+    for pair in text.split(',') {
+        let (key, value) = pair
+            .split_once(separator)
+            .ok_or_else(|| format!("load value without a {separator:?}: {pair}"))?;
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        let value = value.ok_or_else(|| format!("load value is not a number: {pair}"))?;
+        match key {
+            "outstanding" | "inflight" => report.inflight = Some(value),
+            "backlog" | "queue" => report.queue = Some(value),
+            "recent_ms" | "latency_ms" => report.service = Some(value),
+            _ => {}
+        }
+    }
+    Ok(report)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reports_of_both_wires() {
+        let wanted = LoadReport { inflight: Some(7.0), queue: Some(2.0), service: None };
+        assert_eq!(report("inflight=7,queue=2,util=0.61", '='), Ok(wanted));
+        assert_eq!(report("outstanding:7,backlog:2,utilization:0.61", ':'), Ok(wanted));
+        for bad in ["", "queue", "queue=", "queue=x", "queue=inf", "queue=1,,"] {
+            assert!(report(bad, '=').is_err(), "{bad:?}");
+        }
+    }
+}
--- a/simhost/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -1,6 +1,6 @@
-//! Reads the settings object of a `START` line into the library's `Settings`.
+//! Reads the settings object.
 
-use doorcourse::{Class, Effect, Group, Name, Plan, Reports, Routing, Settings};
+use doorcourse::{Class, Effect, Group, Millis, Name, Plan, Reports, Routing, Settings};
 use serde_json::Value;
 
 /// One object of the settings; a missing key reads as its zero, a value of the wrong type is a fault.
@@ -45,29 +45,70 @@
     }
 }
 
-/// The settings in a `START` line; unknown keys are skipped.
-pub fn parse(text: &str) -> Result<Settings, String> {
-    let root: Value = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+/// What only a host needs of the settings.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Host {
+    /// A connection that is not up by then counts as one that could not be made.
+    pub dial_timeout: Millis,
+    /// A backend closes a connection that has stood idle for this long; 0 for never.
+    pub keepalive: Millis,
+    /// Requests that one connection to a backend carries at once.
+    pub streams: u32,
+    /// Whether a request may have two attempts out at once.
+    pub second_copies: bool,
+    /// Whether clients are told when to come again.
+    pub advice: bool,
+    /// How long sends to a backend that drains may go on.
+    pub drain_grace: Millis,
+    /// How long past a client's time an answer still counts.
+    pub answer_slack: Millis,
+    /// For each class, in the order of the decisions' classes: how long a client waits at most.
+    pub patience: Vec<Millis>,
+}
+
+/// Settings for the decisions and for their host.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the decisions act on.
+    pub settings: Settings,
+    /// What the host needs beside it.
+    pub host: Host,
+}
+
+/// Reads the settings object in a text; unknown keys are skipped.
+///
+/// # Errors
+/// A line that names the field at fault.
+pub fn parse(text: &str) -> Result<Site, String> {
+    read(&serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
+}
+
+/// Reads the settings object; unknown keys are skipped.
+///
+/// # Errors
+/// A line that names the field at fault.
+pub fn read(root: &Value) -> Result<Site, String> {
     if !root.is_object() {
         return Err("settings: not an object".into());
     }
-    let top = Object(&root);
-    let extra = Object::of(&root, "extra")?;
-    let permissions = Object::of(&root, "permissions")?;
-    let rules = Object::of(&root, "rules")?;
-    let prices = Object::of(&root, "prices")?;
-    let reports = match Object::of(&root, "load-info")?.text("source")? {
+    let top = Object(root);
+    let extra = Object::of(root, "extra")?;
+    let permissions = Object::of(root, "permissions")?;
+    let rules = Object::of(root, "rules")?;
+    let prices = Object::of(root, "prices")?;
+    let reports = match Object::of(root, "load-info")?.text("source")? {
         "inline" => Reports::Answers,
         "on_probe" => Reports::Probes,
         "off" | "" => Reports::None,
         other => return Err(format!("settings: unknown load source {other}")),
     };
-    Ok(Settings {
+    let classes = top.list("classes")?;
+    let settings = Settings {
         gateways: top.count("fleet-size")?,
         number: top.count("my-number")?,
         zone: Name::from(top.text("locality")?),
         tick: top.number("period-ms")?,
-        classes: top.list("classes")?.iter().map(class).collect::<Result<_, _>>()?,
+        classes: classes.iter().map(class).collect::<Result<_, _>>()?,
         plans: top.list("plans")?.iter().map(plan).collect::<Result<_, _>>()?,
         counter: extra.flag("has-counter")?,
         counter_timeout: extra.number("count-limit-ms")?,
@@ -86,7 +127,18 @@
         fall_time: rules.number("fall-ms")?,
         price_cross_zone: prices.number("cross-zone")?,
         routing: Routing::default(),
-    })
+    };
+    let host = Host {
+        dial_timeout: permissions.number("dial-timeout-ms")?,
+        keepalive: permissions.number("keepalive-ms")?,
+        streams: permissions.count("max-streams")?,
+        second_copies: permissions.flag("second-copies")?,
+        advice: permissions.flag("retry-after")?,
+        drain_grace: rules.number("drain-grace-ms")?,
+        answer_slack: rules.number("answer-slack-ms")?,
+        patience: classes.iter().map(|c| Object(c).number("hard-limit-ms")).collect::<Result<_, _>>()?,
+    };
+    Ok(Site { settings, host })
 }
 
 fn class(value: &Value) -> Result<Class, String> {
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -3,8 +3,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod settings;
-
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use doorcourse::{
@@ -102,22 +100,7 @@
 }
 
 fn load(text: &str) -> Result<Option<LoadReport>, String> {
-    if text == "-" || text.is_empty() {
-        return Ok(None);
-    }
-    let mut report = LoadReport::default();
-    for pair in text.split(',') {
-        let (key, value) =
-            pair.split_once(':').ok_or_else(|| format!("load value without a colon: {pair}"))?;
-        let value: f64 = value.parse().map_err(|_| format!("load value is not a number: {pair}"))?;
-        match key {
-            "outstanding" => report.inflight = Some(value),
-            "backlog" => report.queue = Some(value),
-            "recent_ms" => report.service = Some(value),
-            _ => {}
-        }
-    }
-    Ok(Some(report))
+    if text == "-" || text.is_empty() { Ok(None) } else { doorcourse_site::report(text, ':').map(Some) }
 }
 
 fn entry(line: &str) -> Result<BackendEntry, String> {
@@ -207,7 +190,7 @@
             "START" => {
                 let instance = fields.number("i")?;
                 let seed = fields.number("init-seed")?;
-                let settings = settings::parse(&fields.rest())?;
+                let settings = doorcourse_site::parse(&fields.rest())?.settings;
                 let gateway = Gateway::new(settings, seed).map_err(|e| e.to_string())?;
                 self.gateways.insert(instance, gateway);
             }
