--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -11,7 +11,7 @@
 use doorcourse_resp::{Answer, Answers};
 use slab::Slab;
 use std::collections::{HashMap, VecDeque};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// An idle connection is closed after this share of the time after which the backend would: a request written to one
 /// that was just closed may have run.
@@ -20,6 +20,9 @@
 const DIALS: usize = 4;
 /// How often ages are looked at, in ms.
 const SWEEP: f64 = 200.0;
+/// Probes have numbers of their own beside those of requests.
+const PROBES: RequestId = 1 << 63;
+const PROBE: &[u8] = b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n";
 
 /// What happens to an attempt.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,9 +66,17 @@
     conns: usize,
 }
 
+/// What a connection is used for.
+#[derive(Clone)]
+enum What {
+    Request(Arc<Passed>),
+    /// A probe for the load.
+    Probe,
+}
+
 struct Attempt {
     backend: Name,
-    passed: Rc<Passed>,
+    what: What,
     /// When the answer must be there.
     until: f64,
     conn: Option<usize>,
@@ -92,6 +103,7 @@
     swept: f64,
     /// Connections made so far, for the record.
     pub dialed: u64,
+    probes: u64,
 }
 
 impl Backends {
@@ -173,13 +185,33 @@
 
     /// An attempt begins.
     pub fn send(
-        &mut self, io: &mut Io, request: RequestId, backend: &Name, passed: Rc<Passed>, until: f64,
+        &mut self, io: &mut Io, request: RequestId, backend: &Name, passed: Arc<Passed>, until: f64,
+        said: &mut Vec<(RequestId, Heard)>,
+    ) {
+        self.begin(io, request, backend, What::Request(passed), until, said);
+    }
+
+    /// A probe begins; it ends as an attempt does, under the number that is answered.
+    pub fn probe(&mut self, io: &mut Io, backend: &Name, said: &mut Vec<(RequestId, Heard)>) -> RequestId {
+        self.probes += 1;
+        let id = PROBES | self.probes;
+        self.begin(io, id, backend, What::Probe, f64::INFINITY, said);
+        id
+    }
+
+    /// Whether a number is that of a probe.
+    pub fn is_probe(id: RequestId) -> bool {
+        id & PROBES != 0
+    }
+
+    fn begin(
+        &mut self, io: &mut Io, request: RequestId, backend: &Name, what: What, until: f64,
         said: &mut Vec<(RequestId, Heard)>,
     ) {
         let Some(peer) = self.peers.get_mut(backend).filter(|p| p.ready) else {
             return said.push((request, Heard::Withdrawn));
         };
-        let attempt = Attempt { backend: backend.clone(), passed, until, conn: None };
+        let attempt = Attempt { backend: backend.clone(), what, until, conn: None };
         self.attempts.insert(request, attempt);
         while let Some(at) = peer.idle.pop() {
             let conn = &mut self.conns[at];
@@ -201,7 +233,10 @@
         };
         attempt.conn = Some(at);
         conn.state = State::Busy { request, written: false };
-        attempt.passed.encode(attempt.until - io.now, conn.watched.socket.output());
+        match &attempt.what {
+            What::Request(passed) => passed.encode(attempt.until - io.now, conn.watched.socket.output()),
+            What::Probe => conn.watched.socket.output().extend_from_slice(PROBE),
+        }
         said.push((request, Heard::Connected));
         if !std::mem::replace(&mut conn.dirty, true) {
             self.dirty.push(at);
@@ -332,7 +367,7 @@
                     Ok(None) => Err(Heard::Lost),
                     Err(_) => Err(Heard::Broken),
                     Ok(Some((answer, took))) => {
-                        let heard = heard(answer, &conn.watched.socket.input);
+                        let heard = heard(answer, &conn.watched.socket.input, Self::is_probe(request));
                         conn.watched.socket.consume(took);
                         heard.ok_or(Heard::Broken)
                     }
@@ -422,10 +457,11 @@
     }
 }
 
-/// What an answer says; `None` for one that belongs to no request.
-fn heard(answer: Answer, input: &[u8]) -> Option<Heard> {
+/// What an answer says; `None` for one that does not belong to what was asked.
+fn heard(answer: Answer, input: &[u8], probe: bool) -> Option<Heard> {
     let load = |text: Option<String>| text.and_then(|t| doorcourse_site::report(&t, '=').ok());
     Some(match answer {
+        Answer::Served { .. } if probe => return None,
         Answer::Served { value, used, report } => {
             let units = used.and_then(|u| u.parse().ok()).filter(|u: &f64| u.is_finite() && *u > 0.0);
             let (reply, value) = (Reply::Value, input[value].to_vec());
@@ -437,6 +473,10 @@
         Answer::Busy { report } => {
             Heard::Answered { reply: Reply::TurnedAway, value: Vec::new(), units: None, load: load(report) }
         }
+        Answer::Bulk(text) if probe => {
+            let load = load(std::str::from_utf8(&input[text]).ok().map(str::to_owned));
+            Heard::Answered { reply: Reply::Value, value: Vec::new(), units: None, load }
+        }
         Answer::Pong | Answer::Bulk(_) => return None,
     })
 }
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -195,7 +195,7 @@
         self.seq = Some(list.seq);
         self.wait = FIRST_WAIT;
         if !std::mem::replace(&mut self.up, true) {
-            tracing::info!(target: "doorcourse::discovery", "discovery up: version {}", list.seq);
+            tracing::info!(target: "doorcourse::discovery", version = list.seq, "discovery up");
         }
         told.push(list);
         Ok(())
--- a/crates/platform/src/exchanges.rs
+++ b/crates/platform/src/exchanges.rs
@@ -8,7 +8,7 @@
 use doorcourse_exchange::{Exchange, Failure, Final, Input, Output, patience};
 use doorcourse_site::Site;
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// An answer travels for about so long, in ms: what comes later than that before the client's time is up is too late.
 const MARGIN: f64 = 4.0;
@@ -27,7 +27,7 @@
     exchange: Exchange,
     id: u64,
     place: Place,
-    passed: Rc<Passed>,
+    passed: Arc<Passed>,
     until: f64,
     backend: Name,
     sent: f64,
@@ -37,7 +37,7 @@
 
 /// An attempt as it goes out.
 pub(crate) struct Outgoing {
-    pub passed: Rc<Passed>,
+    pub passed: Arc<Passed>,
     pub until: f64,
     pub attempt: u32,
 }
@@ -79,7 +79,7 @@
             spread: ask.spread,
             bound: Name::default(),
         };
-        let (until, passed) = (now + patience, Rc::new(ask.passed));
+        let (until, passed) = (now + patience, Arc::new(ask.passed));
         let exchange = Exchange::new(usize::MAX);
         let (backend, value) = (Name::default(), Vec::new());
         let open = Open { exchange, id: ask.id, place, passed, until, backend, sent: now, value, load: None };
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -48,6 +48,8 @@
     TimeUp(u64),
     /// An attempt's connection should be up: the request and the number of its attempt.
     Dial(u64, u32),
+    /// A probe should be answered.
+    Probe(u64),
 }
 
 pub(crate) struct Io {
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -10,12 +10,12 @@
 use crate::io::{Alarm, Io, Kind, Token};
 use crate::members::Members;
 use crate::watch::Watch;
-use doorcourse::{Action, Event, Gateway, Outcome, RequestId};
+use doorcourse::{Action, Event, Gateway, LoadReport, Name, Outcome, RequestId};
 use doorcourse_counter::Call;
-use doorcourse_exchange::{Input, Leave, Shares};
+use doorcourse_exchange::{Input, Leave, Reply, Shares};
 use doorcourse_net::{Interest, Ready, listen};
 use doorcourse_site::Site;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
@@ -43,6 +43,8 @@
     address: SocketAddr,
     began: f64,
     listed: bool,
+    /// Probes that are out: where to, and since when.
+    probes: HashMap<RequestId, (Name, f64)>,
     /// Pipes that wake the loop, and what a byte on each means; on the first, bytes speak for themselves.
     signals: Vec<(UnixStream, Option<u8>)>,
     wake: UnixStream,
@@ -111,6 +113,7 @@
             address,
             began,
             listed: false,
+            probes: HashMap::new(),
             signals: vec![(signal, None)],
             wake,
             events: VecDeque::new(),
@@ -223,6 +226,7 @@
             Kind::Discovery => {
                 let mut lists = Vec::new();
                 self.discovery.ready(&mut self.io, token, ready, &mut lists);
+                self.listed |= !lists.is_empty();
                 lists.into_iter().for_each(|list| self.take_list(list));
             }
             Kind::Counter => self.counter.ready(&mut self.io, token, ready, &mut self.counted),
@@ -242,6 +246,10 @@
             match alarm {
                 Alarm::Decision(token) => self.events.push_back(Event::Timer { token }),
                 Alarm::TimeUp(id) => self.input(id, Input::TimeUp),
+                Alarm::Probe(id) => {
+                    self.backends.abandon(id);
+                    self.probed(id, Outcome::TimedOut, None);
+                }
                 Alarm::Dial(id, attempt) => {
                     if self.exchanges.is_out(id, attempt) && self.backends.dial_is_due(id) {
                         self.backends.abandon(id);
@@ -258,6 +266,10 @@
         loop {
             self.events.extend(self.counted.drain(..));
             for (id, heard) in std::mem::take(&mut self.said) {
+                if Backends::is_probe(id) {
+                    self.heard_of_probe(id, heard);
+                    continue;
+                }
                 let (now, advice) = (self.io.now, self.site.host.advice);
                 self.exchanges.heard(now, advice, id, heard, &mut self.doing);
                 self.carry_out();
@@ -278,6 +290,28 @@
         }
     }
 
+    fn heard_of_probe(&mut self, id: RequestId, heard: Heard) {
+        let (outcome, load) = match heard {
+            Heard::Connected | Heard::Written => return,
+            Heard::Answered { reply: Reply::Value, load, .. } => (Outcome::Served, load),
+            Heard::Answered { reply: Reply::TurnedAway, load, .. } => (Outcome::Full, load),
+            Heard::Answered { reply: Reply::Failed, load, .. } => (Outcome::Error, load),
+            Heard::Broken => (Outcome::Error, None),
+            Heard::Lost => (Outcome::ConnectFailed, None),
+            Heard::Withdrawn => {
+                self.backends.abandon(id);
+                (Outcome::NeverSent, None)
+            }
+        };
+        self.probed(id, outcome, load);
+    }
+
+    fn probed(&mut self, id: RequestId, outcome: Outcome, load: Option<LoadReport>) {
+        let Some((backend, since)) = self.probes.remove(&id) else { return };
+        let latency = self.io.now - since;
+        self.events.push_back(Event::ProbeEnded { backend, outcome, latency, load });
+    }
+
     fn input(&mut self, id: RequestId, input: Input) {
         let (now, advice) = (self.io.now, self.site.host.advice);
         self.exchanges.handle(now, advice, id, input, &mut self.doing);
@@ -345,8 +379,10 @@
                 self.io.timers.set(self.io.now + after, Alarm::Decision(token));
             }
             Action::Probe { backend } => {
-                let (outcome, latency, load) = (Outcome::NeverSent, 0.0, None);
-                self.events.push_back(Event::ProbeEnded { backend, outcome, latency, load });
+                let id = self.backends.probe(&mut self.io, &backend, &mut self.said);
+                self.probes.insert(id, (backend, self.io.now));
+                let wait = self.site.host.dial_timeout.max(self.site.settings.tick);
+                self.io.timers.set(self.io.now + wait, Alarm::Probe(id));
             }
             Action::Count { name, amount, keep } => {
                 self.counter.call(&mut self.io, Call { name, amount, keep }, &mut self.counted);
@@ -358,7 +394,6 @@
     }
 
     fn take_list(&mut self, list: Members) {
-        self.listed = self.listed || list.seq > 0;
         let entries = list.members.iter().map(|m| m.entry.clone()).collect();
         self.events.push_back(if list.whole {
             Event::BackendList(entries)
@@ -415,7 +450,7 @@
         self.discovery.move_to(discovery);
         self.counter.move_to(&self.io, counter, site.settings.counter_timeout);
         self.backends.configure(site.host.dial_timeout, site.host.keepalive);
-        if format!("{:?}", site.settings) != format!("{:?}", self.site.settings) {
+        if site.settings != self.site.settings {
             self.events.push_back(Event::Settings(Box::new(site.settings.clone())));
         }
         self.site = site;
--- /dev/null
+++ b/crates/platform/tests/life.rs
@@ -0,0 +1,168 @@
+//! Lists that change, files that are replaced, and the end of a gateway, all under load.
+
+mod rig;
+
+use rig::{
+    Answer, Backend, Counter, Discovery, LIMIT, Rig, Shared, host, is_failed, is_served, settings, value,
+};
+use serde_json::json;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn good() -> Backend {
+    Backend::start(|_| Answer::Bytes(value("good")))
+}
+
+/// Serves until something is seen; every answer on the way is good.
+fn serve_until(rig: &Rig, what: &str, seen: impl Fn() -> bool) {
+    let began = Instant::now();
+    let mut client = rig.client();
+    while !seen() {
+        assert!(began.elapsed() < LIMIT, "waited in vain for: {what}");
+        assert!(is_served(&client.ask("order", 1000), "good"));
+    }
+}
+
+#[test]
+fn a_backend_that_drains_gets_nothing_new() {
+    let (first, second) = (good(), good());
+    let rig = Rig::before(&[first.address, second.address]);
+    serve_until(&rig, "both to serve", || first.count() > 0 && second.count() > 0);
+    rig.discovery.tell(vec![host("b0", first.address, "leaving")]);
+    // Its idle connections end when the word is in.
+    first.ended.wait("its connections to end", |e| !e.is_empty());
+    let before = first.count();
+    let mut client = rig.client();
+    for _ in 0..20 {
+        assert!(is_served(&client.ask("order", 1000), "good"));
+    }
+    assert_eq!(first.count(), before);
+}
+
+#[test]
+fn another_id_at_the_same_address_starts_with_its_own_connections() {
+    let backend = good();
+    let rig = Rig::before(&[backend.address]);
+    serve_until(&rig, "the first to serve", || backend.count() > 0);
+    rig.discovery.tell(vec![host("b0", backend.address, "left"), host("b7", backend.address, "active")]);
+    backend.ended.wait("the old connection to end", |e| e.contains(&1));
+    let served = backend.count();
+    serve_until(&rig, "the second to serve", || backend.count() > served);
+    assert!(backend.commands.change(|c| c[served..].iter().all(|c| c.connection > 1)));
+}
+
+#[test]
+fn a_line_that_cannot_be_read_has_the_whole_list_asked_for() {
+    let (first, second) = (good(), good());
+    let rig = Rig::before(&[first.address]);
+    rig.discovery.set(vec![host("b1", second.address, "active")]);
+    rig.discovery.tell_raw("{\"seq\":7,\"whole\":fal");
+    serve_until(&rig, "the second to serve", || second.count() > 0);
+}
+
+#[test]
+fn a_watch_that_ends_goes_on_from_its_version() {
+    let (first, second) = (good(), good());
+    let rig = Rig::before(&[first.address]);
+    rig.discovery.cut();
+    rig.discovery.wait_for_asks(2);
+    rig.discovery.tell(vec![host("b1", second.address, "active")]);
+    serve_until(&rig, "the second to serve", || second.count() > 0);
+}
+
+#[test]
+fn a_new_file_moves_discovery_and_counter_while_requests_go_on() {
+    let (first, second) = (good(), good());
+    let mut rig = Rig::before(&[first.address]);
+    let (discovery, counter) =
+        (Discovery::start(vec![host("b1", second.address, "active")]), Counter::start());
+    serve_until(&rig, "the first to serve", || first.count() > 0);
+    rig.file["discovery"] = json!(discovery.address.to_string());
+    rig.file["counter"] = json!(counter.address.to_string());
+    rig.write();
+    rig.stopper.reload();
+    serve_until(&rig, "the new list", || second.count() > 0);
+    serve_until(&rig, "a call to the new counter", || counter.totals.change(|t| !t.is_empty()));
+}
+
+#[test]
+fn a_file_that_cannot_be_used_changes_nothing() {
+    let backend = good();
+    let rig = Rig::before(&[backend.address]);
+    for text in ["", "{", "{\"name\":1}", "[]"] {
+        std::fs::write(&rig.path, text).unwrap();
+        rig.stopper.reload();
+        assert!(is_served(&rig.client().ask("order", 1000), "good"));
+    }
+    std::fs::remove_file(&rig.path).unwrap();
+    rig.stopper.reload();
+    assert!(is_served(&rig.client().ask("order", 1000), "good"));
+}
+
+#[test]
+fn changed_settings_count_from_the_next_request_on() {
+    let backend = good();
+    let mut rig = Rig::before(&[backend.address]);
+    let list = "c=lookup,t=gold,d=900,units=1,spread=1,first=0";
+    let ask = |rig: &Rig| rig.client().call(&["Q.ASK", "00000000b4d65521", &rig::id(), list]);
+    assert!(rig::is_wrong(&ask(&rig)));
+    let mut gold = settings()["plans"][0].clone();
+    gold["name"] = json!("gold");
+    rig.file["settings"]["plans"].as_array_mut().unwrap().push(gold);
+    rig.write();
+    rig.stopper.reload();
+    let began = Instant::now();
+    while !is_served(&ask(&rig), "good") {
+        assert!(began.elapsed() < LIMIT);
+    }
+}
+
+#[test]
+fn a_gateway_that_leaves_answers_what_is_open_and_what_still_comes() {
+    let open = Shared::new(false);
+    let gate: Arc<Shared<bool>> = open.clone();
+    let backend = Backend::start(move |command| {
+        if command.connection == 1 {
+            gate.wait("the test to let it answer", |open| *open);
+        }
+        Answer::Bytes(value("good"))
+    });
+    let mut rig = Rig::before(&[backend.address]);
+    let (mut first, mut idle) = (rig.client(), rig.client());
+    first.send_ask("lookup", 2400);
+    backend.commands.wait("the request to be sent on", |c| c.len() == 1);
+    rig.stopper.stop();
+    rig.stopper.stop();
+    // New connections and requests are taken for a while.
+    assert!(is_served(&rig.client().ask("lookup", 1000), "good"));
+    assert!(is_served(&idle.ask("lookup", 1000), "good"));
+    assert_eq!(idle.answer(), None, "an idle connection is closed at the last call");
+    open.change(|open| *open = true);
+    assert!(is_served(&first.answer().unwrap(), "good"));
+    assert_eq!(first.answer(), None);
+    rig.join();
+    assert!(TcpStream::connect(rig.address).is_err());
+}
+
+#[test]
+fn a_gateway_that_leaves_ends_also_when_its_backend_says_nothing() {
+    let backend = Backend::start(|_| Answer::Silence);
+    let mut rig = Rig::before(&[backend.address]);
+    let mut client = rig.client();
+    client.send_ask("order", 1100);
+    backend.commands.wait("the request to be sent on", |c| c.len() == 1);
+    rig.stopper.stop();
+    assert!(is_failed(&client.answer().unwrap()));
+    rig.join();
+}
+
+#[test]
+fn without_backends_a_request_is_turned_away_at_once_or_well_before_half_its_time() {
+    let rig = Rig::before(&[]);
+    let mut client = rig.client();
+    let began = Instant::now();
+    let answer = client.ask("lookup", 2400);
+    assert!(rig::is_busy(&answer), "{answer:?}");
+    assert!(began.elapsed() < Duration::from_millis(1200));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -32,7 +32,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// The class's name.
     pub name: Name,
@@ -51,7 +51,7 @@
 }
 
 /// One plan: the quota each of its customers holds over all gateways together.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// The plan's name.
     pub name: Name,
@@ -88,7 +88,7 @@
 }
 
 /// All that a gateway is told at its start. The default is all zeros and no classes: a start to fill in.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// How many gateways there are.
     pub gateways: u32,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -353,21 +353,23 @@
 
     fn on_list(&mut self, list: Vec<BackendEntry>, full: bool, out: &mut Vec<Action>) {
         if full {
-            self.backends.values_mut().for_each(|b| b.ready = false);
+            let now = self.now;
+            self.backends.values_mut().for_each(|b| (b.ready, b.gone) = (false, b.gone.or(Some(now))));
             self.routes.clear_list();
         }
         for entry in list {
             let (ready, known) = (entry.state == BackendState::Ready, self.backends.get_mut(&entry.name));
             let out = known.as_ref().map_or(0, |b| b.out);
+            let gone = (entry.state == BackendState::Gone).then_some(self.now);
             let seat = self.routes.seat(known.as_ref().map(|b| b.seat), &entry);
             if let Some(known) = known.filter(|b| b.started == entry.started) {
-                known.ready = ready;
+                (known.ready, known.gone) = (ready, gone);
                 continue;
             }
             let room = ROOM_FIRST / f64::from(self.settings.gateways);
             let BackendEntry { name, zone, cell, started, .. } = entry;
-            self.backends
-                .insert(name, Backend { zone, cell, ready, seat, started, out, room, ..Default::default() });
+            let rest = Backend { seat, started, out, room, ..Default::default() };
+            self.backends.insert(name, Backend { zone, cell, ready, gone, ..rest });
         }
         self.routes.arrange();
         self.drain_queue(out);
@@ -975,6 +977,10 @@
         let mut asking = Vec::new();
         let plans = &self.settings.plans;
         self.told.retain(|_, (_, at)| now - *at < KEEP_MOST);
+        // A backend that is gone still tells the cell of requests that may have run there, for as long as any lives.
+        let (routes, left) = (&mut self.routes, |b: &Backend| b.gone.is_some_and(|at| now - at > KEEP_MOST));
+        let mut forget = |b: &Backend| b.out == 0 && left(b) && (routes.leave(b.seat), true).1;
+        self.backends.retain(|_, backend| !forget(backend));
         self.customers.retain(|name, customer| {
             let plan = &plans[customer.plan];
             let (idle, turn) = (now - customer.demand_at, Customer::turn(plan));
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -74,6 +74,8 @@
     /// (tier, whether it is the tier's standbys, its time), in the order they are tried.
     levels: Vec<(u32, bool, f64)>,
     best: Option<(f64, usize)>,
+    /// Seats of backends that were forgotten, for the next ones.
+    free: Vec<usize>,
 }
 
 impl Routes {
@@ -88,16 +90,25 @@
         self.seats.iter_mut().for_each(|s| (s.listed, s.ready) = (false, false));
     }
 
+    /// A backend that is long gone is forgotten; its seat is for another. Guards against growth where backends are
+    /// replaced under new names.
+    pub(crate) fn leave(&mut self, seat: usize) {
+        self.free.push(seat);
+    }
+
     /// Takes one line of the list; gives the backend's seat.
     pub(crate) fn seat(&mut self, known: Option<usize>, entry: &BackendEntry) -> usize {
-        let at = known.unwrap_or(self.seats.len());
+        let at = known.or_else(|| self.free.pop()).unwrap_or(self.seats.len());
         if known.is_none() {
             let (hash, place, offer) = (hash(&entry.name), Place::default(), Offer::default());
             let (level, listed, ready, own) = (None, false, false, false);
             let (name, parts, relative, pull, turn) = (entry.name.clone(), 1.0, 1.0, 1.0, f64::NAN);
             let new =
                 Seat { name, hash, place, listed, ready, level, own, parts, relative, pull, turn, offer };
-            self.seats.push(new);
+            match self.seats.get_mut(at) {
+                Some(free) => *free = new,
+                None => self.seats.push(new),
+            }
         }
         let seat = &mut self.seats[at];
         seat.place = entry.place.clone();
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,8 @@
     pub zone: Name,
     pub cell: u64,
     pub ready: bool,
+    /// Since when the list does not name it any more.
+    pub gone: Option<Millis>,
     pub seat: usize,
     pub started: Option<Millis>,
     /// Where starts are not told: when it is tried again after it refused a connection, as if it started then.
