A total that comes late grants its block late; a slow counter no longer eats up quotas

Checked with a trace of refusals beside what is held of their customers (watch=trace): all were for the quota, none for backends, whose believed load matched the sockets; stores stood at -30 to -107 of bursts of 30 to 70. Ruled out: backends, dials, the loop (first attempt 0.2 ms after arrival). Cause: src/logic.rs silent() lets a block go whose call timed out (13 to 21% of the calls), while the counter had added it: it stayed in the count, held by nobody. Nearly every such call is answered after all (late 24 of unknown 24 a second). Change: CountOutcome::Late tells what became of a call given up; in its window the block is granted late, else it goes back. A spoilt answer tells that the amount was added.

--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -149,9 +149,16 @@
                     let outcome = match ended {
                         Ended::Total(total) => CountOutcome::Total(total),
                         Ended::NotAdded => CountOutcome::NotAdded,
-                        Ended::Unknown => CountOutcome::Unknown,
+                        Ended::Unknown | Ended::Added => CountOutcome::Unknown,
+                        Ended::Late { added, total } => CountOutcome::Late { added, total },
                     };
-                    self.end(io, Event::Counted { name, outcome, latency });
+                    let event = Event::Counted { name, outcome, latency };
+                    // What is told late belongs to a call that has ended.
+                    if matches!(ended, Ended::Late { .. }) {
+                        io.events.push_back(event)
+                    } else {
+                        self.end(io, event)
+                    }
                 }
             }
         }
--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -153,7 +153,8 @@
                     let outcome = match ended {
                         Ended::Total(total) => CountOutcome::Total(total),
                         Ended::NotAdded => CountOutcome::NotAdded,
-                        Ended::Unknown => CountOutcome::Unknown,
+                        Ended::Unknown | Ended::Added => CountOutcome::Unknown,
+                        Ended::Late { added, total } => CountOutcome::Late { added, total },
                     };
                     events.push(Event::Counted { name, outcome, latency });
                 }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -284,8 +284,12 @@
                 continue;
             };
             let mut actions = std::mem::take(&mut self.actions);
+            self.watch.note(self.io.now, &event);
             self.gateway.handle(self.io.now, event, &mut actions);
-            actions.drain(..).for_each(|action| self.act(action));
+            for action in actions.drain(..) {
+                self.watch.note_action(self.io.now, &action, &self.gateway);
+                self.act(action);
+            }
             self.actions = actions;
         }
     }
@@ -322,10 +326,7 @@
         let mut doing = std::mem::take(&mut self.doing);
         for what in doing.drain(..) {
             match what {
-                Do::Tell(event) => {
-                    self.watch.note(&event);
-                    self.events.push_back(event);
-                }
+                Do::Tell(event) => self.events.push_back(event),
                 Do::Give(place, given) => self.clients.answer(self.io.now, place, given),
                 Do::Abandon(id) => self.backends.abandon(id),
             }
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -6,8 +6,8 @@
 use crate::counter::Counter;
 use crate::exchanges::Exchanges;
 use crate::io::Io;
-use doorcourse::{Event, Gateway, Name, Outcome};
-use std::collections::BTreeMap;
+use doorcourse::{Action, CountOutcome, Event, Gateway, Name, Outcome, RequestId};
+use std::collections::{BTreeMap, HashMap};
 
 /// How often it tells, in ms.
 const EVERY: f64 = 1000.0;
@@ -22,24 +22,65 @@
     sum: f64,
 }
 
+/// How counter calls ended in a second.
+#[derive(Default)]
+struct Calls {
+    totals: u32,
+    not_added: u32,
+    unknown: u32,
+    late: u32,
+    sum: f64,
+}
+
 pub(crate) struct Watch {
     at: f64,
     on: bool,
+    /// Each refusal is told with what is held of its customer.
+    each: bool,
     seen: BTreeMap<Name, Tally>,
+    calls: Calls,
+    /// Refusals by reason and plan.
+    refused: BTreeMap<(String, Name), u32>,
+    asked: HashMap<RequestId, (Name, Name, f64)>,
 }
 
 impl Watch {
     pub fn new(now: f64) -> Self {
         let on = tracing::enabled!(target: "doorcourse::watch", tracing::Level::DEBUG);
-        Self { at: now, on, seen: BTreeMap::new() }
+        let each = tracing::enabled!(target: "doorcourse::watch", tracing::Level::TRACE);
+        let (calls, refused, asked) = (Calls::default(), BTreeMap::new(), HashMap::new());
+        Self { at: now, on, each, seen: BTreeMap::new(), calls, refused, asked }
     }
 
-    /// The end of an attempt, as its socket showed it.
-    pub fn note(&mut self, event: &Event) {
-        let Event::AttemptEnded(end) = event else { return };
+    /// What the decisions are told.
+    pub fn note(&mut self, now: f64, event: &Event) {
         if !self.on {
             return;
         }
+        let end = match event {
+            Event::AttemptEnded(end) => end,
+            Event::Request(a) => {
+                self.asked.insert(a.id, (a.customer.clone(), a.plan.clone(), now));
+                return;
+            }
+            Event::ClientLeft { id } => return drop(self.asked.remove(id)),
+            Event::Counted { outcome, latency, .. } => {
+                match outcome {
+                    CountOutcome::Total(_) => {
+                        self.calls.totals += 1;
+                        self.calls.sum += latency;
+                    }
+                    CountOutcome::NotAdded => self.calls.not_added += 1,
+                    CountOutcome::Unknown => self.calls.unknown += 1,
+                    CountOutcome::Late { .. } => self.calls.late += 1,
+                }
+                return;
+            }
+            _ => return,
+        };
+        if end.finished {
+            self.asked.remove(&end.id);
+        }
         let tally = self.seen.entry(end.backend.clone()).or_default();
         match end.outcome {
             Outcome::Served => {
@@ -53,6 +94,26 @@
         }
     }
 
+    /// What the decisions answer.
+    pub fn note_action(&mut self, now: f64, action: &Action, gateway: &Gateway) {
+        if !self.on {
+            return;
+        }
+        match action {
+            Action::Refuse { id, why, .. } => {
+                let Some((customer, plan, since)) = self.asked.remove(id) else { return };
+                *self.refused.entry((format!("{why:?}"), plan.clone())).or_default() += 1;
+                if self.each {
+                    let view = gateway.customers().find(|c| c.name == customer);
+                    let held = (now - since).round();
+                    tracing::trace!(target: "doorcourse::watch", ?why, held, ?view, "refused");
+                }
+            }
+            Action::Fail { id } => drop(self.asked.remove(id)),
+            _ => {}
+        }
+    }
+
     pub fn tick(
         &mut self, io: &Io, gateway: &Gateway, backends: &Backends, clients: &Clients, counter: &Counter,
         exchanges: &Exchanges,
@@ -62,6 +123,17 @@
         }
         self.at = io.now;
         let (open, counts) = (exchanges.len(), doorcourse_net::counts());
+        let (told, refused) = (std::mem::take(&mut self.calls), std::mem::take(&mut self.refused));
+        tracing::debug!(
+            target: "doorcourse::watch",
+            totals = told.totals,
+            mean = (told.sum / f64::from(told.totals.max(1)) * 10.0).round() / 10.0,
+            not_added = told.not_added,
+            unknown = told.unknown,
+            late = told.late,
+            ?refused,
+            "counter and refusals"
+        );
         tracing::debug!(
             target: "doorcourse::watch",
             open,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -291,6 +291,13 @@
     NotAdded,
     /// No answer in time; the amount may have been added.
     Unknown,
+    /// What became of a call that ended as unknown before, where the host learns it.
+    Late {
+        /// Whether the amount was added.
+        added: bool,
+        /// The total after the add, where that is told.
+        total: Option<f64>,
+    },
 }
 
 /// A request that came in.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,7 +32,8 @@
 //! - Clocks that agree among gateways to well within the shortest window of any plan: count names are made of the
 //!   window's number. Gateways whose clocks differ by a window count apart, and each grants the quota again.
 //! - A counter that adds an amount to a number by name and answers the total. A call without an answer in time is
-//!   reported as [`CountOutcome::Unknown`]. One answer for each call, in the order of the calls of a name.
+//!   reported as [`CountOutcome::Unknown`]. One answer for each call, in the order of the calls of a name; what is
+//!   learnt later of one that was reported so may be told as [`CountOutcome::Late`].
 //! - Every timer asked for, once, at or after its time.
 //! - For every [`Action::Send`] exactly one [`Event::AttemptEnded`], by the client's patience at the latest.
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 const CEILING_START: f64 = 0.5;
 /// The counter counts as silent after this many time-outs without an answer: one call may just be late.
 const SILENT_AFTER: f64 = 3.0;
+/// So many calls given up are remembered, in case their answers come after all.
+const LATE_MOST: usize = 256;
 /// The most counter calls out at once from one gateway while the counter is at ease.
 const CALLS_MOST: f64 = 12.0;
 /// Counter calls should be answered within this share of their time-out: slower, and fewer are made.
@@ -261,6 +263,8 @@
     requests: BTreeMap<RequestId, Request>,
     queue: VecDeque<RequestId>,
     calls: BTreeMap<u64, Name>,
+    /// Calls without an answer in time, oldest first: count, customer, window, block, what was owed.
+    given_up: VecDeque<(u64, Name, u64, f64, f64)>,
     /// The share of the calls wanted that the counter can bear, by how fast it answers.
     ease: f64,
     /// The share of first totals with room left, for each plan: of first tries, and of clients' repeats.
@@ -789,27 +793,35 @@
     }
 
     fn on_counted(&mut self, count: u64, outcome: CountOutcome, latency: Millis, out: &mut Vec<Action>) {
+        if let CountOutcome::Late { added, total } = outcome {
+            return self.on_late(count, added, total, out);
+        }
         let Some(name) = self.calls.remove(&count) else { return };
         let quick = self.settings.counter_timeout * EASE_SHARE;
         let slow = if matches!(outcome, CountOutcome::Total(_)) { latency / quick } else { f64::INFINITY };
         let step = EASE_STEP * (1.0 - slow).max(-2.0);
         self.ease = (self.ease * (1.0 + step)).clamp(EASE_LEAST, EASE_MOST);
         let CountOutcome::Total(total) = outcome else {
-            return self.silent(&name, outcome == CountOutcome::Unknown, out);
+            return self.silent(count, &name, outcome == CountOutcome::Unknown, out);
         };
+        self.counter_speaks(out);
+        let call = self.customers.get_mut(&name).and_then(|c| c.call.take());
+        self.granted(&name, call.unwrap_or_default(), total, out);
+    }
+
+    fn counter_speaks(&mut self, out: &mut Vec<Action>) {
         if std::mem::take(&mut self.told_silent) {
             self.back_at = self.now;
             out.push(Action::Log("counter back".into()));
         }
         (self.silences, self.counter_heard) = (0, self.now);
-        self.granted(&name, total, out);
     }
 
     /// A total came: learn the store from it, keep what fits, give the rest back, serve who waits.
-    fn granted(&mut self, name: &Name, total: f64, out: &mut Vec<Action>) {
+    fn granted(&mut self, name: &Name, call: (u64, f64, f64), total: f64, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(customer) = self.customers.get_mut(name) else { return };
-        let Some((window, block, owed)) = customer.call.take() else { return };
+        let (window, block, owed) = call;
         let plan = &self.settings.plans[customer.plan];
         if customer.thin(plan) {
             return self.granted_thin(name, total - block - owed, block, out);
@@ -853,19 +865,51 @@
     }
 
     /// No answer: the silence rule decides for who waits, and a block that may have counted is let go.
-    fn silent(&mut self, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
+    fn silent(&mut self, count: u64, name: &Name, may_have_counted: bool, out: &mut Vec<Action>) {
         self.silences += 1;
         if self.is_counter_silent() && !std::mem::replace(&mut self.told_silent, true) {
             out.push(Action::Log("counter silent: spending blocks and even slices".into()));
         }
         let Some(customer) = self.customers.get_mut(name) else { return };
-        let (_, _, owed) = customer.call.take().unwrap_or_default();
+        let (window, block, owed) = customer.call.take().unwrap_or_default();
         customer.owed += if may_have_counted { owed.max(0.0) } else { owed };
+        if may_have_counted {
+            self.given_up.push_back((count, name.clone(), window, block, owed));
+            self.given_up.drain(..self.given_up.len().saturating_sub(LATE_MOST));
+        }
         for id in std::mem::take(&mut customer.waiting) {
             self.by_slice(id, out);
         }
     }
 
+    /// A call that was given up is heard of after all. Guards against a slow counter that eats up quotas: each block
+    /// let go stays in the count, held by nobody, until what was added is known. In its window the block is granted
+    /// late, for the requests to come; else it goes back.
+    fn on_late(&mut self, count: u64, added: bool, total: Option<f64>, out: &mut Vec<Action>) {
+        let Some(at) = self.given_up.iter().position(|call| call.0 == count) else { return };
+        let Some((_, name, window, block, owed)) = self.given_up.remove(at) else { return };
+        let Some(customer) = self.customers.get_mut(&name) else { return };
+        let plan = &self.settings.plans[customer.plan];
+        customer.roll(self.now, plan);
+        if !added {
+            customer.owed += owed.min(0.0);
+        } else if !customer.thin(plan) {
+            customer.owed -= owed.max(0.0);
+            let fresh = total.filter(|t| window == customer.window && *t >= customer.seen);
+            if let Some(total) = fresh {
+                self.counter_speaks(out);
+                return self.granted(&name, (window, block, owed), total, out);
+            }
+            customer.owed -= block;
+            if window == customer.window {
+                customer.seen += block + owed;
+                customer.added += block + owed;
+            } else {
+                customer.store = (customer.store + block + owed.max(0.0)).min(plan.burst);
+            }
+        }
+    }
+
     /// The silence rule for one request: the even slice or refusal.
     fn by_slice(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
--- a/tests/counter_silence.rs
+++ b/tests/counter_silence.rs
@@ -174,3 +174,79 @@
     }
     assert!(lowest > -plan.ceiling_slack, "{:.1} units below the ceiling", -lowest);
 }
+
+fn late(door: &mut Door, name: u64, total: Option<f64>) -> Vec<Action> {
+    let outcome = CountOutcome::Late { added: true, total };
+    door.tell(Event::Counted { name, outcome, latency: 90.0 })
+}
+
+fn one(door: &Door) -> CustomerView {
+    door.gateway.customers().next().expect("the customer")
+}
+
+#[test]
+fn a_total_that_comes_late_grants_its_block_late() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, block) = count(&door.ask(1, "c", "plain", "safe")).expect("a first block");
+    assert_eq!(block, 5.0, "the burst over the gateways");
+    door.tell(Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 });
+    // One was spent from the slice in the meantime: it is told with the next call.
+    assert_eq!((one(&door).lease, one(&door).owed), (0.0, 1.0));
+    late(&mut door, name, Some(block));
+    assert_eq!((one(&door).lease, one(&door).owed), (5.0, 1.0));
+    assert!(sent(&door.ask(2, "c", "plain", "safe")).is_some(), "it is spent as any other");
+    assert_eq!(one(&door).lease, 4.0);
+    // A word of a call that nobody made, or a second one, changes nothing.
+    late(&mut door, name, Some(99.0));
+    assert_eq!(one(&door).lease, 4.0);
+}
+
+#[test]
+fn what_was_added_without_a_total_goes_back() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, block) = count(&door.ask(1, "c", "plain", "safe")).expect("a first block");
+    door.tell(Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 });
+    late(&mut door, name, None);
+    let owed = 1.0 - block;
+    assert_eq!((one(&door).lease, one(&door).owed), (0.0, owed));
+    let did = door.pass(25.0, &[]);
+    assert_eq!(count(&did), Some((name, block + owed)), "with the next block, at once");
+}
+
+#[test]
+fn a_call_that_was_turned_away_late_was_never_made() {
+    let mut door = Door::new(settings(), &["a1", "a2"]);
+    let (name, _) = count(&door.ask(1, "c", "plain", "safe")).expect("a first block");
+    door.tell(Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 });
+    let before = one(&door);
+    let outcome = CountOutcome::Late { added: false, total: None };
+    door.tell(Event::Counted { name, outcome, latency: 90.0 });
+    assert_eq!(one(&door), before);
+}
+
+#[test]
+fn a_counter_that_answers_late_costs_no_quota() {
+    // Each answer comes after its time-out, for as long as three turns: what is let in follows the rate all the same.
+    let (mut door, mut totals) = (Door::new(settings(), &["a1", "a2"]), std::collections::BTreeMap::new());
+    let (mut served, mut waiting) = (0, Vec::new());
+    for id in 1..=300 {
+        let mut did = door.ask(id, "c", "plain", "safe");
+        did.extend(door.pass(20.0, &[]));
+        for (name, total) in std::mem::take(&mut waiting) {
+            did.extend(late(&mut door, name, Some(total)));
+        }
+        while let Some((name, amount)) = count(&did) {
+            let total: &mut f64 = totals.entry(name).or_default();
+            *total += amount;
+            waiting.push((name, *total));
+            did.retain(|a| !matches!(a, Action::Count { .. }));
+            did.extend(door.tell(Event::Counted { name, outcome: CountOutcome::Unknown, latency: 50.0 }));
+        }
+        for (id, at) in did.iter().filter_map(|a| sent(std::slice::from_ref(a))) {
+            door.end(id, 0, &at, Outcome::Served);
+            served += 1;
+        }
+    }
+    // A burst of 10 and 5 a second for 6 s.
+    assert!((32..=42).contains(&served), "{served}");
+}
