--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -172,7 +172,7 @@
         let mut ready = Vec::new();
         while !self.leave.is_over(self.io.now, self.clients.busy()) {
             let due = self.due();
-            let wait = if due.is_finite() { Some(self.io.clock.until(due)) } else { None };
+            let wait = (due < f64::INFINITY).then(|| self.io.clock.until(due));
             self.io.poller.wait(wait, &mut ready)?;
             self.turn(&mut ready);
         }
