--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -225,8 +225,12 @@
                 Ok(None) => break,
                 Ok(Some((words, took))) => {
                     used += took;
-                    (conn.held.spoke, conn.held.midway) = (Some(io.now), None);
-                    match ask::read(site, rest, &words) {
+                    conn.held.midway = None;
+                    let said = ask::read(site, rest, &words);
+                    if said.is_ok() {
+                        conn.held.spoke = Some(io.now);
+                    }
+                    match said {
                         Ok(ask::Said::Ping) => told.push(Told::Ping(conn.push(Slot::Waits(None)))),
                         Ok(ask::Said::Request(ask)) => {
                             told.push(Told::Asked(conn.push(Slot::Waits(None)), ask));
@@ -354,9 +358,10 @@
             return;
         }
         self.swept = io.now;
+        let ages = AGES.under(self.conns.len(), self.most);
         for at in 0..self.conns.capacity() {
             let Some(conn) = self.conns.get_mut(at) else { continue };
-            if conn.held.is_over(io.now, &AGES) {
+            if conn.held.is_over(io.now, &ages) {
                 self.remove(at, told);
             } else if conn.faults > 0 && conn.reads(io.now) {
                 if !conn.watched.socket.input.is_empty() {
