Read again: one way to take commands, one to translate ends, a test that can fail

Found on reading the change: clients took commands left at hand in a second way, which restored what the first one never changes, and left answers made there unwritten until the next turn (up to 100 ms); ends of counter calls were translated twice; the test of a client that reads nothing passed without the cut (seen: it fails now with the age set to 1e9); stand-ins of discovery and counter had the same loop.

--- a/crates/counter/src/link.rs
+++ b/crates/counter/src/link.rs
@@ -1,6 +1,7 @@
 //! The counter link as a state machine: calls in, bytes out; bytes in, ends out. It decides when a call is given
 //! up, when a connection is not worth keeping and how long to wait before the next one. It reads no clock.
 
+use doorcourse::CountOutcome;
 use std::collections::VecDeque;
 
 /// How the link behaves. Times in ms.
@@ -51,6 +52,18 @@
     },
 }
 
+impl From<Ended> for CountOutcome {
+    /// What the decisions hear. A call that was added without a total is unknown to them; a `Late` follows.
+    fn from(ended: Ended) -> Self {
+        match ended {
+            Ended::Total(total) => Self::Total(total),
+            Ended::NotAdded => Self::NotAdded,
+            Ended::Unknown | Ended::Added => Self::Unknown,
+            Ended::Late { added, total } => Self::Late { added, total },
+        }
+    }
+}
+
 /// The reply to one call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reply {
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -146,12 +146,7 @@
                 }
                 LinkAction::Log(line) => tracing::info!(target: "doorcourse::counter", "{line}"),
                 LinkAction::End { name, ended, latency } => {
-                    let outcome = match ended {
-                        Ended::Total(total) => CountOutcome::Total(total),
-                        Ended::NotAdded => CountOutcome::NotAdded,
-                        Ended::Unknown | Ended::Added => CountOutcome::Unknown,
-                        Ended::Late { added, total } => CountOutcome::Late { added, total },
-                    };
+                    let outcome = ended.into();
                     let event = Event::Counted { name, outcome, latency };
                     // What is told late belongs to a call that has ended.
                     if matches!(ended, Ended::Late { .. }) {
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -136,8 +136,7 @@
     if !(4..=5).contains(&words.len()) {
         return Err(Wrong::Words);
     }
-    let customer = hex(word(1)).filter(|n| *n < CUSTOMERS).ok_or(Wrong::Customer)?;
-    let _ = customer;
+    hex(word(1)).filter(|n| *n < CUSTOMERS).ok_or(Wrong::Customer)?;
     let id = hex(word(2)).ok_or(Wrong::Id)?;
     let list = std::str::from_utf8(word(3)).map_err(|_| Wrong::Fields)?;
     let fields = Fields::read(list)?;
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -257,8 +257,10 @@
         } else {
             conn.held.midway.get_or_insert(io.now);
         }
-        conn.settle();
-        mark(&mut self.dirty, conn);
+        if used > 0 {
+            conn.settle();
+            mark(&mut self.dirty, conn);
+        }
     }
 
     fn fault(conn: &mut Conn, now: f64) {
@@ -302,7 +304,8 @@
 
     /// Writes what the turn left to write; commands that waited for room to answer are taken then.
     pub fn flush(&mut self, io: &mut Io, site: &Site, told: &mut Vec<Told>) {
-        for at in std::mem::take(&mut self.dirty) {
+        // Commands that are taken here may be answered at once: it ends because each round takes some of the input.
+        while let Some(at) = self.dirty.pop() {
             let Some(conn) = self.conns.get_mut(at).filter(|c| c.dirty) else { continue };
             conn.dirty = false;
             let before = conn.watched.socket.pending();
@@ -320,27 +323,13 @@
                 conn.watched.socket.end_writing();
                 conn.held.ending = Some(io.now + LINGER);
             }
-            if !conn.watched.socket.input.is_empty() && conn.reads(io.now) && conn.held.midway.is_some() {
-                self.take_again(io, site, at, told);
+            if !conn.watched.socket.input.is_empty() {
+                self.take(io, site, at, told);
             }
             self.rest(io, at);
         }
     }
 
-    /// Commands at hand that were left because too many were open.
-    fn take_again(&mut self, io: &mut Io, site: &Site, at: usize, told: &mut Vec<Told>) {
-        let held = self.conns[at].watched.socket.input.len();
-        let midway = self.conns[at].held.midway;
-        self.take(io, site, at, told);
-        let Some(conn) = self.conns.get_mut(at) else { return };
-        if conn.watched.socket.input.len() == held {
-            // Nothing whole is there: its age counts on.
-            conn.held.midway = midway;
-            conn.dirty = false;
-            self.dirty.retain(|d| *d != at);
-        }
-    }
-
     /// Registers for what is of use now.
     fn rest(&mut self, io: &Io, at: usize) {
         let Some(conn) = self.conns.get_mut(at) else { return };
@@ -364,9 +353,7 @@
             if conn.held.is_over(io.now, &ages) {
                 self.remove(at, told);
             } else if conn.faults > 0 && conn.reads(io.now) {
-                if !conn.watched.socket.input.is_empty() {
-                    self.take_again(io, site, at, told);
-                }
+                self.take(io, site, at, told);
                 self.rest(io, at);
             }
         }
--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -3,7 +3,7 @@
 
 use crate::io::{Io, Kind, Token, Watched};
 use doorcourse::{CountOutcome, Event};
-use doorcourse_counter::{Call, Ended, HttpCodec, Link, LinkAction, LinkSettings};
+use doorcourse_counter::{Call, HttpCodec, Link, LinkAction, LinkSettings};
 use doorcourse_net::{Flow, Interest, Ready, connect};
 use slab::Slab;
 use std::net::SocketAddr;
@@ -151,12 +151,7 @@
                 LinkAction::Close => (side.socket, side.connected) = (None, false),
                 LinkAction::Log(line) => tracing::info!(target: "doorcourse::counter", "{line}"),
                 LinkAction::End { name, ended, latency } => {
-                    let outcome = match ended {
-                        Ended::Total(total) => CountOutcome::Total(total),
-                        Ended::NotAdded => CountOutcome::NotAdded,
-                        Ended::Unknown | Ended::Added => CountOutcome::Unknown,
-                        Ended::Late { added, total } => CountOutcome::Late { added, total },
-                    };
+                    let outcome = ended.into();
                     events.push(Event::Counted { name, outcome, latency });
                 }
             }
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -3,8 +3,8 @@
 mod rig;
 
 use doorcourse_resp::Value;
-use rig::{Answer, Backend, Client, LIMIT, Rig, id, is_busy, is_failed, is_served, is_wrong, value};
-use std::io::{Read, Write};
+use rig::{Answer, Backend, Client, Rig, id, is_busy, is_failed, is_served, is_wrong, value};
+use std::io::Write;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 
@@ -236,18 +236,16 @@
         doorcourse_resp::command(&mut bytes, &["Q.ASK", "00000000b4d65521", &id(), list]);
         deaf.stream.write_all(&bytes).unwrap();
     }
-    let began = Instant::now();
-    let mut good = rig.client();
-    while began.elapsed() < Duration::from_secs(1) {
-        assert!(matches!(good.ask("lookup", 2000), Value::Bulk(_) | Value::Error(_)));
+    // Beside it the others are served, for longer than it may leave its answers unread.
+    let (began, mut served) = (Instant::now(), 0);
+    while began.elapsed() < Duration::from_millis(3500) {
+        served += usize::from(matches!(rig.client().ask("lookup", 2000), Value::Bulk(_)));
     }
-    // What is left of it is what lies in the system's buffers: an end or a reset behind them.
-    deaf.stream.set_read_timeout(Some(LIMIT)).unwrap();
-    std::thread::sleep(Duration::from_secs(3));
-    let mut room = vec![0; 1 << 20];
-    let mut got = 0;
-    while let Ok(n @ 1..) = deaf.stream.read(&mut room) {
-        got += n;
+    assert!(served > 0);
+    // Whole answers that lay in the system's buffers, then the end. A client that was not cut would hear all 400.
+    let mut heard = 0;
+    while heard < 400 && deaf.answer().is_some() {
+        heard += 1;
     }
-    assert!(got < 400 * (60 << 10), "all of it came: nothing was cut");
+    assert!(heard < 400, "nothing was cut");
 }
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -171,36 +171,20 @@
         Self { address, state }
     }
 
-    fn serve(mut stream: TcpStream, state: &Shared<Listed>) {
-        let mut decoder = Decoder::new(Role::Requests, Limits::default());
-        let (mut input, mut room) = (Vec::new(), [0; 4096]);
-        loop {
-            let (took, target) = match decoder.decode(&input) {
-                Ok((took, Some(Part::Head(head)))) => (took, Some(head.target)),
-                Ok((took, _)) => (took, None),
-                Err(_) => return,
-            };
-            input.drain(..took);
-            if let Some(target) = target {
-                state.change(|s| {
-                    s.asked += 1;
-                    let list = json!({"seq": s.seq, "whole": true, "hosts": s.hosts}).to_string();
-                    if target.contains("watch=1") {
-                        let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-                        let _ = stream.write_all(&[&head[..], &chunk(&list)].concat());
-                        s.watchers.extend(stream.try_clone());
-                    } else {
-                        let _ =
-                            write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
-                    }
-                });
-            } else if took == 0 {
-                match stream.read(&mut room) {
-                    Ok(n @ 1..) => input.extend_from_slice(&room[..n]),
-                    _ => return,
+    fn serve(stream: TcpStream, state: &Shared<Listed>) {
+        each_target(stream, |target, stream| {
+            state.change(|s| {
+                s.asked += 1;
+                let list = json!({"seq": s.seq, "whole": true, "hosts": s.hosts}).to_string();
+                if !target.contains("watch=1") {
+                    return write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
                 }
-            }
-        }
+                let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+                stream.write_all(&[&head[..], &chunk(&list)].concat())?;
+                s.watchers.push(stream.try_clone()?);
+                Ok(())
+            })
+        });
     }
 
     /// Tells a change to all who watch.
@@ -254,50 +238,53 @@
         Self { address, totals, mood }
     }
 
-    fn serve(mut stream: TcpStream, totals: &Shared<HashMap<String, f64>>, mood: &AtomicU8) {
-        let mut decoder = Decoder::new(Role::Requests, Limits::default());
-        let (mut input, mut room) = (Vec::new(), [0; 4096]);
-        loop {
-            let (took, target) = match decoder.decode(&input) {
-                Ok((took, Some(Part::Head(head)))) => (took, Some(head.target)),
-                Ok((took, _)) => (took, None),
-                Err(_) => return,
-            };
-            input.drain(..took);
-            if let Some(target) = target {
-                let rest = target.strip_prefix("/v1/count/").expect("the page's path");
-                let (name, query) = rest.split_once('?').expect("an amount and a life");
-                let amount = query.split('&').find_map(|p| p.strip_prefix("add=")).expect("an amount");
-                let amount: f64 = amount.parse().expect("a decimal");
-                let mood = mood.load(Ordering::SeqCst);
-                let total = if mood == 1 {
-                    0.0
-                } else {
-                    totals.change(|t| {
-                        let total = t.entry(name.to_owned()).or_default();
-                        *total += amount;
-                        *total
-                    })
-                };
-                let text = match mood {
-                    1 => "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n".to_owned(),
-                    2 => "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnone".to_owned(),
-                    3 => continue,
-                    _ => {
-                        let (early, total) =
-                            (if mood == 4 { "HTTP/1.1 103 Early\r\n\r\n" } else { "" }, total.to_string());
-                        format!("{early}HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{total}", total.len())
-                    }
-                };
-                if stream.write_all(text.as_bytes()).is_err() {
-                    return;
-                }
-            } else if took == 0 {
-                match stream.read(&mut room) {
-                    Ok(n @ 1..) => input.extend_from_slice(&room[..n]),
-                    _ => return,
+    fn serve(stream: TcpStream, totals: &Shared<HashMap<String, f64>>, mood: &AtomicU8) {
+        each_target(stream, |target, stream| {
+            let rest = target.strip_prefix("/v1/count/").expect("the page's path");
+            let (name, query) = rest.split_once('?').expect("an amount and a life");
+            let amount = query.split('&').find_map(|p| p.strip_prefix("add=")).expect("an amount");
+            let amount: f64 = amount.parse().expect("a decimal");
+            let mood = mood.load(Ordering::SeqCst);
+            if mood == 1 {
+                return stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n");
+            }
+            let total = totals.change(|t| {
+                let total = t.entry(name.to_owned()).or_default();
+                *total += amount;
+                total.to_string()
+            });
+            let early = if mood == 4 { "HTTP/1.1 103 Early\r\n\r\n" } else { "" };
+            let total = if mood == 2 { "none" } else { &total };
+            match mood {
+                3 => Ok(()),
+                _ => {
+                    write!(stream, "{early}HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{total}", total.len())
                 }
             }
+        });
+    }
+}
+
+/// Hands each HTTP request's target to a stand-in, until its connection ends or an answer cannot be written.
+fn each_target(mut stream: TcpStream, mut answer: impl FnMut(&str, &mut TcpStream) -> std::io::Result<()>) {
+    let mut decoder = Decoder::new(Role::Requests, Limits::default());
+    let (mut input, mut room) = (Vec::new(), [0; 4096]);
+    loop {
+        let (took, target) = match decoder.decode(&input) {
+            Ok((took, Some(Part::Head(head)))) => (took, Some(head.target)),
+            Ok((took, _)) => (took, None),
+            Err(_) => return,
+        };
+        input.drain(..took);
+        if let Some(target) = target {
+            if answer(&target, &mut stream).is_err() {
+                return;
+            }
+        } else if took == 0 {
+            match stream.read(&mut room) {
+                Ok(n @ 1..) => input.extend_from_slice(&room[..n]),
+                _ => return,
+            }
         }
     }
 }
