Under a ceiling nothing is paid by what a silence spilt: 25 gateways passed it together

A trace of all decisions of customer (spread 25, 16 a second, burst 27, ceiling 30 and 50): 87 units went on in the 1.5 s after the return, 32 of them beyond the quota. Ruled out: slices in the silence (3 to 16 sent in half a second, within the rate), lost answers, late totals, a restart. At fault: granted() in src/logic.rs, the share of the spilt refill that pays for others: each gateway lets the same units by. Change: no such payment under a ceiling.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -837,10 +837,11 @@
         }
         customer.roll(now, plan);
         let slice = customer.slice.take();
-        // What the others used in a silence is told at its end, all at once: their parts of what came in then
-        // paid for it. Guards against stores far below nothing after each silence.
+        // What others used in a silence is told at its end, all at once: their parts of what came in then paid
+        // for it, but under a ceiling, which many gateways would pass together. Guards stores after silences.
         let (from, back) = self.silence;
-        let part = if now < back + Customer::turn(plan) { 1.0 - 1.0 / customer.spread } else { 0.0 };
+        let pays = now < back + Customer::turn(plan) && plan.ceiling_rate <= 0.0;
+        let part = if pays { 1.0 - 1.0 / customer.spread } else { 0.0 };
         customer.spilt = customer.spilt.min(plan.rate * (back - from) / 1000.0 * part);
         if plan.ceiling_rate > 0.0 && customer.known && customer.heard < back {
             // Guards against a counter that comes back empty: what others spent in the silence is told
@@ -864,8 +865,7 @@
                 customer.spilt -= paid;
                 customer.store = (customer.store - (used - paid)).min(plan.burst);
             }
-            customer.seen = total;
-            customer.lease += block;
+            (customer.seen, customer.lease) = (total, customer.lease + block);
             if customer.store < 0.0 {
                 let back = customer.lease.min((-customer.store).ceil()).min(block);
                 customer.lease -= back;
