--- a/tests/fleet_ceiling.rs
+++ b/tests/fleet_ceiling.rs
@@ -174,6 +174,7 @@
     }
 }
 
+/// Figures to judge a change by: `cargo test --test fleet_ceiling figures -- --ignored --nocapture`.
 #[test]
 #[ignore = "prints figures"]
 fn figures() {
