--- a/tests/fleet_ceiling.rs
+++ b/tests/fleet_ceiling.rs
@@ -38,7 +38,6 @@
     trouble: Trouble,
     start: Millis,
     sent: Vec<Millis>,
-    calls: u32,
 }
 
 fn plan() -> Plan {
@@ -62,7 +61,7 @@
     fn new(seed: u64, trouble: Trouble) -> Self {
         let doors = (0..GATEWAYS).map(|n| door(n, seed * 1000 + u64::from(n))).collect();
         let (chance, counts) = (Chance(seed), BTreeMap::new());
-        Self { doors, chance, counts, trouble, start: 1000.0, sent: Vec::new(), calls: 0 }
+        Self { doors, chance, counts, trouble, start: 1000.0, sent: Vec::new() }
     }
 
     /// Carries out what a gateway did, and what it does on that.
@@ -84,7 +83,6 @@
     }
 
     fn count(&mut self, at: usize, name: u64, amount: f64, keep: Millis) -> Vec<Action> {
-        self.calls += 1;
         let now = self.doors[at].now;
         let (from, back) = self.trouble.silent;
         let (outcome, latency) = if now >= self.start + from && now < self.start + back {
@@ -173,30 +171,3 @@
         }
     }
 }
-
-/// Figures to judge a change by: `cargo test --test fleet_ceiling figures -- --ignored --nocapture`.
-#[test]
-#[ignore = "prints figures"]
-fn figures() {
-    let plan = plan();
-    for trouble in troubles() {
-        for rate in [8.0, 14.0, 20.0, 40.0, 250.0] {
-            let mut worst = f64::NEG_INFINITY;
-            let (mut sent, mut calls, mut quota) = (0, 0, f64::NEG_INFINITY);
-            for seed in 1..=6 {
-                let mut fleet = Fleet::new(seed, trouble);
-                fleet.play(14_000.0, rate);
-                worst = worst.max(fleet.beyond(plan.ceiling_rate, plan.ceiling_burst));
-                quota = quota.max(fleet.beyond(plan.rate, plan.burst));
-                sent += fleet.sent.len();
-                calls += fleet.calls;
-            }
-            println!(
-                "{trouble:?} {rate}/s: past the ceiling {worst:.1}, past the quota {quota:.1}, sent {:.0} of {:.0}, calls {}",
-                sent as f64 / 6.0,
-                27.0 + 16.0 * 14.0,
-                calls / 6
-            );
-        }
-    }
-}
