--- /dev/null
+++ b/crates/exchange/src/pool.rs
@@ -0,0 +1,165 @@
+//! The connections of one node as its requests see them: which one is taken, how many are on their way, who waits, and
+//! which are closed. It opens and closes nothing; connections are numbers of the host's.
+
+use doorcourse::{Millis, RequestId};
+use std::collections::VecDeque;
+
+/// An idle connection is closed after this share of the time after which the node would: a request written to one
+/// that was just closed may have run.
+const RETIRE: f64 = 0.7;
+/// Connections to one node that are on their way at once: each costs it work.
+const DIALS: usize = 4;
+
+/// How long a connection may stand idle before it is closed here, where the node closes it after `keepalive`; a node
+/// that states no time keeps it.
+#[must_use]
+pub fn kept(keepalive: Millis) -> Millis {
+    if keepalive > 0.0 { keepalive * RETIRE } else { f64::INFINITY }
+}
+
+/// The connections of one node.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    /// Those that stand idle and since when, the one used last behind.
+    idle: Vec<(usize, Millis)>,
+    waiting: VecDeque<RequestId>,
+    dialing: usize,
+    busy: usize,
+}
+
+impl Pool {
+    /// A connection for a request: the one used last, so that those not needed age and go. Such as stood idle for too
+    /// long are given as `old`, to be closed. It counts as busy from here on.
+    pub fn take(&mut self, now: Millis, keep: Millis, old: &mut Vec<usize>) -> Option<usize> {
+        while let Some((at, since)) = self.idle.pop() {
+            if now < since + keep {
+                self.busy += 1;
+                return Some(at);
+            }
+            old.push(at);
+        }
+        None
+    }
+
+    /// A request waits for a connection.
+    pub fn wait(&mut self, request: RequestId) {
+        self.waiting.push_back(request);
+    }
+
+    /// A request waits no more.
+    pub fn leave(&mut self, request: RequestId) {
+        self.waiting.retain(|w| *w != request);
+    }
+
+    /// The request that has waited longest, which cannot be served here.
+    pub fn turn_away(&mut self) -> Option<RequestId> {
+        self.waiting.pop_front()
+    }
+
+    /// All that waits and all that is idle, which is given up: the node must not have it, or is another now.
+    pub fn withdraw(&mut self) -> (Vec<RequestId>, Vec<usize>) {
+        (self.waiting.drain(..).collect(), self.idle.drain(..).map(|(at, _)| at).collect())
+    }
+
+    /// Whether one more connection is to be made: as many as requests wait for, within the bound.
+    #[must_use]
+    pub fn wants_dial(&self) -> bool {
+        self.dialing < self.waiting.len().min(DIALS)
+    }
+
+    /// A connection is on its way.
+    pub fn dials(&mut self) {
+        self.dialing += 1;
+    }
+
+    /// It is up or will not be.
+    pub fn dialed(&mut self) {
+        self.dialing -= 1;
+    }
+
+    /// A connection is free, after a request or fresh: for the request that has waited longest, which it then carries,
+    /// else it stands idle.
+    pub fn rest(&mut self, now: Millis, at: usize) -> Option<RequestId> {
+        let next = self.waiting.pop_front();
+        match next {
+            Some(_) => self.busy += 1,
+            None => self.idle.push((at, now)),
+        }
+        next
+    }
+
+    /// A connection's request is over, and it is free or gone.
+    pub fn freed(&mut self) {
+        self.busy -= 1;
+    }
+
+    /// An idle connection is gone.
+    pub fn gone(&mut self, at: usize) {
+        self.idle.retain(|(idle, _)| *idle != at);
+    }
+
+    /// The connection that has stood idle longest, and since when.
+    #[must_use]
+    pub fn oldest(&self) -> Option<(usize, Millis)> {
+        self.idle.first().copied()
+    }
+
+    /// Requests that wait, connections on their way, busy and idle.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize, usize, usize) {
+        (self.waiting.len(), self.dialing, self.busy, self.idle.len())
+    }
+
+    /// Whether nothing of the node is left here.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.counts() == (0, 0, 0, 0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_one_used_last_is_taken_and_the_old_ones_are_closed() {
+        let (mut pool, mut old) = (Pool::default(), Vec::new());
+        for at in 0..3 {
+            pool.rest(at as f64 * 100.0, at);
+        }
+        assert_eq!((pool.take(250.0, kept(500.0), &mut old), pool.oldest()), (Some(2), Some((0, 0.0))));
+        pool.freed();
+        assert_eq!(pool.rest(300.0, 2), None);
+        // 0.7 of 500 ms: the one of 100 ms is over at 450, that of 300 is not.
+        assert_eq!(pool.take(449.0, kept(500.0), &mut old), Some(2));
+        assert_eq!((pool.take(450.0, kept(500.0), &mut old), &old[..]), (None, &[1, 0][..]));
+        assert!(kept(0.0).is_infinite());
+    }
+
+    #[test]
+    fn dials_follow_who_waits_within_the_bound() {
+        let mut pool = Pool::default();
+        let mut dials = 0;
+        for request in 0..10 {
+            pool.wait(request);
+            while pool.wants_dial() {
+                pool.dials();
+                dials += 1;
+            }
+        }
+        assert_eq!((dials, pool.counts()), (4, (10, 4, 0, 0)));
+        // One is up and serves who waited longest; another is made for those behind.
+        pool.dialed();
+        assert_eq!(pool.rest(5.0, 0), Some(0));
+        assert!(pool.wants_dial());
+        pool.leave(1);
+        assert_eq!(pool.turn_away(), Some(2));
+        let (waiting, idle) = pool.withdraw();
+        assert_eq!((waiting, idle, pool.wants_dial()), ((3..10).collect(), Vec::new(), false));
+        for _ in 0..3 {
+            pool.dialed();
+        }
+        pool.freed();
+        assert!(pool.is_empty());
+    }
+}
--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -6,18 +6,13 @@
 use crate::io::{Io, Kind, Token, Watched};
 use crate::members::Members;
 use doorcourse::{BackendState, LoadReport, Name, RequestId};
-use doorcourse_exchange::Reply;
+use doorcourse_exchange::{Pool, Reply, kept};
 use doorcourse_net::{Flow, Interest, Ready, connect};
 use doorcourse_resp::{Answer, Answers};
 use slab::Slab;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 
-/// An idle connection is closed after this share of the time after which the backend would: a request written to one
-/// that was just closed may have run.
-const RETIRE: f64 = 0.7;
-/// Connections to one backend that are on their way at once: each costs it work.
-const DIALS: usize = 4;
 /// How often ages are looked at, in ms.
 const SWEEP: f64 = 200.0;
 /// Probes have numbers of their own beside those of requests.
@@ -64,10 +59,7 @@
     started: Option<f64>,
     ready: bool,
     listed: bool,
-    idle: Vec<usize>,
-    waiting: VecDeque<RequestId>,
-    dialing: usize,
-    conns: usize,
+    pool: Pool,
 }
 
 /// What a connection is used for.
@@ -138,16 +130,7 @@
                     }
                 }
                 (None, Some(address)) if listed => {
-                    let peer = Peer {
-                        address,
-                        started: entry.started,
-                        ready,
-                        listed,
-                        idle: Vec::new(),
-                        waiting: VecDeque::new(),
-                        dialing: 0,
-                        conns: 0,
-                    };
+                    let peer = Peer { address, started: entry.started, ready, listed, pool: Pool::default() };
                     self.peers.insert(entry.name.clone(), peer);
                 }
                 (None, _) => {}
@@ -169,8 +152,9 @@
     /// Nothing that waits goes there, and what is idle is of another life of it.
     fn withdraw(&mut self, name: &Name, said: &mut Vec<(RequestId, Heard)>) {
         let Some(peer) = self.peers.get_mut(name) else { return };
-        said.extend(peer.waiting.drain(..).map(|id| (id, Heard::Withdrawn)));
-        for at in std::mem::take(&mut peer.idle) {
+        let (waiting, idle) = peer.pool.withdraw();
+        said.extend(waiting.into_iter().map(|id| (id, Heard::Withdrawn)));
+        for at in idle {
             self.close(at);
         }
         // Requests whose first byte is not written yet: the turn's flush is still to come.
@@ -182,7 +166,7 @@
     }
 
     fn tidy(&mut self, name: &Name) {
-        if self.peers.get(name).is_some_and(|p| !p.listed && p.conns == 0 && p.waiting.is_empty()) {
+        if self.peers.get(name).is_some_and(|p| !p.listed && p.pool.is_empty()) {
             self.peers.remove(name);
         }
     }
@@ -218,22 +202,19 @@
         let attempt = Attempt { backend: backend.clone(), what, until, conn: None };
         self.attempts.insert(request, attempt);
         let keep = kept(self.keepalive);
-        while let Some(at) = peer.idle.pop() {
-            let conn = &mut self.conns[at];
-            if matches!(conn.state, State::Idle { since } if io.now >= since + keep) {
-                self.conns.remove(at);
-                peer.conns -= 1;
-                continue;
-            }
+        let mut old = Vec::new();
+        loop {
+            let taken = peer.pool.take(io.now, keep, &mut old);
+            old.drain(..).for_each(|at| drop(self.conns.remove(at)));
+            let Some(at) = taken else { break };
             // Anything unasked for, or an end, shows here: bytes left behind an answer must not become the next.
-            let fresh = conn.watched.socket.read() == (0, Flow::Open);
-            if fresh {
+            if self.conns[at].watched.socket.read() == (0, Flow::Open) {
                 return self.write(io, at, request, said);
             }
             self.conns.remove(at);
-            peer.conns -= 1;
+            peer.pool.freed();
         }
-        peer.waiting.push_back(request);
+        peer.pool.wait(request);
         self.dial(io, backend, said);
     }
 
@@ -262,7 +243,7 @@
                 self.retire_oldest();
             }
             let Some(peer) = self.peers.get_mut(name) else { return };
-            if peer.dialing >= peer.waiting.len().min(DIALS) {
+            if !peer.pool.wants_dial() {
                 return;
             }
             let full = self.conns.len() >= self.most;
@@ -278,8 +259,7 @@
             match made {
                 Ok(watched) => {
                     let (backend, state, dirty) = (name.clone(), State::Dialing { since: io.now }, false);
-                    peer.dialing += 1;
-                    peer.conns += 1;
+                    peer.pool.dials();
                     self.dialed += 1;
                     self.conns.insert(Conn {
                         watched,
@@ -293,7 +273,7 @@
                     });
                 }
                 Err(kind) => {
-                    let Some(request) = peer.waiting.pop_front() else { return };
+                    let Some(request) = peer.pool.turn_away() else { return };
                     self.attempts.remove(&request);
                     // What this machine is short of is no fault of the backend's.
                     let refused = kind == Some(std::io::ErrorKind::ConnectionRefused);
@@ -305,11 +285,8 @@
 
     /// Closes the connection that has been idle longest, wherever it is.
     fn retire_oldest(&mut self) {
-        let idle = self.conns.iter().filter_map(|(at, c)| match c.state {
-            State::Idle { since } => Some((since, at)),
-            _ => None,
-        });
-        if let Some((_, at)) = idle.min_by(|a, b| a.0.total_cmp(&b.0)) {
+        let idle = self.peers.values().filter_map(|p| p.pool.oldest());
+        if let Some((at, _)) = idle.min_by(|a, b| a.1.total_cmp(&b.1)) {
             self.close(at);
         }
     }
@@ -318,11 +295,10 @@
     fn close(&mut self, at: usize) {
         let Some(conn) = self.conns.try_remove(at) else { return };
         if let Some(peer) = self.peers.get_mut(&conn.backend) {
-            peer.conns -= 1;
             match conn.state {
-                State::Dialing { .. } => peer.dialing -= 1,
-                State::Idle { .. } => peer.idle.retain(|i| *i != at),
-                State::Busy { .. } => {}
+                State::Dialing { .. } => peer.pool.dialed(),
+                State::Idle { .. } => peer.pool.gone(at),
+                State::Busy { .. } => peer.pool.freed(),
             }
         }
         self.tidy(&conn.backend);
@@ -335,7 +311,7 @@
             Some(at) => self.close(at),
             None => {
                 if let Some(peer) = self.peers.get_mut(&attempt.backend) {
-                    peer.waiting.retain(|w| *w != request);
+                    peer.pool.leave(request);
                 }
             }
         }
@@ -357,15 +333,12 @@
                 match conn.watched.socket.finish_connect() {
                     Ok(()) => {
                         conn.watched.want(io, true, false);
-                        if let Some(peer) = self.peers.get_mut(&conn.backend) {
-                            peer.dialing -= 1;
-                        }
                         self.rest(io, at, said);
                     }
                     Err(_) => {
                         let name = conn.backend.clone();
                         self.close(at);
-                        if let Some(request) = self.peers.get_mut(&name).and_then(|p| p.waiting.pop_front()) {
+                        if let Some(request) = self.peers.get_mut(&name).and_then(|p| p.pool.turn_away()) {
                             self.attempts.remove(&request);
                             said.push((request, Heard::Lost));
                         }
@@ -420,12 +393,14 @@
     /// A connection is free: for who waits, else it is kept.
     fn rest(&mut self, io: &Io, at: usize, said: &mut Vec<(RequestId, Heard)>) {
         let Some(conn) = self.conns.get_mut(at) else { return };
-        conn.state = State::Idle { since: io.now };
-        let peer = self.peers.get_mut(&conn.backend).filter(|p| p.ready);
-        let Some(peer) = peer else { return self.close(at) };
-        match peer.waiting.pop_front() {
-            Some(request) => self.write(io, at, request, said),
-            None => peer.idle.push(at),
+        let Some(peer) = self.peers.get_mut(&conn.backend).filter(|p| p.ready) else { return self.close(at) };
+        match std::mem::replace(&mut conn.state, State::Idle { since: io.now }) {
+            State::Dialing { .. } => peer.pool.dialed(),
+            State::Busy { .. } => peer.pool.freed(),
+            State::Idle { .. } => {}
+        }
+        if let Some(request) = peer.pool.rest(io.now, at) {
+            self.write(io, at, request, said);
         }
     }
 
@@ -476,8 +451,8 @@
     /// One backend as its sockets show it.
     pub fn seen(&self, name: &Name) -> Seen {
         let Some(peer) = self.peers.get(name) else { return Seen::default() };
-        let (idle, waiting, dialing) = (peer.idle.len(), peer.waiting.len(), peer.dialing);
-        Seen { busy: peer.conns - idle - dialing, idle, waiting, dialing }
+        let (waiting, dialing, busy, idle) = peer.pool.counts();
+        Seen { busy, idle, waiting, dialing }
     }
 
     pub fn connections(&self) -> usize {
@@ -485,11 +460,6 @@
     }
 }
 
-/// For how long a connection that stands idle is of use.
-fn kept(keepalive: f64) -> f64 {
-    if keepalive > 0.0 { keepalive * RETIRE } else { f64::INFINITY }
-}
-
 /// What an answer says; `None` for one that does not belong to what was asked.
 fn heard(answer: Answer, input: &[u8], probe: bool) -> Option<Heard> {
     let load = |text: Option<String>| text.and_then(|t| doorcourse_site::report(&t, '=').ok());
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -12,7 +12,7 @@
 use crate::watch::Watch;
 use doorcourse::{Action, Event, Gateway, LoadReport, Name, Outcome, RequestId};
 use doorcourse_counter::Call;
-use doorcourse_exchange::{Input, Leave, Reply, Shares, dial_time};
+use doorcourse_exchange::{Input, Leave, Reply, Shares, Start, dial_time};
 use doorcourse_net::{Interest, Ready, listen};
 use doorcourse_site::Site;
 use std::collections::{HashMap, VecDeque};
@@ -20,9 +20,6 @@
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 
-/// A gateway that was just started answers that it is ready once discovery has told it the list, or when it has waited
-/// for that as long as this, in ms, and goes by the list it last had.
-const LIST_WAIT: f64 = 1000.0;
 const STOP: u8 = 1;
 const RELOAD: u8 = 2;
 
@@ -41,8 +38,7 @@
     leave: Leave,
     closed: bool,
     address: SocketAddr,
-    began: f64,
-    listed: bool,
+    start: Start,
     /// Probes that are out: where to, and since when.
     probes: HashMap<RequestId, (Name, f64)>,
     /// Pipes that wake the loop, and what a byte on each means; on the first, bytes speak for themselves.
@@ -96,7 +92,7 @@
         wake.set_nonblocking(true)?;
         let token = Token { kind: Kind::Signal, serial: io.serial(), at: 0 };
         io.poller.add(&signal, token.pack(), Interest::READ)?;
-        let (began, watch) = (io.now, Watch::new(io.now));
+        let (start, watch) = (Start::new(io.now), Watch::new(io.now));
         tracing::info!(%name, %address, ?shares, known = known.as_ref().map(|k| k.members.len()),
             keepalive = host.keepalive, dial_timeout = host.dial_timeout, "started");
         let mut new = Self {
@@ -113,8 +109,7 @@
             leave: Leave::default(),
             closed: false,
             address,
-            began,
-            listed: false,
+            start,
             probes: HashMap::new(),
             signals: vec![(signal, None)],
             wake,
@@ -228,7 +223,9 @@
             Kind::Discovery => {
                 let mut lists = Vec::new();
                 self.discovery.ready(&mut self.io, token, ready, &mut lists);
-                self.listed |= !lists.is_empty();
+                if !lists.is_empty() {
+                    self.start.listed();
+                }
                 lists.into_iter().for_each(|list| self.take_list(list));
             }
             Kind::Counter => self.counter.ready(&mut self.io, token, ready, &mut self.counted),
@@ -339,8 +336,7 @@
     fn take(&mut self, told: Told) {
         match told {
             Told::Ping(place) => {
-                let listed = self.listed || self.io.now >= self.began + LIST_WAIT;
-                let given = if listed { Given::Pong } else { Given::Loading };
+                let given = if self.start.is_ready(self.io.now) { Given::Pong } else { Given::Loading };
                 self.clients.answer(self.io.now, place, given);
             }
             Told::Asked(place, ask) => match self.exchanges.begin(self.io.now, &self.site, place, *ask) {
