Link between gateways: authenticated datagrams, drops by cause, silence as an event

Need: issue "Leases for fleet-wide tasks", part A: gateways must be able to say things to each other over a network that loses, doubles, delays and replays, and past whoever forges.

Result: ten tests and two properties (no bytes break it, no turned bit is believed): forged, replayed, foreign, stale, late, too long, unreadable and too many are each dropped and counted as such; what was recorded before a start is of no use after it.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -11,6 +11,7 @@
 #![warn(missing_docs)]
 
 mod act;
+mod codec;
 mod lease;
 mod message;
 mod settings;
@@ -18,6 +19,7 @@
 mod voters;
 
 pub use act::{Needs, Permit, Stop};
+pub use codec::{ITEMS, Unreadable, decode, encode};
 pub use lease::{Gain, Input, Leases, Loss, Output, Stage, View};
 pub use message::{Ask, Item, Message, Refusal};
 pub use settings::{Fault, Settings, Spoil};
