--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -43,6 +43,17 @@
         /// The node's name.
         name: String,
     },
+    /// The other gateways as this one hears them: when, round trip, loss, clock difference, drops by cause.
+    Peers,
+    /// Each task: who holds it, under which token, for how long yet, and who refused this gateway last.
+    Leases,
+    /// Give a task that this gateway holds to another gateway.
+    HandOver {
+        /// The task's name.
+        task: String,
+        /// The gateway's number.
+        to: u32,
+    },
     /// Drain the gateway: it answers what is out, gives blocks back and ends.
     Drain,
     /// Read the settings again and take them if they are good.
@@ -60,6 +71,9 @@
         Call::Customers => ("customers", json!({})),
         Call::DrainNode { name } => ("node.drain", json!({"name": name})),
         Call::UndrainNode { name } => ("node.undrain", json!({"name": name})),
+        Call::Peers => ("peers", json!({})),
+        Call::Leases => ("leases", json!({})),
+        Call::HandOver { task, to } => ("lease.hand_over", json!({"task": task, "to": to})),
         Call::Drain => ("drain", json!({})),
         Call::Reload { dry_run } => ("reload", json!({"dry_run": dry_run})),
     };
--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 use clap::Args;
-use doorcourse_drill::{DRILLS, Options, View, compare, play, read, show};
+use doorcourse_drill::{DRILLS, HolderOptions, Options, View, compare, play, play_holders, read, show};
 use serde_json::json;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
@@ -38,16 +38,29 @@
     /// Keep settings, logs and the traffic record in this folder.
     #[arg(long)]
     keep: Option<PathBuf>,
+    /// `lease-holder-lost`: play so many seeds, counted on from `--seed`, as many at once as there are processors by two.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// `lease-holder-lost`: how many gateways, 3 to 9.
+    #[arg(long, default_value_t = 5)]
+    gateways: usize,
 }
 
+const HOLDERS: &str = "lease-holder-lost";
+const HOLDERS_ABOUT: &str = "tasks of one holder at a time while holders die, stall and are cut off";
+
 pub fn run(drill: &Drill) -> anyhow::Result<ExitCode> {
     let Some(name) = &drill.name else {
         for (name, text) in DRILLS {
             let about = read(name, text).map_or(String::new(), |d| d.about);
             say!("{name:<20} {about}");
         }
+        say!("{HOLDERS:<20} {HOLDERS_ABOUT}");
         return Ok(ExitCode::SUCCESS);
     };
+    if name == HOLDERS {
+        return holders(drill);
+    }
     let known = DRILLS.iter().find(|(n, _)| n == name).map(|(_, text)| (*text).to_owned());
     let text = match known {
         Some(text) => text,
@@ -94,6 +107,73 @@
     Ok(if outcome.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Plays the drill of the leases, seed by seed, and tells what was broken in any.
+fn holders(drill: &Drill) -> anyhow::Result<ExitCode> {
+    let binary = std::env::current_exe().context("this program's own file")?;
+    let (own, folder) = match &drill.keep {
+        Some(folder) => (false, folder.clone()),
+        None => (true, std::env::temp_dir().join(format!("doorcourse-leases-{}", std::process::id()))),
+    };
+    let faults = if drill.short { 6 } else { 16 };
+    let seeds: Vec<u64> = (drill.seed..drill.seed + drill.seeds.max(1)).collect();
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let threads = std::thread::available_parallelism().map_or(1, |n| (n.get() / 2).max(1)).min(seeds.len());
+    let told = std::sync::Mutex::new(Vec::new());
+    let play_on = || {
+        while let Some(seed) = seeds.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed)) {
+            let folder = folder.join(format!("{seed}"));
+            let (binary, gateways, seed) = (binary.clone(), drill.gateways, *seed);
+            let held = play_holders(&HolderOptions { binary, folder, gateways, faults, seed });
+            told.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push((seed, held));
+        }
+    };
+    std::thread::scope(|scope| (0..threads).for_each(|_| drop(scope.spawn(play_on))));
+    let mut told = told.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    told.sort_by_key(|(seed, _)| *seed);
+    let (mut broken, mut acts, mut holders, mut gaps) = (0, 0, 0, Vec::new());
+    for (seed, held) in told {
+        let held = held.with_context(|| format!("seed {seed}"))?;
+        if drill.seeds <= 1 {
+            held.done.iter().for_each(|line| say!("{line}"));
+        }
+        say!(
+            "seed {seed}: {} acts took place, {} refused, {} holders, {:.0} datagrams and {:.1} kB a second",
+            held.accepted.iter().sum::<usize>(),
+            held.refused.iter().sum::<usize>(),
+            held.holders.iter().sum::<usize>(),
+            held.datagrams,
+            held.bytes / 1000.0
+        );
+        held.broken.iter().for_each(|line| say!("seed {seed}: BROKEN {line}"));
+        broken += usize::from(!held.broken.is_empty());
+        acts += held.accepted.iter().sum::<usize>();
+        holders += held.holders.iter().sum::<usize>();
+        gaps.extend(held.gaps);
+    }
+    gaps.sort_by(f64::total_cmp);
+    let share = |part: f64| gaps.get((gaps.len() as f64 * part) as usize).copied().unwrap_or_default();
+    say!(
+        "{} seeds, {acts} acts by {holders} holders; from one holder's last act to the next one's first: p50 {:.0} ms, p99 {:.0} ms",
+        seeds.len(),
+        share(0.5),
+        share(0.99)
+    );
+    if own && broken == 0 {
+        let _ = std::fs::remove_dir_all(&folder);
+    } else {
+        say!("record and logs: {}", folder.display());
+    }
+    say!(
+        "{}",
+        if broken == 0 {
+            "every rule was kept".into()
+        } else {
+            format!("a rule was broken in {broken} seeds")
+        }
+    );
+    Ok(if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn write(file: &Path, bytes: &[u8]) -> anyhow::Result<()> {
     std::fs::write(file, bytes).with_context(|| file.display().to_string())
 }
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -35,6 +35,10 @@
     let file = |c: &Config| c.state.as_ref().map(|s| s.file.clone());
     fixed("state.file", file(old) == file(new), "start a new process that takes over");
     fixed("node_list", old.node_list.is_some() == new.node_list.is_some(), "nodes come from one place");
+    let own = |c: &Config| c.link.as_ref().map(|l| (l.listen, l.fleet.clone()));
+    fixed("fleet.link", own(old) == own(new), "start a new process: the peers know this one by it");
+    let lease = |c: &Config| c.leases.as_ref().map(|l| (l.length, l.drift));
+    fixed("leases", lease(old) == lease(new), "what was promised for one length cannot be kept for another");
     let lines = &mut change.lines;
     let mut figure = |what: &str, old: String, new: String| {
         if old != new {
@@ -46,6 +50,17 @@
     figure("graphql limits", format!("{:?}", old.query_limits), format!("{:?}", new.query_limits));
     figure("life", format!("{:?}", old.life), format!("{:?}", new.life));
     figure("routing", format!("{:?}", old.routing), format!("{:?}", new.routing));
+    let peers =
+        |c: &Config| c.link.as_ref().map_or(String::new(), |l| format!("{:?} {}", l.peers, l.silence));
+    figure("fleet.link.peers", peers(old), peers(new));
+    let secrets = |c: &Config| c.link.as_ref().map(|l| l.secrets.clone());
+    if secrets(old) != secrets(new) {
+        figure("fleet.link.secret_file", "the old secrets".into(), "new ones".into());
+    }
+    let voters = |c: &Config| c.leases.as_ref().map_or(String::new(), |l| format!("{:?}", l.voters));
+    figure("leases.voters", voters(old), voters(new));
+    let tasks = |c: &Config| c.leases.as_ref().map_or(String::new(), |l| format!("{:?}", l.tasks));
+    figure("leases.tasks", tasks(old), tasks(new));
     figure("node_list", format!("{:?}", old.node_list), format!("{:?}", new.node_list));
     let schema = |c: &Config| format!("{:?}", c.schema);
     if schema(old) != schema(new) {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,5 +1,6 @@
 //! Reading and checking. Every fault is told, not the first alone; nothing is used unless there is none.
 
+use crate::fleet;
 use crate::locate::Places;
 use crate::raw::{self, class, node, routing};
 use crate::{Config, Counter, Customer, Fault, Life, Limits, Node, NodeFile, Routing, StateFile};
@@ -18,20 +19,20 @@
 /// What a ceiling must leave above quota and burst for the decisions' bound (docs/design.md, "Bounds").
 const CEILING_ROOM: f64 = 1.6;
 
-struct Check<'a> {
+pub(crate) struct Check<'a> {
     file: &'a str,
     places: Places,
     faults: Vec<Fault>,
 }
 
 impl Check<'_> {
-    fn fault(&mut self, path: &str, message: impl Into<String>) {
+    pub(crate) fn fault(&mut self, path: &str, message: impl Into<String>) {
         let field = if path.is_empty() { String::new() } else { format!("{path}: ") };
         let (file, line) = (self.file.to_owned(), self.places.find(path));
         self.faults.push(Fault { file, line, field, message: message.into() });
     }
 
-    fn figure(&mut self, path: &str, value: f64, range: RangeInclusive<f64>) -> f64 {
+    pub(crate) fn figure(&mut self, path: &str, value: f64, range: RangeInclusive<f64>) -> f64 {
         if !range.contains(&value) {
             let (low, high) = (range.start(), range.end());
             self.fault(path, format!("{value} is out of range: allowed is {low} to {high}"));
@@ -39,7 +40,7 @@
         value
     }
 
-    fn whole(&mut self, path: &str, value: u64, range: RangeInclusive<u64>) -> u64 {
+    pub(crate) fn whole(&mut self, path: &str, value: u64, range: RangeInclusive<u64>) -> u64 {
         if !range.contains(&value) {
             let (low, high) = (range.start(), range.end());
             self.fault(path, format!("{value} is out of range: allowed is {low} to {high}"));
@@ -47,7 +48,7 @@
         value
     }
 
-    fn name(&mut self, path: &str, name: &str, seen: &mut HashSet<String>) -> Name {
+    pub(crate) fn name(&mut self, path: &str, name: &str, seen: &mut HashSet<String>) -> Name {
         if name.is_empty() || name.chars().any(|c| c.is_whitespace() || c.is_control()) {
             self.fault(path, "a name without white space is needed");
         } else if !seen.insert(name.to_owned()) {
@@ -56,7 +57,7 @@
         name.into()
     }
 
-    fn address(&mut self, path: &str, text: &str) -> SocketAddr {
+    pub(crate) fn address(&mut self, path: &str, text: &str) -> SocketAddr {
         text.parse().unwrap_or_else(|_| {
             self.fault(path, format!("`{text}` is no address: \"1.2.3.4:80\" or \"[::1]:80\" is wanted"));
             SocketAddr::from(([127, 0, 0, 1], 0))
@@ -308,8 +309,12 @@
         quiet: check.figure("life.quiet_ms", life.quiet_ms.unwrap_or(1000.0), 0.0..=6e5),
         give_back: check.figure("life.give_back_ms", life.give_back_ms.unwrap_or(500.0), 0.0..=6e4),
     };
+    let link = fleet.link.as_ref().map(|l| fleet::link(l, gateways, number, check, open));
+    let leases = raw.leases.as_ref().map(|l| fleet::leases(l, link.as_ref(), number, check));
     let schema = schema?;
     Some(Config {
+        link,
+        leases,
         health,
         admin,
         state,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod change;
 mod check;
+mod fleet;
 mod locate;
 
 pub use change::{Change, compare};
 pub use check::{is_node_list, parse_text, read, read_nodes};
+pub use fleet::{FleetLeases, FleetLink, FleetTask};
 pub use locate::Places;
 
 use doorcourse::{BackendEntry, Name};
@@ -187,6 +189,10 @@
     pub state: Option<StateFile>,
     /// Times of the process's life.
     pub life: Life,
+    /// How the gateways hear of each other.
+    pub link: Option<FleetLink>,
+    /// What is done under a lease.
+    pub leases: Option<FleetLeases>,
 }
 
 impl Config {
--- /dev/null
+++ b/crates/drill/src/holders.rs
@@ -0,0 +1,389 @@
+//! The drill `lease-holder-lost`: processes of this program that hold tasks in turn, their datagrams led through a relay,
+//! faults between them at seeded moments, and a verdict from what two witnesses recorded of each act alone.
+
+use crate::clients::{CLASSES, PLANS};
+use anyhow::Context;
+use doorcourse_net::Clock;
+use doorcourse_standins::{CATALOGUE, Recorder, Relay, Way, Witness, World, WorldSpec};
+use doorcourse_verdict::{Act, acts};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// The lease in ms: short, so that a drill sees many holders, and long beside what a busy machine holds a process up.
+const LEASE: f64 = 500.0;
+/// How long a call takes with its effect, and how long the effect takes at most, in ms.
+const NEEDS: f64 = 100.0;
+const WORK: f64 = 40.0;
+/// What is called: by the kind of its witness.
+const TASKS: [&str; 2] = ["fenced", "timed"];
+/// After all faults are over, each task is done again within so many leases.
+const AGAIN: f64 = 12.0;
+
+/// How the drill is played.
+#[derive(Clone, Debug)]
+pub struct HolderOptions {
+    /// The gateway's binary.
+    pub binary: PathBuf,
+    /// Where settings and logs lie.
+    pub folder: PathBuf,
+    /// How many gateways: 3 to 9.
+    pub gateways: usize,
+    /// How many faults.
+    pub faults: usize,
+    /// The seed of all chance.
+    pub seed: u64,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    /// Every rule that was broken.
+    pub broken: Vec<String>,
+    /// What was done, in order.
+    pub done: Vec<String>,
+    /// Acts that took place and that were refused, by witness.
+    pub accepted: [usize; 2],
+    /// See `accepted`.
+    pub refused: [usize; 2],
+    /// How many gateways held each task in turn.
+    pub holders: [usize; 2],
+    /// Ms between the last act of a holder and the first of the next, in order of size.
+    pub gaps: Vec<f64>,
+    /// Datagrams and bytes a second that the gateways sent each other.
+    pub datagrams: f64,
+    /// See `datagrams`.
+    pub bytes: f64,
+}
+
+struct Play {
+    options: HolderOptions,
+    world: World,
+    relay: Relay,
+    witnesses: [Witness; 2],
+    gateways: Vec<Option<Child>>,
+    /// The list of voters in the settings: version, now, before.
+    voters: (u64, BTreeSet<usize>, BTreeSet<usize>),
+    clock: Clock,
+    began: f64,
+    told: Vec<String>,
+}
+
+/// Plays it once.
+///
+/// # Errors
+/// When processes cannot be started or do not come to serve.
+pub fn play_holders(options: &HolderOptions) -> anyhow::Result<Held> {
+    anyhow::ensure!((3..=9).contains(&options.gateways), "3 to 9 gateways are wanted");
+    std::fs::create_dir_all(&options.folder).with_context(|| options.folder.display().to_string())?;
+    std::fs::write(options.folder.join("catalogue.graphql"), CATALOGUE)?;
+    std::fs::write(options.folder.join("secret"), format!("a drill's secret, of seed {:x}\n", options.seed))?;
+    let clock = Clock::default();
+    let spec = WorldSpec {
+        nodes: Vec::new(),
+        listen: None,
+        counter: true,
+        password: None,
+        seed: options.seed,
+        spread: 0.0,
+        speed: 1.0,
+        quiet: true,
+    };
+    let world = World::start(&spec, clock, Recorder::none(clock))?;
+    let witness = |at: usize| Witness::start(at == 0, WORK, options.seed ^ at as u64);
+    let mut play = Play {
+        world,
+        relay: Relay::start(options.gateways, options.seed)?,
+        witnesses: [witness(0)?, witness(1)?],
+        gateways: (0..options.gateways).map(|_| None).collect(),
+        voters: (0, (0..options.gateways).collect(), BTreeSet::new()),
+        clock,
+        began: clock.now(),
+        told: Vec::new(),
+        options: options.clone(),
+    };
+    (0..options.gateways).try_for_each(|at| play.start(at))?;
+    let mut held = Held::default();
+    play.wait_for_acts("at the start", &mut held);
+    let mut dice = ChaCha8Rng::seed_from_u64(options.seed);
+    for _ in 0..options.faults {
+        play.fault(&mut dice)?;
+        play.pass(dice.random_range(0.4..2.5));
+    }
+    play.heal()?;
+    play.wait_for_acts("after all faults", &mut held);
+    let ((datagrams, bytes), seconds) = (play.relay.counts(), (clock.now() - play.began) / 1000.0);
+    (held.datagrams, held.bytes) = (datagrams as f64 / seconds, bytes as f64 / seconds);
+    for (at, witness) in play.witnesses.iter().enumerate() {
+        let all = witness.acts();
+        held.broken.extend(acts(&all, !witness.fences()).into_iter().map(|b| format!("{}: {b}", TASKS[at])));
+        let mut good: Vec<&Act> = all.iter().filter(|a| a.accepted).collect();
+        good.sort_by(|a, b| a.begin.total_cmp(&b.begin));
+        (held.accepted[at], held.refused[at]) = (good.len(), all.len() - good.len());
+        let changes: Vec<f64> =
+            good.windows(2).filter(|p| p[0].token != p[1].token).map(|p| p[1].begin - p[0].begin).collect();
+        held.holders[at] = changes.len() + 1;
+        held.gaps.extend(changes);
+        let path = options.folder.join(format!("{}.jsonl", TASKS[at]));
+        let mut file = std::io::BufWriter::new(std::fs::File::create(path)?);
+        for act in &all {
+            serde_json::to_writer(&mut file, act)?;
+            file.write_all(b"\n")?;
+        }
+    }
+    held.gaps.sort_by(f64::total_cmp);
+    held.done = std::mem::take(&mut play.told);
+    Ok(held)
+}
+
+impl Play {
+    fn tell(&mut self, what: String) {
+        self.told.push(format!("{:>7.0} ms  {what}", self.clock.now() - self.began));
+    }
+
+    fn pass(&self, leases: f64) {
+        std::thread::sleep(Duration::from_secs_f64(leases * LEASE / 1000.0));
+    }
+
+    // ---- Processes ----
+
+    fn settings(&self, number: usize) -> anyhow::Result<PathBuf> {
+        let counter = self.world.counter.context("the counter has no address")?;
+        let gateways = self.options.gateways;
+        let mut text = format!(
+            "fleet {{ gateways: {gateways} number: {number} link {{ listen: \"127.0.0.1:0\" secret_file: \"secret\" \
+             silence_ms: 1500 "
+        );
+        for peer in (0..gateways).filter(|p| *p != number) {
+            let address = self.relay.address(number, peer);
+            text.push_str(&format!("peers {{ number: {peer} address: \"{address}\" }} "));
+        }
+        text.push_str(&format!(
+            "}} }}\nlisten: \"127.0.0.1:0\"\ncounter {{ address: \"{counter}\" }}\n\
+             nodes {{ name: \"n\" address: \"127.0.0.1:9\" }}\ngraphql {{ schema_file: \"catalogue.graphql\" }}\n\
+             admin {{ socket: \"g{number}.sock\" }}\nleases {{ length_ms: {LEASE} voters_version: {} ",
+            self.voters.0
+        ));
+        self.voters.1.iter().for_each(|v| text.push_str(&format!("voters: {v} ")));
+        self.voters.2.iter().for_each(|v| text.push_str(&format!("voters_before: {v} ")));
+        for (task, witness) in TASKS.iter().zip(&self.witnesses) {
+            let address = witness.address();
+            text.push_str(&format!(
+                "tasks {{ name: \"{task}\" address: \"{address}\" every_ms: 15 needs_ms: {NEEDS} }} "
+            ));
+        }
+        text.push_str("}\n");
+        for class in CLASSES {
+            let (name, aim, give_up, effect) = (class.name, class.aim, class.give_up, class.effect());
+            text.push_str(&format!(
+                "classes {{ name: \"{name}\" aim_ms: {aim} give_up_ms: {give_up} {effect}"
+            ));
+            class.queries.iter().for_each(|f| text.push_str(&format!(" query_fields: \"{f}\"")));
+            class.mutations.iter().for_each(|f| text.push_str(&format!(" mutation_fields: \"{f}\"")));
+            text.push_str(" }\n");
+        }
+        let plan = &PLANS[0];
+        text.push_str(&format!("plans {{ name: \"p\" rate: {} burst: {} }}\n", plan.rate, plan.burst));
+        let path = self.options.folder.join(format!("g{number}.txtpb"));
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    fn start(&mut self, at: usize) -> anyhow::Result<()> {
+        let settings = self.settings(at)?;
+        // What a killed process left in the way.
+        let _ = std::fs::remove_file(self.options.folder.join(format!("g{at}.sock")));
+        let mut child = Command::new(&self.options.binary)
+            .args(["serve", "--config"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .with_context(|| self.options.binary.display().to_string())?;
+        let log = self.options.folder.join(format!("g{at}.log"));
+        let lines = BufReader::new(child.stderr.take().context("a gateway without a log")?);
+        let (told, link) = mpsc::channel();
+        std::thread::spawn(move || {
+            let file = std::fs::OpenOptions::new().create(true).append(true).open(log);
+            let Ok(mut file) = file else { return };
+            for line in lines.lines().map_while(Result::ok) {
+                let _ = writeln!(file, "{line}");
+                let json: Value = serde_json::from_str(&line).unwrap_or_default();
+                let address = json["address"].as_str().and_then(|a| a.parse::<SocketAddr>().ok());
+                if let Some(address) = address.filter(|_| json["message"] == "link up") {
+                    let _ = told.send(address);
+                }
+            }
+        });
+        let Ok(link) = link.recv_timeout(Duration::from_secs(20)) else {
+            let _ = child.kill();
+            let _ = child.wait();
+            anyhow::bail!("gateway {at} did not come up; see its log in {}", self.options.folder.display());
+        };
+        self.relay.reach(at, link);
+        self.gateways[at] = Some(child);
+        Ok(())
+    }
+
+    fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.gateways[at].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn signal(&self, at: usize, signal: Signal) -> anyhow::Result<()> {
+        if let Some(child) = &self.gateways[at] {
+            kill_process(Pid::from_child(child), signal)?;
+        }
+        Ok(())
+    }
+
+    fn call(&self, at: usize, method: &str) -> anyhow::Result<Value> {
+        let mut stream = UnixStream::connect(self.options.folder.join(format!("g{at}.sock")))?;
+        stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+        stream.write_all(format!("{{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"{method}\"}}\n").as_bytes())?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line)?;
+        Ok(serde_json::from_str::<Value>(&line)?["result"].clone())
+    }
+
+    /// Who acted last for a task, by its witness.
+    fn holder(&self, task: usize) -> Option<usize> {
+        let acts = self.witnesses[task].acts();
+        acts.iter().rev().find(|a| a.accepted).map(|a| a.gateway as usize)
+    }
+
+    fn wait_for_acts(&mut self, when: &str, held: &mut Held) {
+        let before: Vec<usize> =
+            self.witnesses.iter().map(|w| w.acts().iter().filter(|a| a.accepted).count()).collect();
+        let until = self.clock.now() + AGAIN * LEASE + 2000.0;
+        for (at, before) in before.into_iter().enumerate() {
+            while self.witnesses[at].acts().iter().filter(|a| a.accepted).count() <= before {
+                if self.clock.now() > until {
+                    held.broken.push(format!("{}: nobody acts {when}", TASKS[at]));
+                    break;
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+
+    // ---- Faults ----
+
+    fn fault(&mut self, dice: &mut ChaCha8Rng) -> anyhow::Result<()> {
+        let count = self.options.gateways;
+        let holder = self.holder(dice.random_range(0..2)).unwrap_or(0);
+        let minority: Vec<usize> = (0..count).filter(|at| at % 2 == 1 && *at != holder).collect();
+        match dice.random_range(0..12) {
+            0 | 1 => {
+                self.tell(format!("holder {holder} killed"));
+                self.kill(holder);
+                self.pass(dice.random_range(0.0..2.0));
+                self.start(holder)?;
+            }
+            2..=4 => {
+                let span = dice.random_range(1.0..5.0);
+                self.tell(format!("holder {holder} stopped for {span:.1} leases"));
+                self.signal(holder, Signal::STOP)?;
+                self.pass(span);
+                self.signal(holder, Signal::CONT)?;
+            }
+            5 => {
+                self.tell(format!("holder {holder} cut off"));
+                self.relay.change(|a, b| a == holder || b == holder, |way| way.cut = true);
+                self.pass(dice.random_range(0.5..3.0));
+                self.relay.change(|_, _| true, |way| way.cut = false);
+            }
+            6 => {
+                let inward = dice.random_bool(0.5);
+                self.tell(format!("holder {holder} cut off {}", if inward { "inwards" } else { "outwards" }));
+                self.relay
+                    .change(|a, b| if inward { b == holder } else { a == holder }, |way| way.cut = true);
+                self.pass(dice.random_range(0.5..3.0));
+                self.relay.change(|_, _| true, |way| way.cut = false);
+            }
+            7 => {
+                self.tell("a third lost, delays, doubles".into());
+                let rough = Way { cut: false, loss: 0.3, doubled: 0.1, delay: LEASE / 8.0 };
+                self.relay.change(|_, _| true, |way| *way = rough);
+                self.pass(dice.random_range(2.0..5.0));
+                self.relay.change(|_, _| true, |way| *way = Way::PLAIN);
+            }
+            8 => self.restart(&minority, "a minority")?,
+            9 => {
+                let majority: Vec<usize> = (0..=count / 2).map(|at| (holder + at) % count).collect();
+                self.restart(&majority, "a majority")?;
+            }
+            10 => self.restart(&(0..count).collect::<Vec<_>>(), "all")?,
+            _ => self.change_voters(dice)?,
+        }
+        Ok(())
+    }
+
+    fn restart(&mut self, which: &[usize], what: &str) -> anyhow::Result<()> {
+        self.tell(format!("{what} killed and started: {which:?}"));
+        which.iter().for_each(|at| self.kill(*at));
+        which.iter().try_for_each(|at| self.start(*at))
+    }
+
+    /// One voter is added or removed, and the gateways read the settings one behind the other; only once a majority of the
+    /// list before votes by it, as the operators' page says.
+    fn change_voters(&mut self, dice: &mut ChaCha8Rng) -> anyhow::Result<()> {
+        let votes = |at: &&usize| {
+            let told = self.call(**at, "leases").unwrap_or_default();
+            told["votes"] == true && told["voters_version"] == self.voters.0
+        };
+        if self.voters.1.iter().filter(votes).count() * 2 <= self.voters.1.len() {
+            self.tell("voters stay: the last list is not in force yet".into());
+            return Ok(());
+        }
+        let mut next = self.voters.1.clone();
+        let number = dice.random_range(0..self.options.gateways);
+        if !next.remove(&number) || next.len() < 3 {
+            next.insert(number);
+        }
+        if next == self.voters.1 {
+            return Ok(());
+        }
+        self.tell(format!("voters from {:?} to {next:?}, one gateway after the other", self.voters.1));
+        self.voters = (self.voters.0 + 1, next, self.voters.1.clone());
+        for at in 0..self.options.gateways {
+            self.settings(at)?;
+            self.signal(at, Signal::HUP)?;
+            self.pass(dice.random_range(0.0..0.4));
+        }
+        Ok(())
+    }
+
+    fn heal(&mut self) -> anyhow::Result<()> {
+        self.tell("all is well again".into());
+        self.relay.change(|_, _| true, |way| *way = Way::PLAIN);
+        for at in 0..self.options.gateways {
+            if self.gateways[at].is_none() {
+                self.start(at)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Play {
+    fn drop(&mut self) {
+        for mut child in self.gateways.iter_mut().filter_map(Option::take) {
+            // One that is stopped cannot be told anything else.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod compare;
 mod fleet;
+mod holders;
 mod kit;
 mod play;
 mod script;
@@ -12,6 +13,7 @@
 
 pub use compare::compare;
 pub use fleet::Fleet;
+pub use holders::{Held, HolderOptions, play_holders};
 pub use kit::{KitOptions, call, up};
 pub use play::{Options, Outcome, play};
 pub use script::{DRILLS, Drill, read};
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -28,6 +28,12 @@
         drain: bool,
     },
     Drain,
+    Peers,
+    Leases,
+    HandOver {
+        task: String,
+        to: u32,
+    },
     Reload {
         dry_run: bool,
     },
@@ -180,6 +186,16 @@
                 Asked::DrainNode { name: name.to_owned(), drain: call["method"] == "node.drain" }
             }
             "drain" => Asked::Drain,
+            "peers" => Asked::Peers,
+            "leases" => Asked::Leases,
+            "lease.hand_over" => {
+                let to = parameters["to"].as_u64().and_then(|to| u32::try_from(to).ok());
+                let (Some(task), Some(to)) = (parameters["task"].as_str(), to) else {
+                    let text = "params.task and params.to are needed, a task's name and a gateway's number";
+                    return self.write(slot, &error(&id, BAD_PARAMETERS, text));
+                };
+                Asked::HandOver { task: task.to_owned(), to }
+            }
             "reload" => Asked::Reload { dry_run: parameters["dry_run"] == true },
             "takeover" => {
                 if let Some(peer) = self.peers.get_mut(slot) {
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,446 @@
+//! The room of the fleet: the UDP socket to the other gateways, and the calls of tasks that this gateway holds. What a
+//! datagram counts for is `doorcourse_peers`' word; who holds what and which call may leave is `doorcourse_lease`'s.
+
+use crate::io::{Io, Token};
+use doorcourse_config::{Config, FleetLeases, FleetLink, FleetTask};
+use doorcourse_http::{Decoder, Limits, Part, Role};
+use doorcourse_lease::{
+    CallSettings, Calls, Input, Leases, Loss, Message, Output, Settings as LeaseSettings, Stage, Task, Time,
+    View, decode, encode, task_of,
+};
+use doorcourse_net::{Flow, Interest, Ready, Socket, awake_or_not, connect};
+use doorcourse_peers::{LONGEST, Link, Number, Out, Settings as LinkSettings, Told, fleet_of};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::UdpSocket;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Whose payload a datagram holds.
+const LEASES: u32 = 1;
+/// Datagrams read in one turn, so that peers do not hold up clients.
+const TURN: usize = 64;
+/// How often the socket is tried for while a process that hands over still has it, in ms.
+const RETRY: Time = 50;
+/// An answer to a call has a short head; its body is read past.
+const ANSWER: Limits = Limits { line: 1024, head: 8192, fields: 64, body: 1 << 20 };
+
+struct Call {
+    task: Task,
+    socket: Socket,
+    generation: u32,
+    written: bool,
+    decoder: Decoder,
+    status: u16,
+}
+
+/// What the link and the leases hold for people and metrics.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    pub peers: Vec<doorcourse_peers::View>,
+    pub drops: Vec<(&'static str, u64)>,
+    /// Each task: whether it is held here.
+    pub held: Vec<(String, bool)>,
+    pub calls: Vec<(String, [u64; 3])>,
+}
+
+pub(crate) struct Fleet {
+    settings: FleetLink,
+    number: Number,
+    socket: Option<UdpSocket>,
+    retry: Time,
+    link: Link,
+    leases: Option<Leases>,
+    tasks: BTreeMap<Task, FleetTask>,
+    calls: Calls,
+    out: slab::Slab<Call>,
+    /// By task: calls answered with 2xx, answered otherwise or not at all, and not made because the lease was too short.
+    tally: BTreeMap<Task, [u64; 3]>,
+    buffer: Vec<u8>,
+    left: bool,
+}
+
+impl Fleet {
+    /// Binds the socket. `waits`: another process of this gateway still has it and will let it go.
+    ///
+    /// # Errors
+    /// When the address cannot be had or the settings cannot be used.
+    pub fn new(io: &Io, config: &Config, seed: u64, waits: bool) -> anyhow::Result<Option<Self>> {
+        let Some(settings) = config.link.clone() else { return Ok(None) };
+        let (now, number) = (awake_or_not(), config.decisions.number);
+        let incarnation = seed | 1;
+        let link = Link::new(now, link_settings(&settings, number, incarnation))?;
+        let mut new = Self {
+            number,
+            socket: None,
+            retry: now,
+            link,
+            leases: None,
+            tasks: BTreeMap::new(),
+            calls: Calls::default(),
+            out: slab::Slab::new(),
+            tally: BTreeMap::new(),
+            buffer: vec![0; LONGEST + 1],
+            left: false,
+            settings,
+        };
+        if let Err(error) = new.bind(io)
+            && !waits
+        {
+            anyhow::bail!("fleet.link.listen: cannot listen on {}: {error}", new.settings.listen);
+        }
+        if let Some(leases) = &config.leases {
+            new.leases = Some(Leases::new(now, lease_settings(leases, &new.settings, number, incarnation))?);
+            new.take_tasks(now, leases);
+        }
+        Ok(Some(new))
+    }
+
+    fn bind(&mut self, io: &Io) -> std::io::Result<()> {
+        let socket = UdpSocket::bind(self.settings.listen)?;
+        socket.set_nonblocking(true)?;
+        io.poller.add(&socket, Token::Link.pack(), Interest::READ)?;
+        tracing::info!(target: "doorcourse::fleet", address = %socket.local_addr()?, "link up");
+        self.socket = Some(socket);
+        Ok(())
+    }
+
+    fn take_tasks(&mut self, now: Time, leases: &FleetLeases) {
+        self.tasks = leases.tasks.iter().map(|t| (task_of(&t.name), t.clone())).collect();
+        let calls = |(task, t): (&Task, &FleetTask)| (*task, CallSettings { every: t.every, needs: t.needs });
+        self.calls.configure(now, &self.tasks.iter().map(calls).collect::<Vec<_>>());
+        self.tally.retain(|task, _| self.tasks.contains_key(task));
+    }
+
+    /// Changed settings: peers, secrets, voters, tasks.
+    pub fn configure(&mut self, io: &mut Io, config: &Config) {
+        let (now, Some(settings)) = (awake_or_not(), config.link.clone()) else { return };
+        if let Err(fault) = self.link.configure(now, link_settings(&settings, self.number, 1)) {
+            return tracing::error!(target: "doorcourse::fleet", %fault, "the old link stays");
+        }
+        self.settings = settings;
+        if let Some(leases) = &config.leases {
+            self.take_tasks(now, leases);
+            let fleet = fleet(&self.settings, self.number);
+            let tasks = self.tasks.keys().copied().collect();
+            self.tell(io, now, Input::Tasks { tasks, fleet });
+            self.tell(io, now, Input::Voters(leases.voters.clone()));
+        }
+    }
+
+    /// The gateway leaves: what it holds is given back, and the socket is let go for who takes over.
+    pub fn leave(&mut self, io: &mut Io) {
+        if !std::mem::replace(&mut self.left, true) {
+            self.tell(io, awake_or_not(), Input::Leave);
+            self.out.clear();
+            self.socket = None;
+        }
+    }
+
+    /// How long until something is due, in ms.
+    pub fn due(&self) -> f64 {
+        if self.left {
+            return f64::INFINITY;
+        }
+        let now = awake_or_not();
+        let retry = if self.socket.is_none() { self.retry } else { Time::MAX };
+        let leases = self.leases.as_ref().map_or(Time::MAX, |l| l.due().min(self.calls.due(now, l)));
+        let due = self.link.due().min(retry).min(leases);
+        if due == Time::MAX { f64::INFINITY } else { due.saturating_sub(now) as f64 }
+    }
+
+    pub fn tick(&mut self, io: &mut Io) {
+        if self.left {
+            return;
+        }
+        let now = awake_or_not();
+        if self.socket.is_none() && now >= self.retry {
+            self.retry = now + RETRY;
+            let _ = self.bind(io);
+        }
+        let mut told = Vec::new();
+        self.link.tick(now, &mut told);
+        told.into_iter().for_each(log);
+        if self.leases.as_ref().is_some_and(|l| l.due() <= now) {
+            self.tell(io, now, Input::Tick);
+        }
+        for task in self.calls.overdue(now) {
+            self.end(now, task, "not answered in time");
+        }
+        let begin = self.leases.as_ref().map(|l| self.calls.tick(now, l)).unwrap_or_default();
+        for permit in begin {
+            self.begin(io, now, permit.task);
+        }
+    }
+
+    fn tell(&mut self, io: &mut Io, now: Time, input: Input) {
+        let Some(leases) = &mut self.leases else { return };
+        let mut outputs = Vec::new();
+        leases.handle(now, io.now() as u64, input, &mut outputs);
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => self.send(io, now, to, &message),
+                Output::Gained(gain) => {
+                    let (task, token) = (self.name(gain.task), gain.token);
+                    tracing::info!(target: "doorcourse::fleet", task, token, "lease gained");
+                }
+                Output::Lost(Loss { task, token, given_back }) => {
+                    let name = self.name(task);
+                    tracing::info!(target: "doorcourse::fleet", task = name, token, given_back, "lease lost");
+                    self.end(now, task, "the lease is lost");
+                }
+                Output::Voters(version) => {
+                    tracing::info!(target: "doorcourse::fleet", version, "voters in force")
+                }
+                Output::Refused(fault) => {
+                    tracing::error!(target: "doorcourse::fleet", %fault, "the old voters stay")
+                }
+            }
+        }
+    }
+
+    fn name(&self, task: Task) -> &str {
+        self.tasks.get(&task).map_or("", |t| &t.name)
+    }
+
+    fn send(&mut self, io: &Io, now: Time, to: Number, message: &Message) {
+        let out = self.link.send(now, io.now() as u64, to, LEASES, encode(message));
+        out.into_iter().for_each(|out| self.put(&out));
+    }
+
+    /// A datagram that does not leave at once is one that was lost.
+    fn put(&self, out: &Out) {
+        if let Some(socket) = &self.socket {
+            let _ = socket.send_to(&out.bytes, out.to);
+        }
+    }
+
+    /// Datagrams came.
+    pub fn ready(&mut self, io: &mut Io) {
+        for _ in 0..TURN {
+            let Some(socket) = &self.socket else { return };
+            // The clock is read after the datagram: what it says is older than `now`.
+            let Ok((length, _)) = socket.recv_from(&mut self.buffer) else { return };
+            let now = awake_or_not();
+            let (mut hellos, mut told) = (Vec::new(), Vec::new());
+            let bytes = &self.buffer[..length];
+            let heard = self.link.receive(now, io.now() as u64, bytes, &mut hellos, &mut told);
+            hellos.iter().for_each(|out| self.put(out));
+            told.into_iter().for_each(log);
+            if let Some(heard) = heard.filter(|h| h.channel == LEASES) {
+                match decode(&heard.payload) {
+                    Ok(message) => {
+                        let (from, incarnation) = (heard.from, heard.incarnation);
+                        self.tell(io, now, Input::Heard { from, incarnation, message });
+                    }
+                    Err(fault) => {
+                        tracing::debug!(target: "doorcourse::fleet", from = heard.from, %fault, "dropped")
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- Calls ----
+
+    fn begin(&mut self, io: &mut Io, now: Time, task: Task) {
+        let Some(address) = self.tasks.get(&task).map(|t| t.address) else { return };
+        let generation = io.generation();
+        let entry = self.out.vacant_entry();
+        let token = Token::Call(entry.key(), generation).pack();
+        let made = connect(address).and_then(|socket| {
+            io.poller.add(&socket, token, Interest { read: true, write: true })?;
+            Ok(socket)
+        });
+        match made {
+            Ok(socket) => {
+                let decoder = Decoder::new(Role::Responses, ANSWER);
+                entry.insert(Call { task, socket, generation, written: false, decoder, status: 0 });
+            }
+            Err(_) => self.ended(now, task, "no connection"),
+        }
+    }
+
+    pub fn call_ready(&mut self, io: &mut Io, slot: usize, generation: u32, ready: Ready) {
+        let now = awake_or_not();
+        let Some(call) = self.out.get_mut(slot).filter(|c| c.generation == generation) else { return };
+        let task = call.task;
+        if !call.written {
+            if !ready.write && !ready.broken {
+                return;
+            }
+            if call.socket.finish_connect().is_err() {
+                return self.end(now, task, "no connection");
+            }
+            let leaves = self.leases.as_ref().and_then(|l| self.calls.leaves(now, l, task));
+            let Some((permit, until)) = leaves else {
+                self.tally.entry(task).or_default()[2] += 1;
+                return self.end(now, task, "the lease is too short");
+            };
+            let Some(wanted) = self.tasks.get(&task) else { return };
+            // For a receiver that knows no tokens: by when, on the clock that machines agree on.
+            let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+            let head = format!(
+                "POST {} HTTP/1.1\r\nhost: {}\r\ncontent-length: 0\r\nconnection: close\r\ntask: {}\r\ngateway: {}\r\n\
+                 fencing-token: {}\r\nact-deadline: {}\r\n\r\n",
+                wanted.path,
+                wanted.address,
+                wanted.name,
+                self.number,
+                permit.token,
+                wall + (until - now)
+            );
+            call.written = true;
+            call.socket.output().extend_from_slice(head.as_bytes());
+            if call.socket.flush() != Flow::Open || call.socket.pending() > 0 {
+                return self.end(now, task, "cannot be written");
+            }
+            let _ = io.poller.change(&call.socket, Token::Call(slot, generation).pack(), Interest::READ);
+            return;
+        }
+        let (_, flow) = call.socket.read();
+        loop {
+            let (took, part) = match call.decoder.decode(&call.socket.input) {
+                Ok(read) => read,
+                Err(_) => return self.end(now, task, "an answer that cannot be read"),
+            };
+            let (status, over) = match part {
+                Some(Part::Head(head)) => (head.status, false),
+                Some(Part::End) => (call.status, true),
+                Some(Part::Data(_)) => (call.status, false),
+                None => {
+                    call.socket.consume(took);
+                    break;
+                }
+            };
+            call.status = status;
+            call.socket.consume(took);
+            if over {
+                return self.end(
+                    now,
+                    task,
+                    if (200..300).contains(&status) { "" } else { "answered otherwise" },
+                );
+            }
+        }
+        if flow != Flow::Open {
+            self.end(now, task, "broken");
+        }
+    }
+
+    /// A call is over; without a cause it was good.
+    fn end(&mut self, now: Time, task: Task, why: &str) {
+        let slot = self.out.iter().find(|(_, c)| c.task == task).map(|(slot, _)| slot);
+        if let Some(slot) = slot {
+            self.out.remove(slot);
+            self.ended(now, task, why);
+        }
+    }
+
+    fn ended(&mut self, now: Time, task: Task, why: &str) {
+        self.calls.ended(now, task);
+        self.tally.entry(task).or_default()[usize::from(!why.is_empty())] += 1;
+        if !why.is_empty() {
+            tracing::info!(target: "doorcourse::fleet", task = self.name(task), why, "call failed");
+        }
+    }
+
+    // ---- For people ----
+
+    /// A task goes to another gateway; why not, if not.
+    pub fn hand_over(&mut self, io: &mut Io, name: &str, to: Number) -> Result<(), String> {
+        let now = awake_or_not();
+        let task = task_of(name);
+        let held = self.leases.iter().flat_map(|l| l.views(now)).find(|v| v.task == task);
+        match held.map(|v| v.stage) {
+            None => return Err(format!("`{name}` is no task of the settings")),
+            Some(Stage::Held(_)) => {}
+            Some(_) => {
+                return Err(format!("`{name}` is not held by this gateway: ask its holder (ctl leases)"));
+            }
+        }
+        if !self.settings.peers.contains_key(&to) {
+            return Err(format!("gateway {to} is not among fleet.link.peers"));
+        }
+        self.tell(io, now, Input::HandOver { task, to });
+        Ok(())
+    }
+
+    pub fn peers(&self) -> Value {
+        let one = |v: doorcourse_peers::View| {
+            json!({"gateway": v.number, "address": self.settings.peers.get(&v.number).map(ToString::to_string),
+                "heard_ms_ago": v.heard, "silent": v.silent, "round_trip_ms": v.round_trip.map(round),
+                "clock_ahead_ms": v.clock.map(round), "taken": v.taken, "lost": v.lost, "sent": v.sent})
+        };
+        let drops: BTreeMap<_, _> = self.link.drops().by_name().collect();
+        let address = self.socket.as_ref().and_then(|s| s.local_addr().ok()).map(|a| a.to_string());
+        json!({"address": address, "peers": self.link.views(awake_or_not()).map(one).collect::<Vec<_>>(), "dropped": drops})
+    }
+
+    pub fn leases(&self) -> Value {
+        let now = awake_or_not();
+        let Some(leases) = &self.leases else { return Value::Null };
+        let one = |view: View| {
+            let name = self.name(view.task);
+            let (stage, ms) = match view.stage {
+                Stage::Waiting(ms) => ("waiting", ms),
+                Stage::Asking(_) => ("asking", 0),
+                Stage::Held(ms) => ("held", ms),
+            };
+            let [good, failed, kept_back] = self.tally.get(&view.task).copied().unwrap_or_default();
+            // Tokens are beyond what JSON readers take for a whole number.
+            json!({"task": name, "here": stage, "ms": ms, "token": view.token.map(|t| t.to_string()),
+                "granted_to": view.granted.map(|g| g.0), "granted_token": view.granted.map(|g| g.1.to_string()),
+                "granted_ms": view.granted.map(|g| g.2),
+                "refused_by": view.refused.map(|r| r.0), "refused": view.refused.map(|r| format!("{:?}", r.1)),
+                "calls_good": good, "calls_failed": failed, "calls_kept_back": kept_back})
+        };
+        json!({"gateway": self.number, "votes": leases.votes(now), "voters_version": leases.version(),
+            "tasks": leases.views(now).map(one).collect::<Vec<_>>()})
+    }
+
+    pub fn seen(&self) -> Seen {
+        let now = awake_or_not();
+        let held = |v: View| (self.name(v.task).to_owned(), matches!(v.stage, Stage::Held(_)));
+        Seen {
+            peers: self.link.views(now).collect(),
+            drops: self.link.drops().by_name().collect(),
+            held: self.leases.iter().flat_map(|l| l.views(now)).map(held).collect(),
+            calls: self.tally.iter().map(|(task, tally)| (self.name(*task).to_owned(), *tally)).collect(),
+        }
+    }
+}
+
+fn round(ms: f64) -> f64 {
+    (ms * 10.0).round() / 10.0
+}
+
+fn log(told: Told) {
+    match told {
+        Told::Up(peer) => tracing::info!(target: "doorcourse::fleet", peer, "peer heard"),
+        Told::Started(peer) => tracing::info!(target: "doorcourse::fleet", peer, "peer was started again"),
+        Told::Silent(peer) => tracing::warn!(target: "doorcourse::fleet", peer, "peer silent"),
+    }
+}
+
+fn fleet(settings: &FleetLink, number: Number) -> BTreeSet<Number> {
+    settings.peers.keys().copied().chain([number]).collect()
+}
+
+fn link_settings(settings: &FleetLink, number: Number, incarnation: u64) -> LinkSettings {
+    let FleetLink { peers, secrets, fleet, silence, .. } = settings.clone();
+    LinkSettings { fleet: fleet_of(&fleet), number, incarnation, peers, secrets, silence }
+}
+
+fn lease_settings(leases: &FleetLeases, link: &FleetLink, number: Number, incarnation: u64) -> LeaseSettings {
+    LeaseSettings {
+        number,
+        incarnation,
+        seed: incarnation,
+        length: leases.length,
+        longest: leases.length,
+        drift: leases.drift,
+        fleet: fleet(link, number),
+        voters: leases.voters.clone(),
+        tasks: leases.tasks.iter().map(|t| task_of(&t.name)).collect(),
+    }
+}
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -1,6 +1,7 @@
 //! The room for whoever watches: `/live`, `/ready` and `/metrics` on a listener of their own, never counted as requests. A
 //! balancer in front asks `/ready`; a metrics system reads `/metrics` in the OpenMetrics text format.
 
+use crate::fleet::Seen;
 use crate::io::{Io, Token};
 use doorcourse_http::{Decoder, Framing, Limits, Part, Role, response_head};
 use doorcourse_net::{Flow, Interest, Ready, Socket};
@@ -39,6 +40,27 @@
     plan: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByPeer {
+    peer: u32,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByCause {
+    cause: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByTask {
+    task: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ByCall {
+    task: String,
+    end: &'static str,
+}
+
 /// What is measured as it happens, and what is looked up when somebody reads.
 struct Metrics {
     registry: Registry,
@@ -53,6 +75,13 @@
     room: Family<ByNode, Gauge<f64, std::sync::atomic::AtomicU64>>,
     out: Family<ByNode, Gauge>,
     usable: Family<ByNode, Gauge>,
+    peer_heard: Family<ByPeer, Gauge>,
+    peer_round_trip: Family<ByPeer, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    peer_datagrams: Family<ByPeer, Gauge>,
+    peer_lost: Family<ByPeer, Gauge>,
+    dropped: Family<ByCause, Gauge>,
+    task_held: Family<ByTask, Gauge>,
+    task_calls: Family<ByCall, Gauge>,
 }
 
 /// What is looked up when somebody reads.
@@ -67,6 +96,8 @@
     pub leases: Vec<(String, f64)>,
     /// Each node: how many attempts it is given at most, how many are out, whether it is used.
     pub nodes: Vec<(String, f64, u32, bool)>,
+    /// The link to the other gateways and the tasks.
+    pub fleet: Seen,
 }
 
 impl Metrics {
@@ -85,6 +116,13 @@
             room: Family::default(),
             out: Family::default(),
             usable: Family::default(),
+            peer_heard: Family::default(),
+            peer_round_trip: Family::default(),
+            peer_datagrams: Family::default(),
+            peer_lost: Family::default(),
+            dropped: Family::default(),
+            task_held: Family::default(),
+            task_calls: Family::default(),
         };
         let r = &mut metrics.registry;
         r.register("served_seconds", "Time to a node's whole answer, by class", metrics.served.clone());
@@ -102,9 +140,58 @@
         r.register("node_room", "Attempts that a node is given at most", metrics.room.clone());
         r.register("node_attempts", "Attempts out at a node", metrics.out.clone());
         r.register("node_usable", "1 while a node is listed and not left alone", metrics.usable.clone());
+        r.register(
+            "peer_heard_ms",
+            "Since a peer gateway was heard last; -1 if never",
+            metrics.peer_heard.clone(),
+        );
+        r.register("peer_round_trip_ms", "Round trip to a peer gateway", metrics.peer_round_trip.clone());
+        r.register("peer_datagrams", "Datagrams taken from a peer gateway", metrics.peer_datagrams.clone());
+        r.register(
+            "peer_datagrams_lost",
+            "Datagrams that a peer numbered and that did not come",
+            metrics.peer_lost.clone(),
+        );
+        r.register("link_dropped", "Datagrams dropped, by cause", metrics.dropped.clone());
+        r.register("task_held", "1 while this gateway holds a task's lease", metrics.task_held.clone());
+        r.register(
+            "task_calls",
+            "Calls of tasks, by end: good, failed, kept_back",
+            metrics.task_calls.clone(),
+        );
         metrics
     }
 
+    fn fleet(&self, seen: &Seen) {
+        let whole = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        self.peer_heard.clear();
+        self.peer_round_trip.clear();
+        self.peer_datagrams.clear();
+        self.peer_lost.clear();
+        self.task_held.clear();
+        self.task_calls.clear();
+        for peer in &seen.peers {
+            let by = ByPeer { peer: peer.number };
+            self.peer_heard.get_or_create(&by).set(peer.heard.map_or(-1, whole));
+            self.peer_datagrams.get_or_create(&by).set(whole(peer.taken));
+            self.peer_lost.get_or_create(&by).set(whole(peer.lost));
+            if let Some(ms) = peer.round_trip {
+                self.peer_round_trip.get_or_create(&by).set(ms);
+            }
+        }
+        for (cause, count) in &seen.drops {
+            self.dropped.get_or_create(&ByCause { cause }).set(whole(*count));
+        }
+        for (task, held) in &seen.held {
+            self.task_held.get_or_create(&ByTask { task: task.clone() }).set((*held).into());
+        }
+        for (task, calls) in &seen.calls {
+            for (end, count) in ["good", "failed", "kept_back"].into_iter().zip(calls) {
+                self.task_calls.get_or_create(&ByCall { task: task.clone(), end }).set(whole(*count));
+            }
+        }
+    }
+
     fn text(&self, now: &Now) -> String {
         let whole = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
         self.requests.set(whole(now.requests));
@@ -126,6 +213,7 @@
             self.out.get_or_create(&by).set((*out).into());
             self.usable.get_or_create(&by).set((*usable).into());
         }
+        self.fleet(&now.fleet);
         let mut text = String::new();
         // Writing into a text does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/gateway/src/io.rs
+++ b/crates/gateway/src/io.rs
@@ -17,6 +17,8 @@
     Peer(usize, u32),
     Health,
     Watcher(usize, u32),
+    Link,
+    Call(usize, u32),
 }
 
 /// The bits of a generation that a token carries.
@@ -36,6 +38,8 @@
             Self::Peer(slot, generation) => (8, slot, generation),
             Self::Health => (9, 0, 0),
             Self::Watcher(slot, generation) => (10, slot, generation),
+            Self::Link => (11, 0, 0),
+            Self::Call(slot, generation) => (12, slot, generation),
         };
         kind << 60 | u64::from(generation) << 32 | slot as u64
     }
@@ -52,6 +56,8 @@
             8 => Self::Peer(slot, generation),
             9 => Self::Health,
             10 => Self::Watcher(slot, generation),
+            11 => Self::Link,
+            12 => Self::Call(slot, generation),
             _ => Self::Signal,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod counter;
 mod exchanges;
+mod fleet;
 mod front;
 mod health;
 mod io;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,6 +5,7 @@
 use crate::clients::{Clients, Said};
 use crate::counter::Counter;
 use crate::exchanges::{Do, Exchanges};
+use crate::fleet::Fleet;
 use crate::front;
 use crate::health::{Health, Now};
 use crate::io::{Alarm, Io, Token};
@@ -48,6 +49,7 @@
     nodes: Nodes,
     exchanges: Exchanges,
     counter: Counter,
+    fleet: Option<Fleet>,
     admin: Option<Admin>,
     health: Option<Health>,
     reload: Reload,
@@ -148,6 +150,8 @@
             nodes: Nodes::default(),
             exchanges: Exchanges::default(),
             counter: Counter::new(config.counter.as_ref()),
+            // Never the seed of the decisions: two starts must not look like one.
+            fleet: Fleet::new(&io, &config, chance(), old.is_some())?,
             admin,
             health,
             reload,
@@ -234,6 +238,9 @@
                 self.pump();
             }
             let counter_due = self.counter.tick(&mut self.io);
+            if let Some(fleet) = &mut self.fleet {
+                fleet.tick(&mut self.io);
+            }
             self.pump();
             let (requests, clients, calls) = (self.exchanges.count(), self.clients.count(), self.counter.out);
             let quiet = self.io.now() - self.clients.spoke_at;
@@ -250,7 +257,9 @@
             }
             let life_due = self.life.due(self.io.now());
             let first = self.io.timers.first().unwrap_or(f64::INFINITY).min(counter_due).min(life_due);
+            let fleet = self.fleet.as_ref().map_or(f64::INFINITY, Fleet::due);
             let wait = if first.is_finite() { self.io.clock.until(first) } else { Duration::from_secs(3600) };
+            let wait = wait.min(Duration::from_secs_f64(fleet.min(3.6e6) / 1000.0));
             self.io.poller.wait(Some(wait), &mut ready)?;
             for ready in ready.drain(..) {
                 self.ready(ready);
@@ -269,6 +278,16 @@
                 self.nodes.ready(slot, generation, ready);
                 self.hear(slot, generation);
             }
+            Token::Link => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.ready(&mut self.io);
+                }
+            }
+            Token::Call(slot, generation) => {
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.call_ready(&mut self.io, slot, generation, ready);
+                }
+            }
             Token::Counter(generation) => self.counter.ready(&mut self.io, generation, ready),
             Token::Signal => {
                 let mut bytes = [0; 16];
@@ -474,7 +493,12 @@
         for output in outputs {
             match output {
                 Output::Ready(ready) => tracing::info!(ready, "readiness"),
-                Output::ClientsGo => self.clients.going = true,
+                Output::ClientsGo => {
+                    self.clients.going = true;
+                    if let Some(fleet) = &mut self.fleet {
+                        fleet.leave(&mut self.io);
+                    }
+                }
                 Output::CloseListeners => self.clients.close_listeners(),
                 Output::Reload => self.reload.start(&self.config),
                 Output::TakeSettings => self.take_settings(),
@@ -541,6 +565,9 @@
         }
         let nodes = config.nodes.clone();
         self.clients.take_settings(&config);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.configure(&mut self.io, &config);
+        }
         self.config = Arc::new(config);
         if self.list.is_none() {
             self.take_list(&nodes);
@@ -632,6 +659,19 @@
             Asked::Status => self.status(),
             Asked::Nodes => self.node_views(),
             Asked::Customers => self.customer_views(),
+            Asked::Peers => self.fleet.as_ref().map_or(Value::Null, Fleet::peers),
+            Asked::Leases => self.fleet.as_ref().map_or(Value::Null, Fleet::leases),
+            Asked::HandOver { task, to } => {
+                let none = || Err("the settings have no fleet.link".to_owned());
+                let done = self.fleet.as_mut().map_or_else(none, |f| f.hand_over(&mut self.io, &task, to));
+                if let Err(why) = done {
+                    if let Some(admin) = &mut self.admin {
+                        admin.bad_parameters(slot, &id, &why);
+                    }
+                    return;
+                }
+                json!({"task": task, "to": to})
+            }
             Asked::DrainNode { name, drain } => {
                 if !self.drain_node(&name, drain) {
                     let why = format!("`{name}` is no node of the list");
@@ -687,6 +727,7 @@
             silent: self.decision.is_counter_silent(),
             leases: leases.into_iter().collect(),
             nodes: self.decision.backends().map(node).collect(),
+            fleet: self.fleet.as_ref().map(Fleet::seen).unwrap_or_default(),
         }
     }
 
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -11,6 +11,7 @@
 #![warn(missing_docs)]
 
 mod act;
+mod calls;
 mod codec;
 mod lease;
 mod message;
@@ -19,6 +20,7 @@
 mod voters;
 
 pub use act::{Needs, Permit, Stop};
+pub use calls::{CallSettings, Calls};
 pub use codec::{ITEMS, Unreadable, decode, encode};
 pub use lease::{Gain, Input, Leases, Loss, Output, Stage, View};
 pub use message::{Ask, Item, Message, Refusal};
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -43,6 +43,13 @@
     }
 }
 
+/// Ms since the machine was started, sleep included: for what must run out also while a machine sleeps.
+#[must_use]
+pub fn awake_or_not() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec.unsigned_abs() * 1000 + now.tv_nsec.unsigned_abs() / 1_000_000
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,7 +6,7 @@
 mod socket;
 mod timers;
 
-pub use clock::Clock;
+pub use clock::{Clock, awake_or_not};
 pub use counts::{Counts, counts};
 pub use poll::{Interest, Poller, Ready, Waker};
 pub use socket::{Flow, Socket, connect, listen};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,8 @@
 mod load;
 mod node;
 mod record;
+mod relay;
+mod witness;
 mod world;
 
 pub use catalogue::{CATALOGUE, Operation, operations};
@@ -17,4 +19,6 @@
 pub use load::{Load, LoadReport};
 pub use node::{NodeFault, NodeSpec};
 pub use record::Recorder;
+pub use relay::{Relay, Way};
+pub use witness::Witness;
 pub use world::{Command, World, WorldSpec};
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -4,10 +4,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod acts;
 mod record;
 mod report;
 mod rules;
 
+pub use acts::{Act, acts};
 pub use record::{Anew, Bounds, Event, Kind, PlanBounds, Record, Rule, read};
 pub use report::{Answers, Report, summary};
 pub use rules::{Breach, judge};
