Drill of the leases: late calls, and a build without the guard that it catches

Change: witnesses hold calls up on their way, and the holder is killed behind them: sent in time, there too late. The feature `spoilt-guard` builds a program whose guard goes by what was ever held. Times in the witnesses' records count from their start.

--- a/crates/drill/src/holders.rs
+++ b/crates/drill/src/holders.rs
@@ -125,7 +125,7 @@
     (held.datagrams, held.bytes) = (datagrams as f64 / seconds, bytes as f64 / seconds);
     for (at, witness) in play.witnesses.iter().enumerate() {
         let all = witness.acts();
-        held.broken.extend(acts(&all, !witness.fences()).into_iter().map(|b| format!("{}: {b}", TASKS[at])));
+        held.broken.extend(acts(&all, !witness.fences()));
         let mut good: Vec<&Act> = all.iter().filter(|a| a.accepted).collect();
         good.sort_by(|a, b| a.begin.total_cmp(&b.begin));
         (held.accepted[at], held.refused[at]) = (good.len(), all.len() - good.len());
@@ -285,7 +285,7 @@
         let count = self.options.gateways;
         let holder = self.holder(dice.random_range(0..2)).unwrap_or(0);
         let minority: Vec<usize> = (0..count).filter(|at| at % 2 == 1 && *at != holder).collect();
-        match dice.random_range(0..12) {
+        match dice.random_range(0..14) {
             0 | 1 => {
                 self.tell(format!("holder {holder} killed"));
                 self.kill(holder);
@@ -299,6 +299,18 @@
                 self.pass(span);
                 self.signal(holder, Signal::CONT)?;
             }
+            12 | 13 => {
+                // Sent in time and there too late: only the token or the deadline can tell.
+                let span = dice.random_range(1.0..4.0);
+                self.tell(format!(
+                    "holder {holder}'s calls held up on their way for {span:.1} leases, and it is killed"
+                ));
+                self.witnesses.iter().for_each(|w| w.hold_up(60.0, span * LEASE));
+                std::thread::sleep(Duration::from_millis(60));
+                self.kill(holder);
+                self.pass(dice.random_range(0.0..span));
+                self.start(holder)?;
+            }
             5 => {
                 self.tell(format!("holder {holder} cut off"));
                 self.relay.change(|a, b| a == holder || b == holder, |way| way.cut = true);
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -164,6 +164,9 @@
     asks: Vec<Item>,
     asking: bool,
     spoil: Spoil,
+    /// What was ever held: a guard that is left out goes by it.
+    #[cfg(feature = "spoilt-guard")]
+    ever: BTreeMap<Task, Token>,
 }
 
 impl Leases {
@@ -190,6 +193,8 @@
         let climbed = settings.voters.before.is_empty() || spoil == Spoil::OldVoters;
         let mut new = Self {
             spoil,
+            #[cfg(feature = "spoilt-guard")]
+            ever: BTreeMap::new(),
             voter: Voter::default(),
             seats: BTreeMap::new(),
             refusals: BTreeMap::new(),
@@ -260,6 +265,18 @@
     /// # Errors
     /// Why not.
     pub fn may_act(&self, now: Time, task: Task, needs: Needs) -> Result<Permit, Stop> {
+        #[cfg(feature = "spoilt-guard")]
+        return self
+            .ever
+            .get(&task)
+            .map(|t| Permit { task, token: *t, until: now + needs.time })
+            .ok_or(Stop::NotHeld);
+        #[cfg(not(feature = "spoilt-guard"))]
+        self.guard(now, task, needs)
+    }
+
+    #[cfg_attr(feature = "spoilt-guard", expect(dead_code, reason = "this is what is left out"))]
+    fn guard(&self, now: Time, task: Task, needs: Needs) -> Result<Permit, Stop> {
         let Some(Seat::Holding { token, until, .. }) = self.seats.get(&task) else {
             return Err(Stop::NotHeld);
         };
@@ -543,6 +560,8 @@
             return;
         }
         if !matches!(self.seats.get(&task), Some(Seat::Holding { .. })) {
+            #[cfg(feature = "spoilt-guard")]
+            self.ever.insert(task, token);
             out.push(Output::Gained(Gain { task, token, until }));
         }
         self.refusals.remove(&task);
--- a/crates/standins/src/witness.rs
+++ b/crates/standins/src/witness.rs
@@ -18,6 +18,10 @@
     acts: Vec<Act>,
     highest: HashMap<String, u64>,
     dice: ChaCha8Rng,
+    /// The record's times count from here.
+    start: f64,
+    /// Calls that come before the first moment are held up for so many ms.
+    held_up: (f64, f64),
 }
 
 /// A running witness; it ends when it is dropped.
@@ -45,7 +49,13 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let (address, over) = (listener.local_addr()?, Arc::new(AtomicBool::new(false)));
         let dice = ChaCha8Rng::seed_from_u64(seed);
-        let inside = Arc::new(Mutex::new(Inside { acts: Vec::new(), highest: HashMap::new(), dice }));
+        let inside = Arc::new(Mutex::new(Inside {
+            acts: Vec::new(),
+            highest: HashMap::new(),
+            dice,
+            start: now(),
+            held_up: (0.0, 0.0),
+        }));
         let (shared, ends) = (Arc::clone(&inside), Arc::clone(&over));
         std::thread::Builder::new().name("witness".into()).spawn(move || {
             for stream in listener.incoming() {
@@ -71,6 +81,11 @@
         self.fences
     }
 
+    /// Calls that come within the next `window` ms are held up on their way for `span` ms.
+    pub fn hold_up(&self, window: f64, span: f64) {
+        lock(&self.inside).held_up = (now() + window, span);
+    }
+
     /// All acts so far.
     #[must_use]
     pub fn acts(&self) -> Vec<Act> {
@@ -89,9 +104,13 @@
 fn serve(mut stream: TcpStream, inside: &Mutex<Inside>, fences: bool, work: f64) {
     let _ = stream.set_read_timeout(Some(Duration::from_secs(20)));
     let Some(mut act) = read(&mut stream) else { return };
+    let (until, span) = lock(inside).held_up;
+    if now() < until {
+        std::thread::sleep(Duration::from_secs_f64(span / 1000.0));
+    }
     let span = {
         let mut inside = lock(inside);
-        act.begin = now();
+        (act.begin, act.deadline) = (now() - inside.start, act.deadline - inside.start);
         let highest = inside.highest.get(&act.task).copied().unwrap_or_default();
         act.accepted = if fences { act.token >= highest } else { act.begin + work <= act.deadline };
         if act.accepted && fences {
