Leases by processes in the test suite: by hand, at a drain, at a takeover, secrets changed

Need: what an operator does with leases must work on the program itself, and wrong settings must name their place.

Change: tests that start three processes with a relay and a witness between them; fifteen faults of `fleet.link` and `leases` by file, line and field.

Result: a hand-over goes to whom it was given, a drain gives back at once, who takes over votes once the old process has let its socket go, three reloads change the secret without one datagram taken for forged; no rule broken in any record.

--- /dev/null
+++ b/crates/cli/tests/leases.rs
@@ -0,0 +1,217 @@
+//! Tasks of one holder at a time, with processes of the program: by hand, at a drain, at a takeover, with secrets changed.
+
+use doorcourse_standins::{Relay, Witness};
+use doorcourse_verdict::acts;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(20);
+const BINARY: &str = env!("CARGO_BIN_EXE_doorcourse");
+const GATEWAYS: usize = 3;
+
+/// Three gateways whose datagrams pass a relay, and a witness that their one task calls.
+struct Fleet {
+    folder: PathBuf,
+    relay: Relay,
+    witness: Witness,
+    gateways: Vec<Child>,
+    logs: Vec<mpsc::Receiver<Value>>,
+}
+
+impl Fleet {
+    fn start(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("doorcourse-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let tour = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/tour");
+        std::fs::copy(tour.join("catalogue.graphql"), folder.join("catalogue.graphql")).expect("a schema");
+        std::fs::write(folder.join("secret"), "the first secret of a fleet\n").expect("a secret");
+        let relay = Relay::start(GATEWAYS, 1).expect("a relay");
+        let witness = Witness::start(false, 20.0, 1).expect("a witness");
+        let mut fleet = Self { folder, relay, witness, gateways: Vec::new(), logs: Vec::new() };
+        for at in 0..GATEWAYS {
+            fleet.settings(at);
+            let (child, log) = fleet.serve(at, &[]);
+            fleet.gateways.push(child);
+            fleet.logs.push(log);
+        }
+        fleet
+    }
+
+    fn settings(&self, number: usize) {
+        let tour = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/tour/settings.txtpb");
+        let text = std::fs::read_to_string(tour).expect("settings").replace("127.0.0.1:8080", "127.0.0.1:0");
+        let peer =
+            |to: usize| format!("peers {{ number: {to} address: \"{}\" }} ", self.relay.address(number, to));
+        let peers: String = (0..GATEWAYS).filter(|to| *to != number).map(peer).collect();
+        let own = format!(
+            "fleet {{ gateways: {GATEWAYS} number: {number} link {{ listen: \"127.0.0.1:0\" secret_file: \"secret\" \
+             silence_ms: 2000 {peers} }} }}\ncounter {{ address: \"127.0.0.1:9\" }}\n\
+             admin {{ socket: \"g{number}.sock\" }}\nleases {{ length_ms: 600 tasks {{ name: \"bill\" \
+             address: \"{}\" every_ms: 20 needs_ms: 150 }} }}\n",
+            self.witness.address()
+        );
+        std::fs::write(self.folder.join(format!("g{number}.txtpb")), text + &own).expect("settings");
+    }
+
+    /// Starts a process and waits until its link is up.
+    fn serve(&self, at: usize, more: &[&str]) -> (Child, mpsc::Receiver<Value>) {
+        let mut command = Command::new(BINARY);
+        command.args(["serve", "--config"]).arg(self.folder.join(format!("g{at}.txtpb"))).args(more);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the binary starts");
+        let lines = BufReader::new(child.stderr.take().expect("piped"));
+        let (told, log) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in lines.lines().map_while(Result::ok) {
+                let _ = told.send(serde_json::from_str(&line).unwrap_or_default());
+            }
+        });
+        let up = wait(&log, "link up");
+        self.relay.reach(at, up["address"].as_str().and_then(|a| a.parse().ok()).expect("an address"));
+        (child, log)
+    }
+
+    /// `ctl` at a gateway: whether it went well, and what it printed.
+    fn ctl(&self, at: usize, arguments: &[&str]) -> (bool, Value) {
+        let mut command = Command::new(BINARY);
+        command.args(["ctl", "--socket"]).arg(self.folder.join(format!("g{at}.sock"))).args(arguments);
+        let done = command.output().expect("ctl runs");
+        let text = String::from_utf8_lossy(if done.status.success() { &done.stdout } else { &done.stderr })
+            .into_owned();
+        (done.status.success(), serde_json::from_str(&text).unwrap_or(Value::String(text)))
+    }
+
+    /// Waits until a gateway other than those named has acted, and tells who.
+    fn acted(&self, but: &[usize]) -> usize {
+        let (begin, before) = (Instant::now(), self.witness.acts().len());
+        loop {
+            let acts = self.witness.acts();
+            let new =
+                acts[before..].iter().rev().find(|a| a.accepted && !but.contains(&(a.gateway as usize)));
+            if let Some(act) = new {
+                return act.gateway as usize;
+            }
+            assert!(begin.elapsed() < LIMIT, "nobody but {but:?} acts");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn judge(&self) {
+        let broken = acts(&self.witness.acts(), true);
+        assert!(broken.is_empty(), "{broken:#?}");
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in &mut self.gateways {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn wait(log: &mpsc::Receiver<Value>, text: &str) -> Value {
+    let mut seen = Vec::new();
+    while let Ok(line) = log.recv_timeout(LIMIT) {
+        if line["message"] == text {
+            return line;
+        }
+        seen.push(line.to_string());
+    }
+    panic!("no {text:?} in {seen:#?}");
+}
+
+#[test]
+fn a_task_goes_by_hand_and_at_a_drain_and_people_see_it() {
+    let mut fleet = Fleet::start("hand");
+    let holder = fleet.acted(&[]);
+    let (_, told) = fleet.ctl(holder, &["leases"]);
+    let task = &told["tasks"][0];
+    assert_eq!(
+        (&task["task"], &task["here"], &told["votes"]),
+        (&"bill".into(), &"held".into(), &true.into()),
+        "{told}"
+    );
+    assert_eq!(task["granted_to"], holder, "{told}");
+    let (_, told) = fleet.ctl(holder, &["peers"]);
+    let heard = told["peers"]
+        .as_array()
+        .expect("peers")
+        .iter()
+        .all(|p| p["heard_ms_ago"].is_u64() && p["silent"] == false);
+    assert!(heard, "{told}");
+    // Only its holder can give it away, and only to a gateway that there is.
+    let to = (holder + 1) % GATEWAYS;
+    let (good, why) = fleet.ctl(to, &["hand-over", "bill", "0"]);
+    assert!(!good && why.to_string().contains("not held by this gateway"), "{why}");
+    assert!(
+        !fleet.ctl(holder, &["hand-over", "bill", "9"]).0 && !fleet.ctl(holder, &["hand-over", "tax", "1"]).0
+    );
+    assert!(fleet.ctl(holder, &["hand-over", "bill", &to.to_string()]).0);
+    assert_eq!(fleet.acted(&[holder]), to);
+    // At a drain it is given back, not waited out.
+    let log = fleet.logs.remove(to);
+    kill_process(Pid::from_child(&fleet.gateways[to]), Signal::TERM).expect("told");
+    let lost = wait(&log, "lease lost");
+    assert_eq!(lost["given_back"], true);
+    fleet.acted(&[to]);
+    assert!(fleet.gateways[to].wait().expect("it ends").success());
+    fleet.judge();
+}
+
+#[test]
+fn who_takes_over_votes_again_once_the_old_process_lets_go() {
+    let mut fleet = Fleet::start("over");
+    fleet.acted(&[]);
+    let (new, log) = fleet.serve(0, &["--take-over"]);
+    let mut old = std::mem::replace(&mut fleet.gateways[0], new);
+    assert!(old.wait().expect("it ends").success());
+    // It is silent for the longest lease and votes then.
+    let begin = Instant::now();
+    while fleet.ctl(0, &["leases"]).1["votes"] != true {
+        assert!(begin.elapsed() < LIMIT, "it never votes");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    drop(log);
+    // With another one gone, a majority needs its vote.
+    let gone = fleet.acted(&[0]);
+    let _ = fleet.gateways[gone].kill();
+    fleet.acted(&[gone]);
+    fleet.judge();
+}
+
+#[test]
+fn secrets_change_one_gateway_behind_the_other_and_none_is_cut_off() {
+    let fleet = Fleet::start("secret");
+    fleet.acted(&[]);
+    let (first, second) = ("the first secret of a fleet\n", "the second secret of a fleet\n");
+    for text in [format!("{first}{second}"), format!("{second}{first}"), second.to_owned()] {
+        std::fs::write(fleet.folder.join("secret"), text).expect("a secret");
+        for at in 0..GATEWAYS {
+            assert!(fleet.ctl(at, &["reload"]).0);
+        }
+    }
+    fleet.acted(&[]);
+    for at in 0..GATEWAYS {
+        let (_, told) = fleet.ctl(at, &["peers"]);
+        assert_eq!(told["dropped"]["forged"], 0, "{told}");
+    }
+    // One that never heard of the change is told apart, and counted.
+    std::fs::write(fleet.folder.join("secret"), "a secret of nobody else\n").expect("a secret");
+    assert!(fleet.ctl(0, &["reload"]).0);
+    let begin = Instant::now();
+    while fleet.ctl(1, &["peers"]).1["dropped"]["forged"] == 0 {
+        assert!(begin.elapsed() < LIMIT, "nothing forged is seen");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    fleet.acted(&[0]);
+    fleet.judge();
+}
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -126,3 +126,84 @@
         read_nodes("n", "routing { sticky { strict: true } }").unwrap_err()[0].message.contains("cookie or")
     );
 }
+
+const LINKED: &str = r#"fleet { gateways: 3 number: 1 link { listen: "127.0.0.1:0" secret_file: "secret"
+  peers { number: 0 address: "127.0.0.1:9000" } peers { number: 1 address: "127.0.0.1:9001" } peers { number: 2 address: "127.0.0.1:9002" } } }
+leases { length_ms: 400 tasks { name: "bill" address: "127.0.0.1:9100" } }
+"#;
+
+fn linked(text: &str) -> Result<Config, Vec<Fault>> {
+    let rest = GOOD.replace("fleet { gateways: 2 number: 1 zone: \"a\" }\n", "");
+    read("f.txtpb", &format!("{text}{rest}"), &|name| match name {
+        "s.graphql" => Ok(SDL.into()),
+        "secret" => Ok("sixteen bytes or more\n\n".into()),
+        "short" => Ok("short\n".into()),
+        _ => Err("no such file".into()),
+    })
+}
+
+#[test]
+fn a_link_and_leases_are_taken_with_their_defaults() {
+    let config = linked(LINKED).unwrap();
+    let (link, leases) = (config.link.unwrap(), config.leases.unwrap());
+    assert_eq!(link.peers.keys().copied().collect::<Vec<_>>(), [0, 2], "this gateway is passed over");
+    assert_eq!((link.silence, &*link.fleet, link.secrets.len()), (3000, "doorcourse", 1));
+    assert!(!format!("{link:?}").contains("sixteen"), "no secret in any log");
+    assert_eq!((leases.length, leases.drift, leases.voters.now.len()), (400, 10_000, 3));
+    let task = &leases.tasks[0];
+    assert_eq!((task.every, task.needs, &*task.path), (1000, 100, "/"));
+}
+
+#[test]
+fn faults_of_link_and_leases_name_their_place() {
+    for (from, to, told) in [
+        (
+            "number: 2 address",
+            "number: 3 address",
+            "fleet.link.peers[2].number: 3 is not below the number of gateways, 3",
+        ),
+        ("number: 2 address", "number: 0 address", "fleet.link.peers[2].number: gateway 0 is named twice"),
+        (
+            "127.0.0.1:9002",
+            "127.0.0.1:9000",
+            "fleet.link.peers[2].address: 127.0.0.1:9000 is gateway 0's already",
+        ),
+        ("127.0.0.1:9002", "there", "fleet.link.peers[2].address: `there` is no address"),
+        (
+            "\"secret\"",
+            "\"short\"",
+            "fleet.link.secret_file: 1 to 8 lines are needed, each of at least 16 bytes",
+        ),
+        ("\"secret\"", "\"none\"", "fleet.link.secret_file: none: no such file"),
+        ("length_ms: 400", "length_ms: 4", "leases.length_ms: 4 is out of range: allowed is 20 to 600000"),
+        (
+            "length_ms: 400",
+            "drift_ppm: 500000",
+            "leases.drift_ppm: 500000 is out of range: allowed is 0 to 499999",
+        ),
+        ("length_ms: 400", "voters: [0, 5]", "leases.voters[1]: gateway 5 is not among fleet.link.peers"),
+        ("length_ms: 400", "voters: [0, 0]", "leases.voters[1]: gateway 0 is named twice"),
+        (
+            "length_ms: 400",
+            "voters_version: 1",
+            "leases.voters_before: who voted in the version before is needed",
+        ),
+        (
+            "length_ms: 400",
+            "voters_version: 1 voters: [0] voters_before: [0, 1, 2]",
+            "leases.voters: one voter may be added or removed in one version",
+        ),
+        ("name: \"bill\"", "name: \"b ill\"", "leases.tasks[0].name: a name without white space is needed"),
+        (
+            "9100\"",
+            "9100\" needs_ms: 300",
+            "leases.tasks[0].needs_ms: 300 is out of range: allowed is 1 to 200",
+        ),
+        ("9100\"", "9100\" path: \"x\"", "leases.tasks[0].path: `x` must begin with /"),
+    ] {
+        assert!(LINKED.contains(from), "{from}");
+        let faults = linked(&LINKED.replacen(from, to, 1)).expect_err(to);
+        let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        assert!(shown.iter().any(|f| f.contains(told)), "{to}: {shown:?} lacks {told:?}");
+    }
+}
