--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -2,7 +2,9 @@
 
 use anyhow::Context;
 use clap::Args;
-use doorcourse_drill::{DRILLS, HolderOptions, Options, View, compare, play, play_holders, read, show};
+use doorcourse_drill::{
+    DRILLS, HolderOptions, LEASE, Options, View, compare, cost_of_holders, play, play_holders, read, show,
+};
 use serde_json::json;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
@@ -44,6 +46,9 @@
     /// `lease-holder-lost`: how many gateways, 3 to 9.
     #[arg(long, default_value_t = 5)]
     gateways: usize,
+    /// `lease-holder-lost`: no faults; measure what leases of 3 s cost 5 and 9 gateways with 1, 100 and 1,000 tasks.
+    #[arg(long)]
+    cost: bool,
 }
 
 const HOLDERS: &str = "lease-holder-lost";
@@ -107,6 +112,28 @@
     Ok(if outcome.good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Tells what leases cost a fleet that is well.
+fn cost(binary: &Path, folder: &Path, seed: u64) -> anyhow::Result<ExitCode> {
+    say!("gateways  tasks   held  datagrams/s  kB/s  processor   (one gateway, lease 3 s)");
+    for gateways in [5, 9] {
+        for tasks in [2, 100, 1000] {
+            let folder = folder.join(format!("{gateways}-{tasks}"));
+            let (binary, more_tasks) = (binary.to_owned(), tasks - 2);
+            let options =
+                HolderOptions { binary, folder, gateways, faults: 0, seed, more_tasks, lease: 3000.0 };
+            let cost = cost_of_holders(&options, 6.0)?;
+            say!(
+                "{gateways:>8}  {tasks:>5}  {:>5}  {:>11.1}  {:>4.1}  {:>8.2}%",
+                cost.held,
+                cost.datagrams,
+                cost.bytes / 1000.0,
+                cost.processor * 100.0
+            );
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Plays the drill of the leases, seed by seed, and tells what was broken in any.
 fn holders(drill: &Drill) -> anyhow::Result<ExitCode> {
     let binary = std::env::current_exe().context("this program's own file")?;
@@ -114,6 +141,9 @@
         Some(folder) => (false, folder.clone()),
         None => (true, std::env::temp_dir().join(format!("doorcourse-leases-{}", std::process::id()))),
     };
+    if drill.cost {
+        return cost(&binary, &folder, drill.seed);
+    }
     let faults = if drill.short { 6 } else { 16 };
     let seeds: Vec<u64> = (drill.seed..drill.seed + drill.seeds.max(1)).collect();
     let next = std::sync::atomic::AtomicUsize::new(0);
@@ -123,7 +153,15 @@
         while let Some(seed) = seeds.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed)) {
             let folder = folder.join(format!("{seed}"));
             let (binary, gateways, seed) = (binary.clone(), drill.gateways, *seed);
-            let held = play_holders(&HolderOptions { binary, folder, gateways, faults, seed });
+            let held = play_holders(&HolderOptions {
+                binary,
+                folder,
+                gateways,
+                faults,
+                seed,
+                more_tasks: 0,
+                lease: LEASE,
+            });
             told.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push((seed, held));
         }
     };
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -61,6 +61,8 @@
     figure("leases.voters", voters(old), voters(new));
     let tasks = |c: &Config| c.leases.as_ref().map_or(String::new(), |l| format!("{:?}", l.tasks));
     figure("leases.tasks", tasks(old), tasks(new));
+    let suspects = |c: &Config| format!("{:?}", c.leases.as_ref().and_then(|l| l.suspects));
+    figure("leases.suspects", suspects(old), suspects(new));
     figure("node_list", format!("{:?}", old.node_list), format!("{:?}", new.node_list));
     let schema = |c: &Config| format!("{:?}", c.schema);
     if schema(old) != schema(new) {
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -41,7 +41,7 @@
 }
 
 /// What is done under a lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FleetLeases {
     /// The lease, in ms.
     pub length: u64,
@@ -51,6 +51,26 @@
     pub voters: Voters,
     /// What is done.
     pub tasks: Vec<FleetTask>,
+    /// Whether suspect nodes are tried for all.
+    pub suspects: Option<FleetSuspects>,
+}
+
+/// The lease under which suspect nodes are tried.
+pub const SUSPECTS: &str = "suspects";
+
+/// How suspect nodes are tried. Times in ms.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetSuspects {
+    /// Between two trials of the whole fleet.
+    pub every: u64,
+    /// A node that answers nothing for this long is bad.
+    pub timeout: u64,
+    /// The share of the nodes that are called bad at most.
+    pub share: f64,
+    /// For how long a report and a word are believed.
+    pub keep: u64,
+    /// Whether the choice of nodes goes by the word.
+    pub apply: bool,
 }
 
 /// A call that one gateway makes at a time. Times in ms.
@@ -155,7 +175,26 @@
     } else if voters.before.symmetric_difference(&voters.now).count() > 1 && voters.version > 0 {
         check.fault("leases.voters", "one voter may be added or removed in one version");
     }
+    let suspects = raw.suspects.as_ref().map(|s| {
+        let path = |field: &str| format!("leases.suspects.{field}");
+        let half = (length / 2).max(10) as f64;
+        FleetSuspects {
+            every: check.figure(&path("every_ms"), s.every_ms.unwrap_or(200.0), 10.0..=6e4) as u64,
+            timeout: check.figure(
+                &path("timeout_ms"),
+                s.timeout_ms.unwrap_or((half / 2.0).clamp(10.0, 500.0)),
+                10.0..=half.min(6e4),
+            ) as u64,
+            share: check.figure(&path("share"), s.share.unwrap_or(0.25), 0.0..=1.0),
+            keep: check.figure(&path("keep_ms"), s.keep_ms.unwrap_or(2000.0), 100.0..=6e5) as u64,
+            apply: s.apply.unwrap_or(true),
+        }
+    });
     let (mut names, mut numbers) = (HashSet::new(), HashMap::new());
+    if suspects.is_some() {
+        names.insert(SUSPECTS.to_owned());
+        numbers.insert(task_of(SUSPECTS), SUSPECTS.to_owned());
+    }
     if raw.tasks.len() > TASKS {
         check.fault("leases.tasks", format!("{} tasks: at most {TASKS}", raw.tasks.len()));
     }
@@ -179,5 +218,5 @@
                 as u64,
         }
     });
-    FleetLeases { length, drift, voters, tasks: tasks.collect() }
+    FleetLeases { length, drift, voters, tasks: tasks.collect(), suspects }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use change::{Change, compare};
 pub use check::{is_node_list, parse_text, read, read_nodes};
-pub use fleet::{FleetLeases, FleetLink, FleetTask};
+pub use fleet::{FleetLeases, FleetLink, FleetSuspects, FleetTask, SUSPECTS};
 pub use locate::Places;
 
 use doorcourse::{BackendEntry, Name};
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -4,7 +4,8 @@
 use anyhow::{Context, bail};
 use doorcourse_net::Clock;
 use doorcourse_standins::{
-    CATALOGUE, Command as Order, ListSource, ListedNode, NodeFault, NodeSpec, Recorder, World, WorldSpec,
+    CATALOGUE, Command as Order, ListSource, ListedNode, NodeFault, NodeSpec, Recorder, Relay, World,
+    WorldSpec,
 };
 use doorcourse_verdict::Event;
 use rustix::process::{Pid, Signal, kill_process};
@@ -37,6 +38,8 @@
     pub state: bool,
     /// An httpd configuration that the node list is imported from; empty for none.
     pub httpd: String,
+    /// Whether suspect nodes are tried by one gateway for all, and whether the choice of nodes goes by its word.
+    pub suspects: Option<bool>,
     /// The customers: name, plan, key.
     pub customers: Vec<(String, &'static str, String)>,
 }
@@ -64,6 +67,8 @@
     gateways: Vec<Option<Child>>,
     /// What all plans' figures are multiplied by.
     times: f64,
+    /// The gateways' datagrams to each other.
+    relay: Option<Relay>,
 }
 
 impl Fleet {
@@ -115,15 +120,27 @@
         let addresses = Arc::new(Mutex::new(vec![none; spec.gateways]));
         let gateways = (0..spec.gateways).map(|_| None).collect();
         let open = Arc::new(Mutex::new(vec![false; spec.gateways]));
-        let mut fleet = Self { spec, clock, recorder, world, list, addresses, open, gateways, times: 1.0 };
+        let relay = spec.suspects.map(|_| Relay::start(spec.gateways, spec.seed)).transpose()?;
+        std::fs::write(spec.folder.join("secret"), "the secret of a drill's fleet\n")?;
+        let mut fleet =
+            Self { spec, relay, clock, recorder, world, list, addresses, open, gateways, times: 1.0 };
         (0..fleet.gateways.len()).try_for_each(|at| fleet.start_gateway(at))?;
         Ok(fleet)
     }
 
+    /// How a gateway reaches the others.
+    fn link(&self, number: usize) -> String {
+        let Some(relay) = &self.relay else { return String::new() };
+        let peers = (0..self.spec.gateways).filter(|to| *to != number);
+        let peer = |to| format!("peers {{ number: {to} address: \"{}\" }} ", relay.address(number, to));
+        let peers: String = peers.map(peer).collect();
+        format!("link {{ listen: \"127.0.0.1:0\" secret_file: \"secret\" {peers} }}")
+    }
+
     fn settings(&self, number: usize) -> anyhow::Result<PathBuf> {
         let counter = self.world.counter.context("the fleet's counter has no address")?;
         let mut text = format!(
-            "fleet {{ gateways: {} number: {number} }}\nlisten: \"127.0.0.1:0\"\n\
+            "fleet {{ gateways: {} number: {number} {} }}\nlisten: \"127.0.0.1:0\"\n\
              counter {{ address: \"{counter}\" password: \"drill\" timeout_ms: 50 dead_after_ms: 400 longest_wait_ms: 400 }}\n\
              node_list {{ file: \"nodes.txtpb\" poll_ms: {POLL} }}\n\
              graphql {{ schema_file: \"catalogue.graphql\" }}\n\
@@ -131,8 +148,15 @@
              limits {{ answer_margin_ms: {MARGIN} }}\nlife {{ notice_ms: {} drain_ms: {} quiet_ms: 300 give_back_ms: 300 }}\n\
              admin {{ socket: \"gateway-{number}.sock\" }}\n\
              attempts {{ most: 3 longest_advice_ms: 2000 }}\n",
-            self.spec.gateways, self.spec.warm, self.spec.notice, self.spec.drain
+            self.spec.gateways,
+            self.link(number),
+            self.spec.warm,
+            self.spec.notice,
+            self.spec.drain
         );
+        if let Some(apply) = self.spec.suspects {
+            writeln!(text, "leases {{ length_ms: 1500 suspects {{ apply: {apply} timeout_ms: 300 }} }}")?;
+        }
         if self.spec.state {
             writeln!(text, "state {{ file: \"gateway-{number}.state\" every_ms: 200 }}")?;
         }
@@ -191,13 +215,17 @@
         let log = self.spec.folder.join(format!("gateway-{at}.log"));
         let lines = child.stderr.take().context("a gateway without a log")?;
         let (told, address) = mpsc::channel();
-        std::thread::spawn(move || copy_log(&log, BufReader::new(lines), &told));
+        let (linked, link) = mpsc::channel();
+        std::thread::spawn(move || copy_log(&log, BufReader::new(lines), &told, &linked));
         let Ok(address) = address.recv_timeout(Duration::from_secs(20)) else {
             let _ = child.kill();
             let _ = child.wait();
             bail!("gateway {at} did not come to serve; see its log in {}", self.spec.folder.display());
         };
         self.addresses.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[at] = address;
+        if let Some(relay) = &self.relay {
+            relay.reach(at, link.recv_timeout(Duration::from_secs(20)).context("a gateway without a link")?);
+        }
         Ok(child)
     }
 
@@ -364,7 +392,9 @@
 }
 
 /// Copies a gateway's log to its file and tells the address in it.
-fn copy_log(path: &Path, lines: impl BufRead, told: &mpsc::Sender<SocketAddr>) {
+fn copy_log(
+    path: &Path, lines: impl BufRead, told: &mpsc::Sender<SocketAddr>, linked: &mpsc::Sender<SocketAddr>,
+) {
     use std::io::Write as _;
     let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
     let Ok(mut file) = file else { return };
@@ -372,10 +402,11 @@
         let Ok(line) = line else { return };
         let _ = writeln!(file, "{line}");
         let json: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
-        if json["message"] == "serving"
-            && let Some(address) = json["address"].as_str().and_then(|a| a.parse().ok())
-        {
-            let _ = told.send(address);
+        let Some(address) = json["address"].as_str().and_then(|a| a.parse().ok()) else { continue };
+        match json["message"].as_str() {
+            Some("serving") => drop(told.send(address)),
+            Some("link up") => drop(linked.send(address)),
+            _ => {}
         }
     }
 }
--- a/crates/drill/src/holders.rs
+++ b/crates/drill/src/holders.rs
@@ -19,8 +19,8 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-/// The lease in ms: short, so that a drill sees many holders, and long beside what a busy machine holds a process up.
-const LEASE: f64 = 500.0;
+/// The lease in ms of a drill: short, so that it sees many holders, and long beside what a busy machine holds a process up.
+pub const LEASE: f64 = 500.0;
 /// How long a call takes with its effect, and how long the effect takes at most, in ms.
 const NEEDS: f64 = 100.0;
 const WORK: f64 = 40.0;
@@ -42,6 +42,10 @@
     pub faults: usize,
     /// The seed of all chance.
     pub seed: u64,
+    /// Tasks beside the two that are acted on: they are held and renewed, and hardly ever called.
+    pub more_tasks: usize,
+    /// The lease in ms.
+    pub lease: f64,
 }
 
 /// What came of it.
@@ -65,6 +69,53 @@
     pub bytes: f64,
 }
 
+/// What leases cost a fleet that is well.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Datagrams and bytes a second that one gateway sends.
+    pub datagrams: f64,
+    /// See `datagrams`.
+    pub bytes: f64,
+    /// The share of one processor that one gateway takes.
+    pub processor: f64,
+    /// Tasks that are held by somebody at the end.
+    pub held: usize,
+}
+
+/// Measures a fleet that is well for some seconds, once every task is held.
+///
+/// # Errors
+/// When processes cannot be started or do not come to serve.
+pub fn cost_of_holders(options: &HolderOptions, seconds: f64) -> anyhow::Result<Cost> {
+    let play = Play::start_all(options)?;
+    let tasks = options.more_tasks + TASKS.len();
+    let held = |play: &Play| {
+        let one = |at| play.call(at, "leases").map_or(0, |told| held_in(&told));
+        (0..options.gateways).map(one).sum::<usize>()
+    };
+    let until = play.clock.now() + 10.0 * options.lease + 10_000.0;
+    while held(&play) < tasks && play.clock.now() < until {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    // A lease goes by before it counts: who lost the race asks no more then.
+    std::thread::sleep(Duration::from_secs_f64(options.lease / 1000.0));
+    let (before, ticks, began) = (play.relay.counts(), play.ticks(), play.clock.now());
+    std::thread::sleep(Duration::from_secs_f64(seconds));
+    let (after, later, span) = (play.relay.counts(), play.ticks(), (play.clock.now() - began) / 1000.0);
+    let each = options.gateways as f64 * span;
+    let second = rustix::param::clock_ticks_per_second() as f64;
+    Ok(Cost {
+        datagrams: (after.0 - before.0) as f64 / each,
+        bytes: (after.1 - before.1) as f64 / each,
+        processor: (later - ticks) as f64 / second / each,
+        held: held(&play),
+    })
+}
+
+fn held_in(told: &Value) -> usize {
+    told["tasks"].as_array().map_or(0, |tasks| tasks.iter().filter(|t| t["here"] == "held").count())
+}
+
 struct Play {
     options: HolderOptions,
     world: World,
@@ -83,35 +134,8 @@
 /// # Errors
 /// When processes cannot be started or do not come to serve.
 pub fn play_holders(options: &HolderOptions) -> anyhow::Result<Held> {
-    anyhow::ensure!((3..=9).contains(&options.gateways), "3 to 9 gateways are wanted");
-    std::fs::create_dir_all(&options.folder).with_context(|| options.folder.display().to_string())?;
-    std::fs::write(options.folder.join("catalogue.graphql"), CATALOGUE)?;
-    std::fs::write(options.folder.join("secret"), format!("a drill's secret, of seed {:x}\n", options.seed))?;
-    let clock = Clock::default();
-    let spec = WorldSpec {
-        nodes: Vec::new(),
-        listen: None,
-        counter: true,
-        password: None,
-        seed: options.seed,
-        spread: 0.0,
-        speed: 1.0,
-        quiet: true,
-    };
-    let world = World::start(&spec, clock, Recorder::none(clock))?;
-    let witness = |at: usize| Witness::start(at == 0, WORK, options.seed ^ at as u64);
-    let mut play = Play {
-        world,
-        relay: Relay::start(options.gateways, options.seed)?,
-        witnesses: [witness(0)?, witness(1)?],
-        gateways: (0..options.gateways).map(|_| None).collect(),
-        voters: (0, (0..options.gateways).collect(), BTreeSet::new()),
-        clock,
-        began: clock.now(),
-        told: Vec::new(),
-        options: options.clone(),
-    };
-    (0..options.gateways).try_for_each(|at| play.start(at))?;
+    let mut play = Play::start_all(options)?;
+    let clock = play.clock;
     let mut held = Held::default();
     play.wait_for_acts("at the start", &mut held);
     let mut dice = ChaCha8Rng::seed_from_u64(options.seed);
@@ -146,12 +170,60 @@
 }
 
 impl Play {
+    fn start_all(options: &HolderOptions) -> anyhow::Result<Self> {
+        anyhow::ensure!((3..=9).contains(&options.gateways), "3 to 9 gateways are wanted");
+        std::fs::create_dir_all(&options.folder).with_context(|| options.folder.display().to_string())?;
+        std::fs::write(options.folder.join("catalogue.graphql"), CATALOGUE)?;
+        std::fs::write(
+            options.folder.join("secret"),
+            format!("a drill's secret, of seed {:x}\n", options.seed),
+        )?;
+        let clock = Clock::default();
+        let spec = WorldSpec {
+            nodes: Vec::new(),
+            listen: None,
+            counter: true,
+            password: None,
+            seed: options.seed,
+            spread: 0.0,
+            speed: 1.0,
+            quiet: true,
+        };
+        let world = World::start(&spec, clock, Recorder::none(clock))?;
+        let witness = |at: usize| Witness::start(at == 0, WORK, options.seed ^ at as u64);
+        let mut play = Self {
+            world,
+            relay: Relay::start(options.gateways, options.seed)?,
+            witnesses: [witness(0)?, witness(1)?],
+            gateways: (0..options.gateways).map(|_| None).collect(),
+            voters: (0, (0..options.gateways).collect(), BTreeSet::new()),
+            clock,
+            began: clock.now(),
+            told: Vec::new(),
+            options: options.clone(),
+        };
+        (0..options.gateways).try_for_each(|at| play.start(at))?;
+        Ok(play)
+    }
+
+    /// Clock ticks of processor that all gateways have taken.
+    fn ticks(&self) -> u64 {
+        let one = |child: &Child| {
+            let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
+            // Behind the name, which may hold anything, user and system time are the 12th and 13th.
+            let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+            let field = |at: usize| fields.get(at).and_then(|f| f.parse::<u64>().ok()).unwrap_or_default();
+            field(11) + field(12)
+        };
+        self.gateways.iter().flatten().map(one).sum()
+    }
+
     fn tell(&mut self, what: String) {
         self.told.push(format!("{:>7.0} ms  {what}", self.clock.now() - self.began));
     }
 
     fn pass(&self, leases: f64) {
-        std::thread::sleep(Duration::from_secs_f64(leases * LEASE / 1000.0));
+        std::thread::sleep(Duration::from_secs_f64(leases * self.options.lease / 1000.0));
     }
 
     // ---- Processes ----
@@ -170,8 +242,8 @@
         text.push_str(&format!(
             "}} }}\nlisten: \"127.0.0.1:0\"\ncounter {{ address: \"{counter}\" }}\n\
              nodes {{ name: \"n\" address: \"127.0.0.1:9\" }}\ngraphql {{ schema_file: \"catalogue.graphql\" }}\n\
-             admin {{ socket: \"g{number}.sock\" }}\nleases {{ length_ms: {LEASE} voters_version: {} ",
-            self.voters.0
+             admin {{ socket: \"g{number}.sock\" }}\nleases {{ length_ms: {} voters_version: {} ",
+            self.options.lease, self.voters.0
         ));
         self.voters.1.iter().for_each(|v| text.push_str(&format!("voters: {v} ")));
         self.voters.2.iter().for_each(|v| text.push_str(&format!("voters_before: {v} ")));
@@ -181,6 +253,12 @@
                 "tasks {{ name: \"{task}\" address: \"{address}\" every_ms: 15 needs_ms: {NEEDS} }} "
             ));
         }
+        let address = self.witnesses[0].address();
+        for at in 0..self.options.more_tasks {
+            text.push_str(&format!(
+                "tasks {{ name: \"more-{at}\" address: \"{address}\" every_ms: 86400000 needs_ms: {NEEDS} }} "
+            ));
+        }
         text.push_str("}\n");
         for class in CLASSES {
             let (name, aim, give_up, effect) = (class.name, class.aim, class.give_up, class.effect());
@@ -267,7 +345,7 @@
     fn wait_for_acts(&mut self, when: &str, held: &mut Held) {
         let before: Vec<usize> =
             self.witnesses.iter().map(|w| w.acts().iter().filter(|a| a.accepted).count()).collect();
-        let until = self.clock.now() + AGAIN * LEASE + 2000.0;
+        let until = self.clock.now() + AGAIN * self.options.lease + 2000.0;
         for (at, before) in before.into_iter().enumerate() {
             while self.witnesses[at].acts().iter().filter(|a| a.accepted).count() <= before {
                 if self.clock.now() > until {
@@ -305,7 +383,7 @@
                 self.tell(format!(
                     "holder {holder}'s calls held up on their way for {span:.1} leases, and it is killed"
                 ));
-                self.witnesses.iter().for_each(|w| w.hold_up(60.0, span * LEASE));
+                self.witnesses.iter().for_each(|w| w.hold_up(60.0, span * self.options.lease));
                 std::thread::sleep(Duration::from_millis(60));
                 self.kill(holder);
                 self.pass(dice.random_range(0.0..span));
@@ -327,7 +405,7 @@
             }
             7 => {
                 self.tell("a third lost, delays, doubles".into());
-                let rough = Way { cut: false, loss: 0.3, doubled: 0.1, delay: LEASE / 8.0 };
+                let rough = Way { cut: false, loss: 0.3, doubled: 0.1, delay: self.options.lease / 8.0 };
                 self.relay.change(|_, _| true, |way| *way = rough);
                 self.pass(dice.random_range(2.0..5.0));
                 self.relay.change(|_, _| true, |way| *way = Way::PLAIN);
--- a/crates/drill/src/kit.rs
+++ b/crates/drill/src/kit.rs
@@ -54,6 +54,7 @@
     anyhow::ensure!(UnixStream::connect(&path).is_err(), "{}: a fleet is up there", options.folder.display());
     let fleet = Fleet::start(FleetSpec {
         httpd: String::new(),
+        suspects: None,
         binary: options.binary.clone(),
         folder: options.folder.clone(),
         gateways: options.gateways,
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::{Clients, Manner, customers, plan_bounds};
 use crate::fleet::{FALL_MULTIPLE, FALL_TIME, Fleet, FleetSpec, GRACE, POLL};
-use crate::script::{Drill, Expect, NodeWhat, Share, Until, Wait, What};
+use crate::script::{Drill, Expect, NodeWhat, Share, Suspects, Until, Wait, What};
 use doorcourse_standins::{Command, CounterFault, Crowd, NodeFault};
 use doorcourse_verdict::{Answers, Bounds, Event, Kind, Record, Report, summary};
 use std::collections::BTreeMap;
@@ -112,6 +112,7 @@
             What::NodeFault(fault) => {
                 let order = match &fault.what {
                     Some(NodeWhat::Refuse(on)) => NodeFault::Refuse(*on),
+                    Some(NodeWhat::Stall(on)) => NodeFault::Stall(*on),
                     Some(NodeWhat::Slow(times)) => NodeFault::Slow(*times),
                     Some(NodeWhat::Reset(share)) => NodeFault::Reset(*share),
                     Some(NodeWhat::Malformed(share)) => NodeFault::Malformed(*share),
@@ -179,6 +180,11 @@
         drain: spec.drain_ms.unwrap_or(2000.0),
         state: !spec.without_state,
         httpd: drill.httpd.clone(),
+        suspects: match spec.suspects() {
+            Suspects::NotTried => None,
+            Suspects::Told => Some(false),
+            Suspects::Applied => Some(true),
+        },
         customers: customers(),
     })?;
     let recorder = fleet.recorder.clone();
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -8,6 +8,7 @@
 use crate::clients::{PLANS, customers};
 use doorcourse_config::{Fault, Places, parse_text};
 pub use raw::act::What;
+pub use raw::fleet::Suspects;
 pub use raw::node_fault::What as NodeWhat;
 pub use raw::wait::Until;
 pub use raw::{Act, Drill, Expect, Share, Wait};
@@ -29,6 +30,7 @@
     ("flood", include_str!("../drills/flood.txtpb")),
     ("reload-storm", include_str!("../drills/reload-storm.txtpb")),
     ("two-tiers", include_str!("../drills/two-tiers.txtpb")),
+    ("node-hangs", include_str!("../drills/node-hangs.txtpb")),
     ("quiet-day", include_str!("../drills/quiet-day.txtpb")),
 ];
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,21 +2,23 @@
 //! datagram counts for is `doorcourse_peers`' word; who holds what and which call may leave is `doorcourse_lease`'s.
 
 use crate::io::{Io, Token};
-use doorcourse_config::{Config, FleetLeases, FleetLink, FleetTask};
+use doorcourse_config::{Config, FleetLeases, FleetLink, FleetSuspects, FleetTask, Node, SUSPECTS};
 use doorcourse_http::{Decoder, Limits, Part, Role};
 use doorcourse_lease::{
-    CallSettings, Calls, Input, Leases, Loss, Message, Output, Settings as LeaseSettings, Stage, Task, Time,
-    View, decode, encode, task_of,
+    CallSettings, Calls, Input, Leases, Loss, Message, Needs, Output, Settings as LeaseSettings, Stage, Task,
+    Time, View, decode, encode, task_of,
 };
 use doorcourse_net::{Flow, Interest, Ready, Socket, awake_or_not, connect};
 use doorcourse_peers::{LONGEST, Link, Number, Out, Settings as LinkSettings, Told, fleet_of};
+use doorcourse_suspects::{Seen as SeenNode, Suspects, Word};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::UdpSocket;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Whose payload a datagram holds.
 const LEASES: u32 = 1;
+const SUSPECT: u32 = 2;
 /// Datagrams read in one turn, so that peers do not hold up clients.
 const TURN: usize = 64;
 /// How often the socket is tried for while a process that hands over still has it, in ms.
@@ -24,8 +26,16 @@
 /// An answer to a call has a short head; its body is read past.
 const ANSWER: Limits = Limits { line: 1024, head: 8192, fields: 64, body: 1 << 20 };
 
+/// What a connection is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum What {
+    Task(Task),
+    /// A suspect node is tried, until then.
+    Trial(String, Time),
+}
+
 struct Call {
-    task: Task,
+    what: What,
     socket: Socket,
     generation: u32,
     written: bool,
@@ -46,6 +56,8 @@
 pub(crate) struct Fleet {
     settings: FleetLink,
     number: Number,
+    /// The path of the endpoint, where nodes are tried.
+    path: String,
     socket: Option<UdpSocket>,
     retry: Time,
     link: Link,
@@ -55,6 +67,10 @@
     out: slab::Slab<Call>,
     /// By task: calls answered with 2xx, answered otherwise or not at all, and not made because the lease was too short.
     tally: BTreeMap<Task, [u64; 3]>,
+    suspects: Option<(Suspects, FleetSuspects)>,
+    next_look: Time,
+    /// Words on nodes, for the choice of nodes where the settings say so.
+    pub hints: VecDeque<Word>,
     buffer: Vec<u8>,
     left: bool,
 }
@@ -71,6 +87,7 @@
         let link = Link::new(now, link_settings(&settings, number, incarnation))?;
         let mut new = Self {
             number,
+            path: config.path.clone(),
             socket: None,
             retry: now,
             link,
@@ -79,6 +96,9 @@
             calls: Calls::default(),
             out: slab::Slab::new(),
             tally: BTreeMap::new(),
+            suspects: None,
+            next_look: now,
+            hints: VecDeque::new(),
             buffer: vec![0; LONGEST + 1],
             left: false,
             settings,
@@ -109,6 +129,14 @@
         let calls = |(task, t): (&Task, &FleetTask)| (*task, CallSettings { every: t.every, needs: t.needs });
         self.calls.configure(now, &self.tasks.iter().map(calls).collect::<Vec<_>>());
         self.tally.retain(|task, _| self.tasks.contains_key(task));
+        let number = self.number;
+        self.suspects = leases.suspects.map(|s| {
+            let FleetSuspects { every, share, keep, .. } = s;
+            let settings = doorcourse_suspects::Settings { number, every, share, keep };
+            let mut suspects = self.suspects.take().map_or_else(|| Suspects::new(settings), |(old, _)| old);
+            suspects.configure(settings);
+            (suspects, s)
+        });
     }
 
     /// Changed settings: peers, secrets, voters, tasks.
@@ -121,7 +149,7 @@
         if let Some(leases) = &config.leases {
             self.take_tasks(now, leases);
             let fleet = fleet(&self.settings, self.number);
-            let tasks = self.tasks.keys().copied().collect();
+            let tasks = tasks(leases);
             self.tell(io, now, Input::Tasks { tasks, fleet });
             self.tell(io, now, Input::Voters(leases.voters.clone()));
         }
@@ -144,7 +172,12 @@
         let now = awake_or_not();
         let retry = if self.socket.is_none() { self.retry } else { Time::MAX };
         let leases = self.leases.as_ref().map_or(Time::MAX, |l| l.due().min(self.calls.due(now, l)));
-        let due = self.link.due().min(retry).min(leases);
+        let look = if self.suspects.is_some() { self.next_look } else { Time::MAX };
+        let trial = self.out.iter().filter_map(|(_, c)| match c.what {
+            What::Trial(_, until) => Some(until),
+            What::Task(_) => None,
+        });
+        let due = self.link.due().min(retry).min(leases).min(look).min(trial.min().unwrap_or(Time::MAX));
         if due == Time::MAX { f64::INFINITY } else { due.saturating_sub(now) as f64 }
     }
 
@@ -166,6 +199,7 @@
         for task in self.calls.overdue(now) {
             self.end(now, task, "not answered in time");
         }
+        self.late_trials(now);
         let begin = self.leases.as_ref().map(|l| self.calls.tick(now, l)).unwrap_or_default();
         for permit in begin {
             self.begin(io, now, permit.task);
@@ -199,7 +233,8 @@
     }
 
     fn name(&self, task: Task) -> &str {
-        self.tasks.get(&task).map_or("", |t| &t.name)
+        let own = if task == task_of(SUSPECTS) { SUSPECTS } else { "" };
+        self.tasks.get(&task).map_or(own, |t| &t.name)
     }
 
     fn send(&mut self, io: &Io, now: Time, to: Number, message: &Message) {
@@ -226,7 +261,17 @@
             let heard = self.link.receive(now, io.now() as u64, bytes, &mut hellos, &mut told);
             hellos.iter().for_each(|out| self.put(out));
             told.into_iter().for_each(log);
-            if let Some(heard) = heard.filter(|h| h.channel == LEASES) {
+            let Some(heard) = heard else { continue };
+            if heard.channel == SUSPECT {
+                if let (Some(message), Some((suspects, _))) =
+                    (doorcourse_suspects::decode(&heard.payload), &mut self.suspects)
+                {
+                    let mut outputs = Vec::new();
+                    let from = heard.from;
+                    suspects.handle(now, doorcourse_suspects::Input::Heard { from, message }, &mut outputs);
+                    self.suspected(io, now, outputs, &[]);
+                }
+            } else if heard.channel == LEASES {
                 match decode(&heard.payload) {
                     Ok(message) => {
                         let (from, incarnation) = (heard.from, heard.incarnation);
@@ -244,6 +289,12 @@
 
     fn begin(&mut self, io: &mut Io, now: Time, task: Task) {
         let Some(address) = self.tasks.get(&task).map(|t| t.address) else { return };
+        if !self.connect(io, address, What::Task(task)) {
+            self.ended(now, task, "no connection");
+        }
+    }
+
+    fn connect(&mut self, io: &mut Io, address: std::net::SocketAddr, what: What) -> bool {
         let generation = io.generation();
         let entry = self.out.vacant_entry();
         let token = Token::Call(entry.key(), generation).pack();
@@ -254,23 +305,28 @@
         match made {
             Ok(socket) => {
                 let decoder = Decoder::new(Role::Responses, ANSWER);
-                entry.insert(Call { task, socket, generation, written: false, decoder, status: 0 });
+                entry.insert(Call { what, socket, generation, written: false, decoder, status: 0 });
+                true
             }
-            Err(_) => self.ended(now, task, "no connection"),
+            Err(_) => false,
         }
     }
 
     pub fn call_ready(&mut self, io: &mut Io, slot: usize, generation: u32, ready: Ready) {
         let now = awake_or_not();
         let Some(call) = self.out.get_mut(slot).filter(|c| c.generation == generation) else { return };
-        let task = call.task;
+        let what = call.what.clone();
         if !call.written {
             if !ready.write && !ready.broken {
                 return;
             }
             if call.socket.finish_connect().is_err() {
-                return self.end(now, task, "no connection");
+                return self.over(now, &what, "no connection");
             }
+            let task = match &what {
+                What::Task(task) => *task,
+                What::Trial(..) => return self.write_trial(io, now, slot, generation, &what),
+            };
             let leaves = self.leases.as_ref().and_then(|l| self.calls.leaves(now, l, task));
             let Some((permit, until)) = leaves else {
                 self.tally.entry(task).or_default()[2] += 1;
@@ -301,7 +357,7 @@
         loop {
             let (took, part) = match call.decoder.decode(&call.socket.input) {
                 Ok(read) => read,
-                Err(_) => return self.end(now, task, "an answer that cannot be read"),
+                Err(_) => return self.over(now, &what, "an answer that cannot be read"),
             };
             let (status, over) = match part {
                 Some(Part::Head(head)) => (head.status, false),
@@ -315,21 +371,114 @@
             call.status = status;
             call.socket.consume(took);
             if over {
-                return self.end(
-                    now,
-                    task,
-                    if (200..300).contains(&status) { "" } else { "answered otherwise" },
-                );
+                let good = (200..300).contains(&status) || matches!(what, What::Trial(..)) && status < 500;
+                return self.over(now, &what, if good { "" } else { "answered otherwise" });
             }
         }
         if flow != Flow::Open {
-            self.end(now, task, "broken");
+            self.over(now, &what, "broken");
+        }
+    }
+
+    fn over(&mut self, now: Time, what: &What, why: &str) {
+        match what {
+            What::Task(task) => self.end(now, *task, why),
+            What::Trial(node, _) => self.tried(now, node, why),
+        }
+    }
+
+    // ---- Suspect nodes ----
+
+    /// Whether the suspects are to be told how the decisions see the nodes.
+    pub fn wants_view(&self) -> bool {
+        !self.left && self.suspects.is_some() && awake_or_not() >= self.next_look
+    }
+
+    /// The decisions see the nodes so.
+    pub fn view(&mut self, io: &mut Io, seen: Vec<SeenNode>, nodes: &[Node]) {
+        let now = awake_or_not();
+        let Some((suspects, settings)) = &mut self.suspects else { return };
+        self.next_look = now + (settings.every / 2).max(10);
+        let needs = Needs { time: settings.timeout };
+        let held = self.leases.as_ref().and_then(|l| l.may_act(now, task_of(SUSPECTS), needs).ok());
+        let (mut outputs, held) = (Vec::new(), held.map(|p| p.token));
+        suspects.handle(now, doorcourse_suspects::Input::Tick { seen, held }, &mut outputs);
+        self.suspected(io, now, outputs, nodes);
+    }
+
+    fn suspected(
+        &mut self, io: &mut Io, now: Time, outputs: Vec<doorcourse_suspects::Output>, nodes: &[Node],
+    ) {
+        for output in outputs {
+            match output {
+                doorcourse_suspects::Output::Tell(message) => {
+                    let payload = doorcourse_suspects::encode(&message);
+                    for to in self.link.numbers() {
+                        let out = self.link.send(now, io.now() as u64, to, SUSPECT, payload.clone());
+                        out.into_iter().for_each(|out| self.put(&out));
+                    }
+                }
+                doorcourse_suspects::Output::Try(node) => {
+                    let address = nodes.iter().find(|n| *n.entry.name == *node).map(|n| n.address);
+                    let until = now + self.suspects.as_ref().map_or(0, |(_, s)| s.timeout);
+                    let made =
+                        address.is_some_and(|to| self.connect(io, to, What::Trial(node.clone(), until)));
+                    if !made {
+                        self.tried(now, &node, "no connection");
+                    }
+                }
+                doorcourse_suspects::Output::Hint(word) => {
+                    let Word { node, bad, age, gateways, .. } = &word;
+                    tracing::info!(target: "doorcourse::fleet", node, bad, age, gateways, "word on a node");
+                    if self.suspects.as_ref().is_some_and(|(_, s)| s.apply) {
+                        self.hints.push_back(word);
+                    }
+                }
+            }
         }
     }
 
+    /// A request that asks for nothing: whoever speaks HTTP answers it, and nothing is done.
+    fn write_trial(&mut self, io: &mut Io, now: Time, slot: usize, generation: u32, what: &What) {
+        let Some(call) = self.out.get_mut(slot) else { return };
+        call.written = true;
+        let body = "{\"query\":\"{__typename}\"}";
+        let head = format!(
+            "POST {} HTTP/1.1\r\nhost: node\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+             connection: close\r\n\r\n{body}",
+            self.path,
+            body.len()
+        );
+        call.socket.output().extend_from_slice(head.as_bytes());
+        if call.socket.flush() != Flow::Open || call.socket.pending() > 0 {
+            return self.over(now, what, "cannot be written");
+        }
+        let _ = io.poller.change(&call.socket, Token::Call(slot, generation).pack(), Interest::READ);
+    }
+
+    fn tried(&mut self, now: Time, node: &str, why: &str) {
+        let slot =
+            self.out.iter().find(|(_, c)| matches!(&c.what, What::Trial(n, _) if n == node)).map(|(s, _)| s);
+        slot.into_iter().for_each(|slot| drop(self.out.remove(slot)));
+        let good = why.is_empty();
+        tracing::info!(target: "doorcourse::fleet", node, good, why, "suspect node tried");
+        if let Some((suspects, _)) = &mut self.suspects {
+            let tried = doorcourse_suspects::Input::Tried { node: node.to_owned(), good };
+            suspects.handle(now, tried, &mut Vec::new());
+        }
+        // What was found is told at the next look, which comes at once.
+        self.next_look = now;
+    }
+
+    fn late_trials(&mut self, now: Time) {
+        let late = |c: &Call| matches!(c.what, What::Trial(_, until) if until <= now);
+        let late: Vec<What> = self.out.iter().filter(|(_, c)| late(c)).map(|(_, c)| c.what.clone()).collect();
+        late.iter().for_each(|what| self.over(now, what, "no answer in time"));
+    }
+
     /// A call is over; without a cause it was good.
     fn end(&mut self, now: Time, task: Task, why: &str) {
-        let slot = self.out.iter().find(|(_, c)| c.task == task).map(|(slot, _)| slot);
+        let slot = self.out.iter().find(|(_, c)| c.what == What::Task(task)).map(|(slot, _)| slot);
         if let Some(slot) = slot {
             self.out.remove(slot);
             self.ended(now, task, why);
@@ -426,6 +575,11 @@
     settings.peers.keys().copied().chain([number]).collect()
 }
 
+fn tasks(leases: &FleetLeases) -> Vec<Task> {
+    let own = leases.suspects.map(|_| task_of(SUSPECTS));
+    leases.tasks.iter().map(|t| task_of(&t.name)).chain(own).collect()
+}
+
 fn link_settings(settings: &FleetLink, number: Number, incarnation: u64) -> LinkSettings {
     let FleetLink { peers, secrets, fleet, silence, .. } = settings.clone();
     LinkSettings { fleet: fleet_of(&fleet), number, incarnation, peers, secrets, silence }
@@ -441,6 +595,6 @@
         drift: leases.drift,
         fleet: fleet(link, number),
         voters: leases.voters.clone(),
-        tasks: leases.tasks.iter().map(|t| task_of(&t.name)).collect(),
+        tasks: tasks(leases),
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -241,6 +241,7 @@
             if let Some(fleet) = &mut self.fleet {
                 fleet.tick(&mut self.io);
             }
+            self.suspects();
             self.pump();
             let (requests, clients, calls) = (self.exchanges.count(), self.clients.count(), self.counter.out);
             let quiet = self.io.now() - self.clients.spoke_at;
@@ -651,6 +652,35 @@
         true
     }
 
+    // ---- Suspect nodes ----
+
+    /// How the decisions see the nodes, for the fleet's trials; and the fleet's words, as what is remembered of nodes.
+    fn suspects(&mut self) {
+        let Some(fleet) = &mut self.fleet else { return };
+        if fleet.wants_view() {
+            let one = |b: doorcourse::BackendView| doorcourse_suspects::Seen {
+                node: b.name.to_string(),
+                started: b.started.unwrap_or_default() as u64,
+                failures: b.failures,
+                ready: b.ready,
+            };
+            fleet.view(&mut self.io, self.decision.backends().map(one).collect(), &self.listed);
+        }
+        let (now, mut views) = (self.io.now(), Vec::new());
+        while let Some(word) = fleet.hints.pop_front() {
+            let Some(view) = self.decision.backends().find(|b| *b.name == *word.node) else { continue };
+            let keep = self.config.leases.as_ref().and_then(|l| l.suspects).map_or(0, |s| s.keep);
+            let left = keep.saturating_sub(word.age) as f64;
+            // It is left alone as after a failure of its own, until the word runs out or is taken back.
+            let (failures, until) = if word.bad { (view.failures.max(1), now + left) } else { (0, now) };
+            views.push(doorcourse::BackendView { failures, eject_until: until, ..view });
+        }
+        if !views.is_empty() {
+            self.io.events.push_back(Event::Remembered(views));
+            self.pump();
+        }
+    }
+
     // ---- The admin socket's calls ----
 
     fn called(&mut self, called: Called) {
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -165,6 +165,8 @@
     speed: f64,
 }
 
+/// What a gateway asks that tries a node: whoever speaks GraphQL answers it, and nothing is done.
+const TRIAL: &str = "{__typename}";
 const SIGNAL: u64 = 1;
 const COUNTER: u64 = 2;
 const LISTENERS: u64 = 1 << 32;
@@ -414,7 +416,14 @@
         let normal: f64 = (0..12).map(|_| self.random.random::<f64>()).sum::<f64>() - 6.0;
         let work = work / self.speed * (self.spread * normal - self.spread * self.spread / 2.0).exp();
         let name = self.nodes[node].spec.name.clone();
-        self.recorder.write(Event::Got { id: id.clone(), node: name, attempt, work });
+        // Who asks for no more than the type's name tries the node on its own behalf.
+        let trial = id.is_empty() && query == TRIAL;
+        let work = if trial { 0.0 } else { work };
+        self.recorder.write(if trial {
+            Event::Tried { node: name }
+        } else {
+            Event::Got { id: id.clone(), node: name, attempt, work }
+        });
         if let Some(connection) = self.connections.get_mut(slot) {
             connection.attempts.push(attempt);
         }
--- /dev/null
+++ b/crates/suspects/src/lib.rs
@@ -0,0 +1,364 @@
+//! Suspect nodes. Each gateway tells the others which nodes fail it; the holder of the lease `suspects` tries those alone,
+//! at a small rate, and tells all what it found. Its word is a hint with an age and evidence: no node is called bad that one
+//! gateway alone says is bad, never more than a share of the nodes are, and each word runs out by itself.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod message;
+
+pub use message::{Message, Report, Word, decode, encode};
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A gateway's number.
+pub type Number = u32;
+/// Ms on this gateway's monotonic clock.
+pub type Time = u64;
+
+/// A node is called bad where so many gateways say so, the one that tried it among them.
+const GATEWAYS: usize = 2;
+/// So many failures in a row make a node a suspect: one may be chance.
+const FAILURES: u32 = 2;
+/// The most nodes that one gateway reports, and the most gateways that are listened to.
+const REPORTED: usize = 64;
+const HEARD: usize = 1024;
+
+/// How suspects are dealt with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// This gateway.
+    pub number: Number,
+    /// Between two trials of the whole fleet, in ms.
+    pub every: Time,
+    /// The share of the nodes that are called bad at most; one always may be.
+    pub share: f64,
+    /// How long a report and a word are believed, in ms.
+    pub keep: Time,
+}
+
+/// A node as this gateway's decisions see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    /// Its name.
+    pub node: String,
+    /// Which start of it, in ms since the Unix epoch; 0 where none is known.
+    pub started: u64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Whether the list lets it be used: nothing is sent to others, no trial either.
+    pub ready: bool,
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Time went by, and the decisions see all nodes so. With the token of the lease while it is held and outlasts a trial.
+    Tick {
+        /// All nodes.
+        seen: Vec<Seen>,
+        /// The lease's token.
+        held: Option<u64>,
+    },
+    /// Another gateway said something.
+    Heard {
+        /// Who.
+        from: Number,
+        /// What.
+        message: Message,
+    },
+    /// A trial is over.
+    Tried {
+        /// Which node.
+        node: String,
+        /// Whether it answered in time.
+        good: bool,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Tell all other gateways.
+    Tell(Message),
+    /// Try a node: a request without effect.
+    Try(String),
+    /// A node is called bad, or good again, so many ms ago by so many gateways.
+    Hint(Word),
+}
+
+#[derive(Clone, Debug)]
+struct Trial {
+    next: Time,
+    out: bool,
+    bad: Option<bool>,
+}
+
+/// What one gateway knows of suspects.
+#[derive(Clone, Debug)]
+pub struct Suspects {
+    settings: Settings,
+    nodes: BTreeMap<String, Seen>,
+    /// Who says that a node fails, of which start, and since when that is known.
+    reports: BTreeMap<String, BTreeMap<Number, (u64, Time)>>,
+    trials: BTreeMap<String, Trial>,
+    /// Words in force: until when, and whether bad.
+    words: BTreeMap<String, (Time, bool)>,
+    highest: u64,
+    next_trial: Time,
+    next_report: Time,
+}
+
+impl Suspects {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let (nodes, reports, trials, words) = Default::default();
+        Self { settings, nodes, reports, trials, words, highest: 0, next_trial: 0, next_report: 0 }
+    }
+
+    /// Other figures; what is known is kept.
+    pub fn configure(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// Takes one thing in.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Tick { seen, held } => self.tick(now, seen, held, out),
+            Input::Heard { from, message: Message::Reports(reports) } => {
+                for report in reports.into_iter().take(REPORTED) {
+                    self.note(now, from, &report);
+                }
+            }
+            Input::Heard { message: Message::Words { token, words }, .. } => {
+                self.hear(now, token, words, out)
+            }
+            Input::Tried { node, good } => {
+                if let Some(trial) = self.trials.get_mut(&node) {
+                    (trial.out, trial.bad) = (false, Some(!good));
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, now: Time, from: Number, report: &Report) {
+        // Of another start than the one listed nothing is believed.
+        if self.nodes.get(&report.node).is_none_or(|n| n.started != report.started) {
+            return;
+        }
+        let by = self.reports.entry(report.node.clone()).or_default();
+        if by.len() < HEARD || by.contains_key(&from) {
+            by.insert(from, (report.started, now));
+        }
+    }
+
+    fn tick(&mut self, now: Time, seen: Vec<Seen>, held: Option<u64>, out: &mut Vec<Output>) {
+        let (number, keep) = (self.settings.number, self.settings.keep);
+        let fails: Vec<Report> = seen
+            .iter()
+            .filter(|s| s.ready && s.failures >= FAILURES)
+            .take(REPORTED)
+            .map(|s| Report { node: s.node.clone(), started: s.started })
+            .collect();
+        self.nodes = seen.into_iter().map(|s| (s.node.clone(), s)).collect();
+        let nodes = &self.nodes;
+        for (node, by) in &mut self.reports {
+            let started = nodes.get(node).map(|n| n.started);
+            by.retain(|_, (of, at)| now < *at + keep && started == Some(*of));
+        }
+        self.reports.retain(|_, by| !by.is_empty());
+        self.words.retain(|node, (until, _)| now < *until && nodes.contains_key(node));
+        for report in &fails {
+            self.note(now, number, report);
+        }
+        if !fails.is_empty() && now >= self.next_report {
+            self.next_report = now + self.settings.every.min(keep / 2);
+            out.push(Output::Tell(Message::Reports(fails)));
+        }
+        match held {
+            Some(token) => self.lead(now, token, out),
+            None => self.trials.clear(),
+        }
+    }
+
+    /// The lease is held: one suspect is tried, and what was found is told.
+    fn lead(&mut self, now: Time, token: u64, out: &mut Vec<Output>) {
+        let called = |node: &String| self.words.get(node).is_some_and(|(_, bad)| *bad);
+        let wanted: Vec<String> = self.nodes.values().filter(|n| n.ready).map(|n| n.node.clone()).collect();
+        let wanted: BTreeSet<String> =
+            wanted.into_iter().filter(|n| self.reports.contains_key(n) || called(n)).collect();
+        self.trials.retain(|node, trial| wanted.contains(node) || trial.out);
+        let mut words = Vec::new();
+        for (node, trial) in &mut self.trials {
+            let Some(bad) = trial.bad.take() else { continue };
+            let mut gateways: BTreeSet<Number> =
+                self.reports.get(node).into_iter().flat_map(|by| by.keys().copied()).collect();
+            gateways.insert(self.settings.number);
+            let Some(seen) = self.nodes.get(node) else { continue };
+            // Its trial and its own requests are one gateway's word.
+            if bad && gateways.len() < GATEWAYS {
+                continue;
+            }
+            let (node, started, gateways) = (node.clone(), seen.started, gateways.len() as u32);
+            words.push(Word { node, started, bad, age: 0, gateways });
+        }
+        if !words.is_empty() {
+            out.push(Output::Tell(Message::Words { token, words: words.clone() }));
+            self.hear(now, token, words, out);
+        }
+        if now >= self.next_trial {
+            // Who waited longest comes first.
+            let free = |node: &&String| self.trials.get(*node).is_none_or(|t| !t.out && t.next <= now);
+            let since = |node: &&String| self.trials.get(*node).map_or(0, |t| t.next);
+            if let Some(node) = wanted.iter().filter(free).min_by_key(since).cloned() {
+                self.next_trial = now + self.settings.every;
+                let next = now + self.settings.every.max(self.settings.keep / 3);
+                self.trials.insert(node.clone(), Trial { next, out: true, bad: None });
+                out.push(Output::Try(node));
+            }
+        }
+    }
+
+    /// A word of the holder's. One of a holder that is none any more is dropped, and so is what says too much.
+    fn hear(&mut self, now: Time, token: u64, words: Vec<Word>, out: &mut Vec<Output>) {
+        if token < self.highest {
+            return;
+        }
+        self.highest = token;
+        for word in words.into_iter().take(REPORTED) {
+            let listed = self.nodes.get(&word.node).is_some_and(|n| n.started == word.started && n.ready);
+            let stale = word.age >= self.settings.keep;
+            if !listed || stale || word.bad && (word.gateways as usize) < GATEWAYS {
+                continue;
+            }
+            let bad =
+                self.words.iter().filter(|(node, (until, bad))| *bad && now < *until && **node != word.node);
+            let most = ((self.nodes.len() as f64 * self.settings.share) as usize).max(1);
+            if word.bad && bad.count() >= most {
+                continue;
+            }
+            let was = self.words.insert(word.node.clone(), (now + self.settings.keep - word.age, word.bad));
+            // A good word counts only against a bad one.
+            if word.bad || was.is_some_and(|(_, bad)| bad) {
+                out.push(Output::Hint(word));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn seen(node: &str, failures: u32) -> Seen {
+        Seen { node: node.into(), started: 5, failures, ready: true }
+    }
+
+    fn suspects(number: Number) -> Suspects {
+        Suspects::new(Settings { number, every: 100, share: 0.25, keep: 1000 })
+    }
+
+    fn tick(suspects: &mut Suspects, now: Time, failures: &[u32], held: Option<u64>) -> Vec<Output> {
+        let seen = failures.iter().enumerate().map(|(at, f)| seen(&format!("n{at}"), *f)).collect();
+        let mut out = Vec::new();
+        suspects.handle(now, Input::Tick { seen, held }, &mut out);
+        out
+    }
+
+    fn tried(suspects: &mut Suspects, now: Time, node: &str, good: bool) {
+        suspects.handle(now, Input::Tried { node: node.into(), good }, &mut Vec::new());
+    }
+
+    fn reported(suspects: &mut Suspects, now: Time, from: Number, node: &str, started: u64) {
+        let message = Message::Reports(vec![Report { node: node.into(), started }]);
+        suspects.handle(now, Input::Heard { from, message }, &mut Vec::new());
+    }
+
+    fn hints(out: &[Output]) -> Vec<(String, bool)> {
+        let hint = |o: &Output| match o {
+            Output::Hint(word) => Some((word.node.clone(), word.bad)),
+            _ => None,
+        };
+        out.iter().filter_map(hint).collect()
+    }
+
+    #[test]
+    fn the_holder_tries_what_others_report_and_calls_it_bad() {
+        let mut holder = suspects(0);
+        tick(&mut holder, 0, &[0, 0, 0, 0], Some(9));
+        reported(&mut holder, 10, 3, "n1", 5);
+        assert_eq!(tick(&mut holder, 100, &[0, 0, 0, 0], Some(9)), [Output::Try("n1".into())]);
+        assert!(tick(&mut holder, 150, &[0, 0, 0, 0], Some(9)).is_empty(), "one trial is out");
+        tried(&mut holder, 200, "n1", false);
+        let out = tick(&mut holder, 210, &[0, 0, 0, 0], Some(9));
+        assert_eq!(hints(&out), [("n1".to_owned(), true)]);
+        let word = Word { node: "n1".into(), started: 5, bad: true, age: 0, gateways: 2 };
+        assert!(out.contains(&Output::Tell(Message::Words { token: 9, words: vec![word] })), "{out:?}");
+        // It is tried on while its word holds, and good again with one answer.
+        assert_eq!(tick(&mut holder, 600, &[0, 0, 0, 0], Some(9)), [Output::Try("n1".into())]);
+        tried(&mut holder, 610, "n1", true);
+        assert_eq!(hints(&tick(&mut holder, 620, &[0, 0, 0, 0], Some(9))), [("n1".to_owned(), false)]);
+    }
+
+    #[test]
+    fn one_gateway_alone_calls_nothing_bad() {
+        let mut holder = suspects(0);
+        // Its own requests fail and its own trial fails: that is one gateway.
+        assert!(tick(&mut holder, 0, &[0, 5], Some(9)).contains(&Output::Try("n1".into())));
+        tried(&mut holder, 50, "n1", false);
+        assert!(hints(&tick(&mut holder, 60, &[0, 5], Some(9))).is_empty());
+        // Whoever hears such a word does not take it either.
+        let mut other = suspects(1);
+        tick(&mut other, 0, &[0, 0], None);
+        let words = vec![Word { node: "n1".into(), started: 5, bad: true, age: 0, gateways: 1 }];
+        let mut out = Vec::new();
+        other.handle(10, Input::Heard { from: 0, message: Message::Words { token: 9, words } }, &mut out);
+        assert!(out.is_empty());
+    }
+
+    #[test]
+    fn words_are_bounded_in_number_age_and_token() {
+        let mut other = suspects(1);
+        tick(&mut other, 0, &[0; 8], None);
+        let say = |other: &mut Suspects, now, token, node: &str, started, age| {
+            let words = vec![Word { node: node.into(), started, bad: true, age, gateways: 3 }];
+            let mut out = Vec::new();
+            other.handle(now, Input::Heard { from: 0, message: Message::Words { token, words } }, &mut out);
+            hints(&out).len()
+        };
+        assert_eq!(say(&mut other, 10, 9, "n1", 5, 0), 1);
+        assert_eq!(say(&mut other, 20, 9, "n2", 5, 0), 1);
+        assert_eq!(say(&mut other, 30, 9, "n3", 5, 0), 0, "a quarter of eight nodes");
+        assert_eq!(say(&mut other, 40, 9, "n1", 4, 0), 0, "another start of it");
+        assert_eq!(say(&mut other, 50, 9, "nobody", 5, 0), 0);
+        assert_eq!(say(&mut other, 60, 8, "n1", 5, 0), 0, "of a holder that is none any more");
+        assert_eq!(say(&mut other, 70, 9, "n1", 5, 1000), 0, "too old");
+        // Words run out by themselves.
+        tick(&mut other, 1100, &[0; 8], None);
+        assert_eq!(say(&mut other, 1110, 9, "n3", 5, 0), 1);
+    }
+
+    #[test]
+    fn nothing_is_tried_without_the_lease_nor_where_the_list_forbids() {
+        let mut gateway = suspects(0);
+        let out = tick(&mut gateway, 0, &[5, 0], None);
+        assert_eq!(out, [Output::Tell(Message::Reports(vec![Report { node: "n0".into(), started: 5 }]))]);
+        let seen = vec![Seen { ready: false, ..seen("n0", 5) }];
+        let mut out = Vec::new();
+        gateway.handle(200, Input::Tick { seen, held: Some(9) }, &mut out);
+        assert!(out.is_empty(), "{out:?}");
+    }
+
+    #[test]
+    fn the_fleet_s_rate_of_trials_is_kept() {
+        let mut holder = suspects(0);
+        tick(&mut holder, 0, &[0; 6], Some(9));
+        for node in 0..6 {
+            reported(&mut holder, 10, 3, &format!("n{node}"), 5);
+        }
+        let tries = |out: &[Output]| out.iter().filter(|o| matches!(o, Output::Try(_))).count();
+        let all: usize = (1..=50).map(|at| tries(&tick(&mut holder, at * 10, &[0; 6], Some(9)))).sum();
+        assert_eq!(all, 5, "one each 100 ms");
+    }
+}
--- /dev/null
+++ b/crates/suspects/src/message.rs
@@ -0,0 +1,129 @@
+//! What gateways tell each other of suspects, as protobuf.
+
+use prost::Message as _;
+
+/// A node that fails its sender.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Its name.
+    pub node: String,
+    /// Which start of it.
+    pub started: u64,
+}
+
+/// The holder's word on a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// Its name.
+    pub node: String,
+    /// Which start of it.
+    pub started: u64,
+    /// Whether it is bad.
+    pub bad: bool,
+    /// How long ago it was tried, in ms.
+    pub age: u64,
+    /// How many gateways say so.
+    pub gateways: u32,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// Nodes that fail the sender.
+    Reports(Vec<Report>),
+    /// What the holder found, under its token.
+    Words {
+        /// The lease's token.
+        token: u64,
+        /// What was found.
+        words: Vec<Word>,
+    },
+}
+
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct WireNode {
+    #[prost(string, tag = "1")]
+    node: String,
+    #[prost(uint64, tag = "2")]
+    started: u64,
+    #[prost(bool, tag = "3")]
+    bad: bool,
+    #[prost(uint64, tag = "4")]
+    age: u64,
+    #[prost(uint32, tag = "5")]
+    gateways: u32,
+}
+
+/// Without a token: reports.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+struct Wire {
+    #[prost(uint64, optional, tag = "1")]
+    token: Option<u64>,
+    #[prost(message, repeated, tag = "2")]
+    nodes: Vec<WireNode>,
+}
+
+/// A message's bytes.
+#[must_use]
+pub fn encode(message: &Message) -> Vec<u8> {
+    let wire = match message {
+        Message::Reports(reports) => {
+            let one =
+                |r: &Report| WireNode { node: r.node.clone(), started: r.started, ..WireNode::default() };
+            Wire { token: None, nodes: reports.iter().map(one).collect() }
+        }
+        Message::Words { token, words } => {
+            let one = |w: &Word| {
+                let Word { node, started, bad, age, gateways } = w.clone();
+                WireNode { node, started, bad, age, gateways }
+            };
+            Wire { token: Some(*token), nodes: words.iter().map(one).collect() }
+        }
+    };
+    wire.encode_to_vec()
+}
+
+/// Reads a message; nothing for bytes that are none.
+#[must_use]
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    let Wire { token, nodes } = Wire::decode(bytes).ok()?;
+    Some(match token {
+        None => {
+            Message::Reports(nodes.into_iter().map(|n| Report { node: n.node, started: n.started }).collect())
+        }
+        Some(token) => {
+            let one = |n: WireNode| {
+                let WireNode { node, started, bad, age, gateways } = n;
+                Word { node, started, bad, age, gateways }
+            };
+            Message::Words { token, words: nodes.into_iter().map(one).collect() }
+        }
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn what_is_written_is_read(
+            token in any::<Option<u64>>(), nodes in prop::collection::vec(("[a-z]{0,9}", any::<u64>(), any::<bool>()), 0..9),
+        ) {
+            let message = match token {
+                None => Message::Reports(nodes.into_iter().map(|(node, started, _)| Report { node, started }).collect()),
+                Some(token) => {
+                    let word = |(node, started, bad)| Word { node, started, bad, age: started / 2, gateways: 3 };
+                    Message::Words { token, words: nodes.into_iter().map(word).collect() }
+                }
+            };
+            prop_assert_eq!(decode(&encode(&message)), Some(message));
+        }
+
+        #[test]
+        fn no_bytes_break_it(bytes in prop::collection::vec(any::<u8>(), 0..100)) {
+            let _ = decode(&bytes);
+        }
+    }
+}
--- a/crates/verdict/src/record.rs
+++ b/crates/verdict/src/record.rs
@@ -164,6 +164,11 @@
         /// What it is to do, in ms of one core at full speed.
         work: f64,
     },
+    /// A node read a trial: a request of a gateway's own, without a client and without an effect.
+    Tried {
+        /// Which node.
+        node: String,
+    },
     /// A node began to run it.
     Ran {
         /// Which request.
--- a/crates/verdict/src/rules.rs
+++ b/crates/verdict/src/rules.rs
@@ -249,7 +249,8 @@
         match &record.event {
             Event::Listed { node, ready: false } => drop(told.entry(node).or_insert(record.t)),
             Event::Listed { node, ready: true } => drop(told.remove(node.as_str())),
-            Event::Got { id, node, .. } => {
+            Event::Got { node, .. } | Event::Tried { node } => {
+                let id = if let Event::Got { id, .. } = &record.event { id } else { "a trial" };
                 let late = told.get(node.as_str()).map(|at| record.t - at - bounds.drain_grace);
                 if let Some(late) = late.filter(|l| *l > 0.0) {
                     let what = format!("{id}: sent to {node} {late:.0} ms after the grace of its drain");
