Drills tell how a fleet comes back: time to full service beside the same seed without faults

`start_gateways` starts several at once. The drill `most-gateways-lost`.

Counts of counter calls, connections and list reads a second, charts, lost and old state files and load as a part of what nodes bear are not in it yet.

--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -4,7 +4,7 @@
 use clap::Args;
 use doorcourse_drill::{
     DRILLS, HolderOptions, LEASE, Options, View, compare, cost_of_holders, play, play_holders, read, show,
-    time_to_next_holder,
+    show_recoveries, time_to_next_holder,
 };
 use serde_json::json;
 use std::io::IsTerminal;
@@ -94,10 +94,11 @@
         }
     };
     say_on!("{}", show(&outcome.report));
+    say_on!("{}", show_recoveries(&outcome.recoveries));
     outcome.missed.iter().for_each(|m| say!("expected otherwise: {m}"));
     if let Some(file) = &drill.json {
         let told = json!({"drill": script.name, "seed": drill.seed, "good": outcome.good(),
-            "missed": outcome.missed, "report": outcome.report, "answers": outcome.answers()});
+            "missed": outcome.missed, "report": outcome.report, "recoveries": outcome.recoveries, "answers": outcome.answers()});
         write(file, &serde_json::to_vec_pretty(&told)?)?;
     }
     if let Some(folder) = &outcome.folder {
--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -53,6 +53,13 @@
 pub const GRACE: f64 = 250.0;
 const MARGIN: f64 = 60.0;
 
+/// A gateway's process that was begun and has not told where it serves.
+struct Begun {
+    child: Child,
+    serves: mpsc::Receiver<SocketAddr>,
+    link: mpsc::Receiver<SocketAddr>,
+}
+
 /// A running fleet.
 pub struct Fleet {
     spec: FleetSpec,
@@ -124,7 +131,7 @@
         std::fs::write(spec.folder.join("secret"), "the secret of a drill's fleet\n")?;
         let mut fleet =
             Self { spec, relay, clock, recorder, world, list, addresses, open, gateways, times: 1.0 };
-        (0..fleet.gateways.len()).try_for_each(|at| fleet.start_gateway(at))?;
+        fleet.start_gateways(&(0..fleet.gateways.len()).collect::<Vec<_>>())?;
         Ok(fleet)
     }
 
@@ -190,16 +197,21 @@
         Ok(path)
     }
 
-    /// Starts a gateway and waits until it tells where it serves.
-    pub fn start_gateway(&mut self, at: usize) -> anyhow::Result<()> {
-        let child = self.spawn(at, &[])?;
-        self.gateways[at] = Some(child);
-        self.recorder.write(Event::GatewayUp { gateway: at });
-        self.want(at, true);
+    /// Starts gateways, all at once, and waits until each tells where it serves.
+    pub fn start_gateways(&mut self, which: &[usize]) -> anyhow::Result<()> {
+        let begun = which.iter().map(|at| self.begin(*at, &[])).collect::<anyhow::Result<Vec<_>>>()?;
+        // All are waited for, so that one that does not come up leaves no other behind.
+        let came: Vec<anyhow::Result<Child>> =
+            which.iter().zip(begun).map(|(at, begun)| self.came(*at, begun)).collect();
+        for (at, child) in which.iter().zip(came) {
+            self.gateways[*at] = Some(child?);
+            self.recorder.write(Event::GatewayUp { gateway: *at });
+            self.want(*at, true);
+        }
         Ok(())
     }
 
-    fn spawn(&mut self, at: usize, more: &[&str]) -> anyhow::Result<Child> {
+    fn begin(&self, at: usize, more: &[&str]) -> anyhow::Result<Begun> {
         let settings = self.settings(at)?;
         // No two share a seed, and a restarted one takes a fresh one.
         let seed = self.spec.seed.wrapping_mul(1000) + at as u64 + self.clock.now() as u64 % 997 * 10;
@@ -214,10 +226,15 @@
             .with_context(|| self.spec.binary.display().to_string())?;
         let log = self.spec.folder.join(format!("gateway-{at}.log"));
         let lines = child.stderr.take().context("a gateway without a log")?;
-        let (told, address) = mpsc::channel();
+        let (told, serves) = mpsc::channel();
         let (linked, link) = mpsc::channel();
         std::thread::spawn(move || copy_log(&log, BufReader::new(lines), &told, &linked));
-        let Ok(address) = address.recv_timeout(Duration::from_secs(20)) else {
+        Ok(Begun { child, serves, link })
+    }
+
+    fn came(&self, at: usize, begun: Begun) -> anyhow::Result<Child> {
+        let Begun { mut child, serves, link } = begun;
+        let Ok(address) = serves.recv_timeout(Duration::from_secs(20)) else {
             let _ = child.kill();
             let _ = child.wait();
             bail!("gateway {at} did not come to serve; see its log in {}", self.spec.folder.display());
@@ -229,6 +246,10 @@
         Ok(child)
     }
 
+    fn spawn(&self, at: usize, more: &[&str]) -> anyhow::Result<Child> {
+        self.came(at, self.begin(at, more)?)
+    }
+
     fn want(&self, at: usize, wanted: bool) {
         self.open.lock().unwrap_or_else(std::sync::PoisonError::into_inner)[at] = wanted;
     }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -17,5 +17,5 @@
 pub use kit::{KitOptions, call, up};
 pub use play::{Options, Outcome, play};
 pub use script::{DRILLS, Drill, read};
-pub use show::show;
+pub use show::{show, show_recoveries};
 pub use view::View;
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{FALL_MULTIPLE, FALL_TIME, Fleet, FleetSpec, GRACE, POLL};
 use crate::script::{Drill, Expect, NodeWhat, Share, Suspects, Until, Wait, What};
 use doorcourse_standins::{Command, CounterFault, Crowd, NodeFault};
-use doorcourse_verdict::{Answers, Bounds, Event, Kind, Record, Report, summary};
+use doorcourse_verdict::{Answers, Bounds, Event, Kind, Record, Recovery, Report, recoveries, summary};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -35,6 +35,8 @@
     pub folder: Option<PathBuf>,
     /// The traffic record.
     pub records: Vec<Record>,
+    /// How the fleet came back from each fault, where the drill measures it.
+    pub recoveries: Vec<Recovery>,
 }
 
 impl Outcome {
@@ -126,7 +128,10 @@
             What::CounterSlowMs(ms) => fleet.world.tell(counter(CounterFault::Slow(*ms))),
             What::CounterRestart(_) => fleet.world.tell(counter(CounterFault::Empty)),
             What::KillGateway(g) => fleet.kill_gateway(*g as usize)?,
-            What::StartGateway(g) => fleet.start_gateway(*g as usize)?,
+            What::StartGateway(g) => fleet.start_gateways(&[*g as usize])?,
+            What::StartGateways(all) => {
+                fleet.start_gateways(&all.gateway.iter().map(|g| *g as usize).collect::<Vec<_>>())?;
+            }
             What::StopGateway(g) => fleet.stop_gateway(*g as usize, 1)?,
             What::StopGatewayTwice(g) => fleet.stop_gateway(*g as usize, 2)?,
             What::TakeOverGateway(g) => fleet.take_over(*g as usize)?,
@@ -163,6 +168,25 @@
 /// When the fleet cannot be started or a step cannot be carried out; a broken rule is no error but in the report.
 pub fn play(
     drill: &Drill, options: &Options, seen: &mut dyn FnMut(&str, f64, &Fleet),
+) -> anyhow::Result<Outcome> {
+    if !drill.recovery {
+        return play_once(drill, options, seen);
+    }
+    let mut quiet = drill.clone();
+    (quiet.steps, quiet.expects) = (Vec::new(), Vec::new());
+    let keep = options.keep.as_ref().map(|folder| folder.join("without-faults"));
+    let quiet = play_once(&quiet, &Options { keep, ..options.clone() }, seen)?;
+    anyhow::ensure!(
+        quiet.good(),
+        "the run without faults broke a rule already: there is nothing to compare with"
+    );
+    let mut outcome = play_once(drill, options, seen)?;
+    outcome.recoveries = recoveries(&outcome.records, &quiet.records);
+    Ok(outcome)
+}
+
+fn play_once(
+    drill: &Drill, options: &Options, seen: &mut dyn FnMut(&str, f64, &Fleet),
 ) -> anyhow::Result<Outcome> {
     let length = if options.short { drill.short_s } else { drill.length_s } * 1000.0;
     let folder = options.keep.clone().unwrap_or_else(|| {
@@ -215,7 +239,7 @@
     let sent = sent(&records);
     let mut missed: Vec<String> = drill.expects.iter().flat_map(|e| miss(e, &report)).collect();
     missed.extend(drill.expects.iter().flat_map(|e| miss_shares(e, &sent)));
-    let mut outcome = Outcome { report, missed, folder: None, records };
+    let mut outcome = Outcome { report, missed, folder: None, records, recoveries: Vec::new() };
     if options.keep.is_some() || !outcome.good() {
         recorder.save(&folder.join("traffic.jsonl"))?;
         outcome.folder = Some(folder);
@@ -242,6 +266,9 @@
             phase.clone_from(&step.phase);
             playing.fleet.recorder.write(Event::Phase { name: phase.clone() });
         }
+        if !step.r#do.is_empty() {
+            playing.fleet.recorder.write(Event::Fault { what: phase.clone() });
+        }
         step.r#do.iter().filter_map(|a| a.what.as_ref()).try_for_each(|what| playing.act(what))?;
         if let Some(wait) = &step.wait_until {
             wait_until(wait, &playing.fleet)?;
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -30,6 +30,7 @@
     ("flood", include_str!("../drills/flood.txtpb")),
     ("reload-storm", include_str!("../drills/reload-storm.txtpb")),
     ("two-tiers", include_str!("../drills/two-tiers.txtpb")),
+    ("most-gateways-lost", include_str!("../drills/most-gateways-lost.txtpb")),
     ("node-hangs", include_str!("../drills/node-hangs.txtpb")),
     ("quiet-day", include_str!("../drills/quiet-day.txtpb")),
 ];
@@ -115,6 +116,9 @@
                     KillGateway(g) | StartGateway(g) | StopGateway(g) | StopGatewayTwice(g)
                     | TakeOverGateway(g) | SpoilState(g) | MendState(g),
                 ) => range(&path, f64::from(*g), 0.0, gateways),
+                Some(StartGateways(all)) => {
+                    all.gateway.iter().for_each(|g| range(&path, f64::from(*g), 0.0, gateways));
+                }
                 Some(CounterSlowMs(ms)) => range(&path, *ms, 0.0, 10_000.0),
                 Some(ReloadPlans(times)) => range(&path, *times, 0.1, 10.0),
                 Some(Mood(mood)) => {
--- a/crates/drill/src/show.rs
+++ b/crates/drill/src/show.rs
@@ -1,6 +1,6 @@
 //! A report as text.
 
-use doorcourse_verdict::{Report, Rule};
+use doorcourse_verdict::{Recovery, Report, Rule};
 use std::fmt::Write;
 
 fn rule(rule: Rule) -> &'static str {
@@ -14,6 +14,37 @@
     }
 }
 
+/// How the fleet came back from each fault, for a person; nothing where that was not measured.
+#[must_use]
+pub fn show_recoveries(recoveries: &[Recovery]) -> String {
+    let mut out = String::new();
+    if recoveries.is_empty() {
+        return out;
+    }
+    let time = |ms: &Option<f64>| ms.map_or_else(|| "never".into(), |ms| format!("{:.1} s", ms / 1000.0));
+    let _ = writeln!(out, "time to full service (95% of the worth of the run without faults, over 2 s):");
+    for r in recoveries {
+        if !r.measured {
+            let _ = writeln!(out, "  {:<40} not measured: the next step comes within 2 s", r.fault);
+            continue;
+        }
+        let worst = r.gateways.values().map(|g| g.unwrap_or(f64::INFINITY)).fold(0.0, f64::max);
+        let worst = time(&Some(worst).filter(|w| w.is_finite()));
+        let plans: Vec<String> = r.plans.iter().map(|(plan, ms)| format!("{plan} {}", time(ms))).collect();
+        let _ = writeln!(
+            out,
+            "  {:<40} {:>7}  deepest {:>4.0}%  second dips {}  last gateway {worst}  {}",
+            r.fault,
+            time(&r.full),
+            r.deepest * 100.0,
+            r.second_dips,
+            plans.join(", ")
+        );
+    }
+    out.push('\n');
+    out
+}
+
 /// The report for a person: phases, answers, worth, accounts, and each rule's verdict.
 #[must_use]
 pub fn show(report: &Report) -> String {
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod acts;
 mod record;
+mod recovery;
 mod report;
 mod rules;
 
 pub use acts::{Act, acts};
 pub use record::{Anew, Bounds, Event, Kind, PlanBounds, Record, Rule, read};
+pub use recovery::{Recovery, recoveries};
 pub use report::{Answers, Report, summary};
 pub use rules::{Breach, judge};
--- a/crates/verdict/src/record.rs
+++ b/crates/verdict/src/record.rs
@@ -90,6 +90,11 @@
         /// Its name.
         name: String,
     },
+    /// Something was done to the fleet that may hurt its clients.
+    Fault {
+        /// What.
+        what: String,
+    },
     /// A client sent a request.
     Ask {
         /// Its name, never used twice.
--- /dev/null
+++ b/crates/verdict/src/recovery.rs
@@ -0,0 +1,205 @@
+//! How a fleet comes back: worth answered in time after each fault beside the same seed's run without faults.
+
+use crate::record::{Event, Kind, Record};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+
+/// Worth is summed over this long; a moment is one on a grid. In ms.
+const WINDOW: f64 = 2000.0;
+const GRID: f64 = 100.0;
+/// Full service is this share of the run without faults, and a dip after it is less than that.
+const FULL: f64 = 0.95;
+const DIP: f64 = 0.9;
+
+/// How the fleet came back from one fault. Times in ms after it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Recovery {
+    /// What was done.
+    pub fault: String,
+    /// When, from the first record on.
+    pub at: f64,
+    /// Whether two seconds were left before the next fault or the end: else nothing below says anything.
+    pub measured: bool,
+    /// The first moment from which two seconds of worth answered in time are 95% of the run without faults; none if there
+    /// is no such before the next fault or the end.
+    pub full: Option<f64>,
+    /// The same for each gateway.
+    pub gateways: BTreeMap<usize, Option<f64>>,
+    /// The same for each plan.
+    pub plans: BTreeMap<String, Option<f64>>,
+    /// The least share of the run without faults in two seconds.
+    pub deepest: f64,
+    /// How often it fell below 90% again after full service.
+    pub second_dips: u32,
+}
+
+/// Worth answered in time by buckets of the grid: in all, by gateway, by plan.
+#[derive(Default)]
+struct Worth {
+    all: Vec<f64>,
+    gateways: BTreeMap<usize, Vec<f64>>,
+    plans: BTreeMap<String, Vec<f64>>,
+    end: f64,
+}
+
+fn add(buckets: &mut Vec<f64>, t: f64, worth: f64) {
+    let at = (t.max(0.0) / GRID) as usize;
+    if buckets.len() <= at {
+        buckets.resize(at + 1, 0.0);
+    }
+    buckets[at] += worth;
+}
+
+impl Worth {
+    fn of(records: &[Record]) -> Self {
+        let (mut asked, mut new) = (HashMap::new(), Self::default());
+        for record in records {
+            match &record.event {
+                Event::Ask { id, gateway, plan, worth, aim, .. } => {
+                    asked.insert(id.as_str(), (record.t, *gateway, plan, *worth, *aim));
+                    new.end = new.end.max(record.t);
+                }
+                Event::Answer { id, kind: Kind::Served, .. } => {
+                    let Some((since, gateway, plan, worth, aim)) = asked.remove(id.as_str()) else {
+                        continue;
+                    };
+                    if record.t - since <= aim {
+                        add(&mut new.all, record.t, worth);
+                        add(new.gateways.entry(gateway).or_default(), record.t, worth);
+                        add(new.plans.entry(plan.clone()).or_default(), record.t, worth);
+                    }
+                }
+                _ => {}
+            }
+        }
+        new
+    }
+}
+
+/// The share that a window from a moment on has of the quiet run; all of it where that has nothing.
+fn share(worth: &[f64], quiet: &[f64], from: f64) -> f64 {
+    let sum = |buckets: &[f64]| {
+        let (first, last) = ((from / GRID) as usize, ((from + WINDOW) / GRID) as usize);
+        buckets.iter().take(last).skip(first).sum::<f64>()
+    };
+    let wanted = sum(quiet);
+    if wanted > 0.0 { sum(worth) / wanted } else { 1.0 }
+}
+
+fn moments(from: f64, until: f64) -> impl Iterator<Item = f64> {
+    let first = (from / GRID).ceil();
+    (0..).map(move |n| (first + f64::from(n)) * GRID).take_while(move |at| at + WINDOW <= until)
+}
+
+fn full(worth: &[f64], quiet: &[f64], from: f64, until: f64) -> Option<f64> {
+    moments(from, until).find(|at| share(worth, quiet, *at) >= FULL).map(|at| at - from)
+}
+
+/// How the fleet came back from each fault of a run, beside one of the same seed without faults.
+#[must_use]
+pub fn recoveries(records: &[Record], quiet: &[Record]) -> Vec<Recovery> {
+    let faults: Vec<(f64, &String)> = records
+        .iter()
+        .filter_map(|r| if let Event::Fault { what } = &r.event { Some((r.t, what)) } else { None })
+        .collect();
+    let (worth, quiet) = (Worth::of(records), Worth::of(quiet));
+    let (end, nothing) = (worth.end.min(quiet.end), Vec::new());
+    let one = |(number, (at, what)): (usize, &(f64, &String))| {
+        let until = faults.get(number + 1).map_or(end, |f| f.0);
+        let of = |worth: Option<&Vec<f64>>, quiet: &[f64]| full(worth.unwrap_or(&nothing), quiet, *at, until);
+        let all = full(&worth.all, &quiet.all, *at, until);
+        let shares = || moments(*at, until).map(|m| (m, share(&worth.all, &quiet.all, m)));
+        let (mut second_dips, mut low) = (0, false);
+        for (moment, share) in shares() {
+            let dips = share < DIP && all.is_some_and(|after| moment > at + after);
+            second_dips += u32::from(dips && !std::mem::replace(&mut low, dips));
+            low &= share < FULL;
+        }
+        Recovery {
+            fault: (*what).clone(),
+            at: *at,
+            measured: at + WINDOW + GRID <= until,
+            full: all,
+            gateways: quiet.gateways.iter().map(|(g, q)| (*g, of(worth.gateways.get(g), q))).collect(),
+            plans: quiet.plans.iter().map(|(p, q)| (p.clone(), of(worth.plans.get(p), q))).collect(),
+            deepest: shares().map(|(_, share)| share).fold(1.0, f64::min),
+            second_dips,
+        }
+    };
+    faults.iter().enumerate().map(one).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::Anew;
+
+    /// A request each 10 ms for 20 s at two gateways by turns, answered after 5 ms where `answered` says so.
+    fn run(answered: impl Fn(f64, usize) -> bool, faults: &[f64]) -> Vec<Record> {
+        let mut records = Vec::new();
+        for n in 0..2000 {
+            let (t, gateway, id) = (f64::from(n) * 10.0, n as usize % 2, format!("q{n}"));
+            for at in faults.iter().filter(|at| **at > t - 10.0 && **at <= t) {
+                records.push(Record { t: *at, event: Event::Fault { what: format!("at {at}") } });
+            }
+            let (customer, plan, class, first) = ("c".into(), "basic".into(), "x".into(), None);
+            let (anew, memory, units, worth, aim, patience) = (Anew::Safe, 0.0, 1.0, 1.0, 100.0, 500.0);
+            let id2 = id.clone();
+            records.push(Record {
+                t,
+                event: Event::Ask {
+                    id,
+                    gateway,
+                    customer,
+                    plan,
+                    class,
+                    anew,
+                    memory,
+                    units,
+                    worth,
+                    aim,
+                    patience,
+                    first,
+                },
+            });
+            if answered(t, gateway) {
+                let (kind, status, code) = (Kind::Served, 200, String::new());
+                records.push(Record { t: t + 5.0, event: Event::Answer { id: id2, kind, status, code } });
+            }
+        }
+        records
+    }
+
+    #[test]
+    fn the_time_to_full_service_is_when_nothing_is_missing_any_more() {
+        let quiet = run(|_, _| true, &[]);
+        let came_back = run(|t, _| !(4000.0..7000.0).contains(&t), &[4000.0]);
+        let found = &recoveries(&came_back, &quiet)[0];
+        // 95% of two seconds: a tenth of a second of the trouble may lie in the window.
+        assert_eq!(found.full, Some(2900.0), "{found:?}");
+        assert_eq!((found.deepest, found.second_dips), (0.0, 0));
+        assert_eq!(found.plans["basic"], Some(2900.0));
+    }
+
+    #[test]
+    fn one_gateway_s_trouble_is_told_at_that_one() {
+        let quiet = run(|_, _| true, &[]);
+        let half = run(|t, g| g == 0 || !(4000.0..7000.0).contains(&t), &[4000.0]);
+        let found = &recoveries(&half, &quiet)[0];
+        assert_eq!(found.gateways[&0], Some(0.0));
+        assert_eq!(found.gateways[&1], Some(2900.0));
+        assert!((0.45..0.55).contains(&found.deepest), "{found:?}");
+    }
+
+    #[test]
+    fn a_second_dip_and_a_fault_without_return_are_told() {
+        let quiet = run(|_, _| true, &[]);
+        let trouble =
+            |t: f64| (4000.0..5000.0).contains(&t) || (9000.0..9500.0).contains(&t) || t >= 15_000.0;
+        let found = recoveries(&run(|t, _| !trouble(t), &[4000.0, 15_000.0]), &quiet);
+        assert_eq!((found[0].second_dips, found[0].full), (1, Some(900.0)));
+        assert!(found[1].full.is_none() && found[1].measured);
+        let close = recoveries(&run(|_, _| true, &[4000.0, 5000.0]), &quiet);
+        assert_eq!((close[0].measured, close[1].measured), (false, true), "too close to the next fault");
+    }
+}
