Leases: what a peer refuses of tasks that are not ours is not kept

Cause: on reading again, `answered` in crates/lease/src/lease.rs kept the last refusal of any task that a peer named, with no bound.

Change: of this gateway's own tasks alone.

--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -526,7 +526,10 @@
     ) {
         let voters = &self.settings.voters;
         let of_round = |t: Token, r: &Round| t == asked && r.number == number && voters.now.contains(&from);
-        if let Err(why) = said {
+        // Of this gateway's own tasks alone: what others say must not grow what is held here.
+        if let Err(why) = said
+            && self.seats.contains_key(&task)
+        {
             self.refusals.insert(task, (from, why));
         }
         match self.seats.get_mut(&task) {
--- a/crates/lease/tests/histories.rs
+++ b/crates/lease/tests/histories.rs
@@ -126,3 +126,37 @@
     assert_eq!((world.holder(1), world.faults.is_empty()), (Some(to), true));
     assert!(world.now - at < 200 * MS, "{} us", world.now - at);
 }
+
+/// Whatever a peer that knows the secret says, what is held of it is bounded.
+#[test]
+fn what_a_peer_makes_up_is_bounded() {
+    use doorcourse_lease::{Ask, Input, Item, Leases, Message, Refusal, Settings, Voters};
+    let (voters, fleet) = (Voters::first(0..3), (0..3).collect());
+    let settings = Settings {
+        number: 0,
+        incarnation: 1,
+        length: 100,
+        longest: 100,
+        fleet,
+        voters,
+        tasks: vec![1],
+        ..Settings::default()
+    };
+    let mut leases = Leases::new(0, settings).expect("usable");
+    let mut out = Vec::new();
+    let mut tell = |items: Vec<Item>| {
+        out.clear();
+        let message = Message { version: 0, votes: true, highest: 9, round: 1, items };
+        leases.handle(1_000, 0, Input::Heard { from: 1, incarnation: 5, message }, &mut out);
+        format!("{:?}", leases.clone()).len()
+    };
+    let ask = |task| Item::Ask(Ask { task, token: 10, length: 100 });
+    let refuse = |task| Item::Refuse { task, token: 10, why: Refusal::Silent };
+    for round in 0..20 {
+        tell((round * 2_000..(round + 1) * 2_000).map(ask).collect());
+        tell((round * 2_000..(round + 1) * 2_000).map(refuse).collect());
+    }
+    let held = tell(Vec::new());
+    tell((50_000..52_000).flat_map(|task| [ask(task), refuse(task)]).collect());
+    assert!(tell(Vec::new()) <= held + 100, "it grows with what is made up");
+}
