Drills spoil state files and count calls and connections after each fault

Change: the act `state_of` (removed, torn, so many seconds old, of another gateway), the drill `state-lost`; the record tells counter calls and connections made to nodes, and the report their most in a second after each fault beside the ordinary second of the run without faults.

A test of the rates.

--- a/crates/drill/src/fleet.rs
+++ b/crates/drill/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A small fleet: gateway processes of this same binary, and the stand-ins around them.
 
 use crate::clients::{CLASSES, PLANS};
+use crate::script::StateWhat;
 use anyhow::{Context, bail};
 use doorcourse_net::Clock;
 use doorcourse_standins::{
@@ -337,6 +338,35 @@
         Ok(())
     }
 
+    /// What a gateway that does not run finds on its disk when it starts.
+    pub fn state_of(&self, at: usize, what: Option<&StateWhat>) -> anyhow::Result<()> {
+        anyhow::ensure!(self.gateways[at].is_none(), "gateway {at} runs: its state file is its own");
+        let path = |at: usize| self.spec.folder.join(format!("gateway-{at}.state"));
+        let file = path(at);
+        match what {
+            Some(StateWhat::Removed(_)) => {
+                std::fs::remove_file(&file).with_context(|| file.display().to_string())?
+            }
+            Some(StateWhat::Torn(_)) => {
+                let bytes = std::fs::read(&file).with_context(|| file.display().to_string())?;
+                std::fs::write(&file, &bytes[..bytes.len() / 2])?;
+            }
+            Some(StateWhat::OldS(seconds)) => {
+                let text = std::fs::read_to_string(&file).with_context(|| file.display().to_string())?;
+                let (head, body) = text.split_once('\n').context("a state file without a head")?;
+                let mut head: serde_json::Value = serde_json::from_str(head)?;
+                head["written_ms"] = (self.clock.now() - seconds * 1000.0).into();
+                std::fs::write(&file, format!("{head}\n{body}"))?;
+            }
+            Some(StateWhat::OfGateway(other)) => {
+                let other = path(*other as usize);
+                std::fs::copy(&other, &file).with_context(|| other.display().to_string())?;
+            }
+            None => bail!("a state file to which nothing is done"),
+        }
+        Ok(())
+    }
+
     /// The node list is imported anew, with this behind the configuration.
     pub fn import(&self, more: &str) -> anyhow::Result<()> {
         import(&self.spec, &self.world.nodes, more)
--- a/crates/drill/src/play.rs
+++ b/crates/drill/src/play.rs
@@ -124,6 +124,7 @@
                 };
                 fleet.node(fault.node as usize, order);
             }
+            What::StateOf(state) => fleet.state_of(state.gateway as usize, state.what.as_ref())?,
             What::CounterSilent(on) => fleet.world.tell(counter(CounterFault::Silent(*on))),
             What::CounterSlowMs(ms) => fleet.world.tell(counter(CounterFault::Slow(*ms))),
             What::CounterRestart(_) => fleet.world.tell(counter(CounterFault::Empty)),
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -10,6 +10,7 @@
 pub use raw::act::What;
 pub use raw::fleet::Suspects;
 pub use raw::node_fault::What as NodeWhat;
+pub use raw::state_of::What as StateWhat;
 pub use raw::wait::Until;
 pub use raw::{Act, Drill, Expect, Share, Wait};
 
@@ -23,6 +24,7 @@
     ("rolling-takeover", include_str!("../drills/rolling-takeover.txtpb")),
     ("reload-busy-season", include_str!("../drills/reload-busy-season.txtpb")),
     ("bad-configuration", include_str!("../drills/bad-configuration.txtpb")),
+    ("state-lost", include_str!("../drills/state-lost.txtpb")),
     ("stop-with-licences", include_str!("../drills/stop-with-licences.txtpb")),
     ("counter-gone", include_str!("../drills/counter-gone.txtpb")),
     ("rack-lost", include_str!("../drills/rack-lost.txtpb")),
@@ -119,6 +121,18 @@
                 Some(StartGateways(all)) => {
                     all.gateway.iter().for_each(|g| range(&path, f64::from(*g), 0.0, gateways));
                 }
+                Some(StateOf(state)) => {
+                    let path = format!("{path}.state_of");
+                    range(&format!("{path}.gateway"), f64::from(state.gateway), 0.0, gateways);
+                    match state.what {
+                        Some(StateWhat::OldS(s)) => range(&format!("{path}.old_s"), s, 0.0, 1e9),
+                        Some(StateWhat::OfGateway(g)) => {
+                            range(&format!("{path}.of_gateway"), f64::from(g), 0.0, gateways);
+                        }
+                        Some(_) => {}
+                        None => range(&path, f64::NAN, 0.0, 0.0),
+                    }
+                }
                 Some(CounterSlowMs(ms)) => range(&path, *ms, 0.0, 10_000.0),
                 Some(ReloadPlans(times)) => range(&path, *times, 0.1, 10.0),
                 Some(Mood(mood)) => {
--- a/crates/drill/src/show.rs
+++ b/crates/drill/src/show.rs
@@ -40,6 +40,11 @@
             r.second_dips,
             plans.join(", ")
         );
+        let _ = writeln!(
+            out,
+            "  {:<40} a second, most (ordinary): counter calls {:.0} ({:.0}), new connections at one node {:.0} ({:.1})",
+            "", r.counter_calls.0, r.counter_calls.1, r.connections.0, r.connections.1
+        );
     }
     out.push('\n');
     out
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -316,6 +316,9 @@
         }
         for stream in streams {
             let Ok(socket) = Socket::new(stream) else { continue };
+            if let Some(node) = node {
+                self.recorder.write(Event::Connected { node: self.nodes[node].spec.name.clone() });
+            }
             let kind = match node {
                 Some(node) => {
                     let limits = HttpLimits { body: 64 << 20, ..HttpLimits::default() };
@@ -548,6 +551,7 @@
             match decode(&input[at..]) {
                 Ok(Some((words, used))) => {
                     at += used;
+                    self.recorder.write(Event::CounterCall);
                     encode(due, &self.counter.command(now, session, &words));
                 }
                 Ok(None) => break,
--- a/crates/verdict/src/record.rs
+++ b/crates/verdict/src/record.rs
@@ -95,6 +95,13 @@
         /// What.
         what: String,
     },
+    /// A call came to the counter.
+    CounterCall,
+    /// A connection was made to a node.
+    Connected {
+        /// Which node.
+        node: String,
+    },
     /// A client sent a request.
     Ask {
         /// Its name, never used twice.
--- a/crates/verdict/src/recovery.rs
+++ b/crates/verdict/src/recovery.rs
@@ -7,6 +7,8 @@
 /// Worth is summed over this long; a moment is one on a grid. In ms.
 const WINDOW: f64 = 2000.0;
 const GRID: f64 = 100.0;
+/// Rates are counted over this long, in ms.
+const SECOND: f64 = 1000.0;
 /// Full service is this share of the run without faults, and a dip after it is less than that.
 const FULL: f64 = 0.95;
 const DIP: f64 = 0.9;
@@ -31,6 +33,10 @@
     pub deepest: f64,
     /// How often it fell below 90% again after full service.
     pub second_dips: u32,
+    /// Counter calls of all gateways: the most in a second, and the mean second of the run without faults.
+    pub counter_calls: (f64, f64),
+    /// New connections at the node where they were most in a second, and the mean second of a node of the run without faults.
+    pub connections: (f64, f64),
 }
 
 /// Worth answered in time by buckets of the grid: in all, by gateway, by plan.
@@ -39,6 +45,9 @@
     all: Vec<f64>,
     gateways: BTreeMap<usize, Vec<f64>>,
     plans: BTreeMap<String, Vec<f64>>,
+    /// Counter calls, and new connections by node.
+    calls: Vec<f64>,
+    nodes: BTreeMap<String, Vec<f64>>,
     end: f64,
 }
 
@@ -59,6 +68,8 @@
                     asked.insert(id.as_str(), (record.t, *gateway, plan, *worth, *aim));
                     new.end = new.end.max(record.t);
                 }
+                Event::CounterCall => add(&mut new.calls, record.t, 1.0),
+                Event::Connected { node } => add(new.nodes.entry(node.clone()).or_default(), record.t, 1.0),
                 Event::Answer { id, kind: Kind::Served, .. } => {
                     let Some((since, gateway, plan, worth, aim)) = asked.remove(id.as_str()) else {
                         continue;
@@ -91,6 +102,18 @@
     (0..).map(move |n| (first + f64::from(n)) * GRID).take_while(move |at| at + WINDOW <= until)
 }
 
+/// The most in a second that begins after a moment and ends before another.
+fn peak(buckets: &[f64], from: f64, until: f64) -> f64 {
+    let (first, last) = ((from / GRID).ceil() as usize, ((until / GRID) as usize).min(buckets.len()));
+    let second = (SECOND / GRID) as usize;
+    let part = buckets.get(first..last).unwrap_or_default();
+    part.windows(second.min(part.len()).max(1)).map(|w| w.iter().sum()).fold(0.0, f64::max)
+}
+
+fn mean(buckets: &[f64], end: f64) -> f64 {
+    buckets.iter().sum::<f64>() / (end / SECOND).max(1e-9)
+}
+
 fn full(worth: &[f64], quiet: &[f64], from: f64, until: f64) -> Option<f64> {
     moments(from, until).find(|at| share(worth, quiet, *at) >= FULL).map(|at| at - from)
 }
@@ -124,6 +147,12 @@
             plans: quiet.plans.iter().map(|(p, q)| (p.clone(), of(worth.plans.get(p), q))).collect(),
             deepest: shares().map(|(_, share)| share).fold(1.0, f64::min),
             second_dips,
+            counter_calls: (peak(&worth.calls, *at, until), mean(&quiet.calls, quiet.end)),
+            connections: (
+                worth.nodes.values().map(|n| peak(n, *at, until)).fold(0.0, f64::max),
+                quiet.nodes.values().map(|n| mean(n, quiet.end)).sum::<f64>()
+                    / (quiet.nodes.len().max(1) as f64),
+            ),
         }
     };
     faults.iter().enumerate().map(one).collect()
@@ -181,6 +210,27 @@
         assert_eq!(found.plans["basic"], Some(2900.0));
     }
 
+    #[test]
+    fn rates_are_told_with_their_peak_over_the_ordinary_one() {
+        let with_calls = |burst: u32| {
+            let mut records = run(|_, _| true, &[4000.0]);
+            let call = |t: f64| Record { t, event: Event::CounterCall };
+            records.extend((0..200).map(|n| call(f64::from(n) * 100.0)));
+            records.extend((0..burst).map(|n| call(5000.0 + f64::from(n))));
+            let node = |n: u32| Event::Connected { node: format!("n{}", n % 2) };
+            records.extend((0..burst).map(|n| Record { t: 5000.0, event: node(n) }));
+            records.extend((0..20).map(|n| Record { t: f64::from(n) * 1000.0, event: node(n) }));
+            records
+        };
+        let found = &recoveries(&with_calls(50), &with_calls(0))[0];
+        assert!((found.counter_calls.0 - 60.0).abs() <= 1.0, "{found:?}");
+        assert!((found.counter_calls.1 - 10.0).abs() < 0.1, "{found:?}");
+        assert!(
+            (25.0..=26.0).contains(&found.connections.0) && (found.connections.1 - 0.5).abs() < 0.01,
+            "{found:?}"
+        );
+    }
+
     #[test]
     fn one_gateway_s_trouble_is_told_at_that_one() {
         let quiet = run(|_, _| true, &[]);
