Leases: processes that stop themselves between check and write, and no rule broken

Need: issue "Leases for fleet-wide tasks" wants the holder stopped between the check of its permit and the write; signals from outside hit that place by chance alone.

Change: the feature `halts` (never part of the product) has the process stop itself there, one call in forty; the drill wakes all after each fault. The clock difference of a peer is in the metrics.

--- a/crates/drill/src/holders.rs
+++ b/crates/drill/src/holders.rs
@@ -167,6 +167,8 @@
     for _ in 0..options.faults {
         play.fault(&mut dice)?;
         play.pass(dice.random_range(0.4..2.5));
+        // A build with `halts` stops itself between check and write: it goes on a while later, as others have moved on.
+        play.wake()?;
     }
     play.heal()?;
     play.wait_for_acts("after all faults", &mut held);
@@ -371,6 +373,7 @@
         let before: Vec<usize> =
             self.witnesses.iter().map(|w| w.acts().iter().filter(|a| a.accepted).count()).collect();
         let until = self.clock.now() + AGAIN * self.options.lease + 2000.0;
+        let mut turns = 0;
         for (at, before) in before.into_iter().enumerate() {
             while self.witnesses[at].acts().iter().filter(|a| a.accepted).count() <= before {
                 if self.clock.now() > until {
@@ -378,6 +381,10 @@
                     break;
                 }
                 std::thread::sleep(Duration::from_millis(5));
+                turns += 1;
+                if turns % 100 == 0 {
+                    let _ = self.wake();
+                }
             }
         }
     }
@@ -481,6 +488,10 @@
         Ok(())
     }
 
+    fn wake(&self) -> anyhow::Result<()> {
+        (0..self.options.gateways).try_for_each(|at| self.signal(at, Signal::CONT))
+    }
+
     fn heal(&mut self) -> anyhow::Result<()> {
         self.tell("all is well again".into());
         self.relay.change(|_, _| true, |way| *way = Way::PLAIN);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -356,6 +356,11 @@
             );
             call.written = true;
             call.socket.output().extend_from_slice(head.as_bytes());
+            #[cfg(feature = "halts")]
+            if permit.token.wrapping_add(u64::from(generation)).is_multiple_of(40) {
+                let _ =
+                    rustix::process::kill_process(rustix::process::getpid(), rustix::process::Signal::STOP);
+            }
             if call.socket.flush() != Flow::Open || call.socket.pending() > 0 {
                 return self.end(now, task, "cannot be written");
             }
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -79,6 +79,7 @@
     peer_round_trip: Family<ByPeer, Gauge<f64, std::sync::atomic::AtomicU64>>,
     peer_datagrams: Family<ByPeer, Gauge>,
     peer_lost: Family<ByPeer, Gauge>,
+    peer_clock: Family<ByPeer, Gauge<f64, std::sync::atomic::AtomicU64>>,
     dropped: Family<ByCause, Gauge>,
     task_held: Family<ByTask, Gauge>,
     task_calls: Family<ByCall, Gauge>,
@@ -120,6 +121,7 @@
             peer_round_trip: Family::default(),
             peer_datagrams: Family::default(),
             peer_lost: Family::default(),
+            peer_clock: Family::default(),
             dropped: Family::default(),
             task_held: Family::default(),
             task_calls: Family::default(),
@@ -152,6 +154,11 @@
             "Datagrams that a peer numbered and that did not come",
             metrics.peer_lost.clone(),
         );
+        r.register(
+            "peer_clock_ahead_ms",
+            "A peer gateway's wall clock beside this one's",
+            metrics.peer_clock.clone(),
+        );
         r.register("link_dropped", "Datagrams dropped, by cause", metrics.dropped.clone());
         r.register("task_held", "1 while this gateway holds a task's lease", metrics.task_held.clone());
         r.register(
@@ -168,6 +175,7 @@
         self.peer_round_trip.clear();
         self.peer_datagrams.clear();
         self.peer_lost.clear();
+        self.peer_clock.clear();
         self.task_held.clear();
         self.task_calls.clear();
         for peer in &seen.peers {
@@ -175,6 +183,9 @@
             self.peer_heard.get_or_create(&by).set(peer.heard.map_or(-1, whole));
             self.peer_datagrams.get_or_create(&by).set(whole(peer.taken));
             self.peer_lost.get_or_create(&by).set(whole(peer.lost));
+            if let Some(ms) = peer.clock {
+                self.peer_clock.get_or_create(&by).set(ms);
+            }
             if let Some(ms) = peer.round_trip {
                 self.peer_round_trip.get_or_create(&by).set(ms);
             }
