--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -39,6 +39,14 @@
     fixed("fleet.link", own(old) == own(new), "start a new process: the peers know this one by it");
     let lease = |c: &Config| c.leases.as_ref().map(|l| (l.length, l.drift));
     fixed("leases", lease(old) == lease(new), "what was promised for one length cannot be kept for another");
+    let steps = match (&old.leases, &new.leases) {
+        // One that missed versions begins as after a start; what is older or else is no step.
+        (Some(old), Some(new)) if new.voters.version <= old.voters.version + 1 => {
+            old.voters.may_follow(&new.voters).is_ok()
+        }
+        _ => true,
+    };
+    fixed("leases.voters", steps, "each change is one version on and of one voter (docs/leases.md)");
     let lines = &mut change.lines;
     let mut figure = |what: &str, old: String, new: String| {
         if old != new {
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -31,6 +31,14 @@
     assert_eq!(config.limits.held_answer, 16_384);
 }
 
+/// With one thing changed, the faults told hold this.
+fn told_of(good: &str, from: &str, to: &str, told: &str, check: fn(&str) -> Result<Config, Vec<Fault>>) {
+    assert!(good.contains(from), "{from}");
+    let faults = check(&good.replacen(from, to, 1)).expect_err(to);
+    let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert!(shown.iter().any(|f| f.contains(told)), "{to}: {shown:?} lacks {told:?}");
+}
+
 #[test]
 fn each_fault_names_line_field_and_what_is_allowed() {
     for (from, to, told) in [
@@ -74,10 +82,7 @@
         ("graphql { ", "graphql { depth: 1000 ", "graphql.depth: 1000 is out of range: allowed is 1 to 200"),
         ("graphql { ", "limits { head_ms: 1 } graphql { ", "limits.head_ms: 1 is out of range"),
     ] {
-        assert!(GOOD.contains(from), "{from}");
-        let faults = check(&GOOD.replacen(from, to, 1)).expect_err(to);
-        let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        assert!(shown.iter().any(|f| f.contains(told)), "{to}: {shown:?} lacks {told:?}");
+        told_of(GOOD, from, to, told, check);
     }
 }
 
@@ -201,9 +206,20 @@
         ),
         ("9100\"", "9100\" path: \"x\"", "leases.tasks[0].path: `x` must begin with /"),
     ] {
-        assert!(LINKED.contains(from), "{from}");
-        let faults = linked(&LINKED.replacen(from, to, 1)).expect_err(to);
-        let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        assert!(shown.iter().any(|f| f.contains(told)), "{to}: {shown:?} lacks {told:?}");
+        told_of(LINKED, from, to, told, linked);
     }
 }
+
+#[test]
+fn voters_change_by_one_in_one_version_also_in_service() {
+    let with = |voters: &str| {
+        linked(&LINKED.replacen("length_ms: 400", &format!("length_ms: 400 {voters}"), 1)).unwrap()
+    };
+    let (all, next) = (with(""), with("voters_version: 1 voters: [0, 1] voters_before: [0, 1, 2]"));
+    let refused = |old: &Config, new: &Config| doorcourse_config::compare(old, new).refused.join("; ");
+    assert_eq!(refused(&all, &next), "");
+    assert!(refused(&next, &all).contains("leases.voters: cannot change in service"), "a version back");
+    assert!(refused(&all, &with("voters: [0, 1]")).contains("leases.voters"), "another list of one version");
+    let other = with("voters_version: 1 voters: [0, 2] voters_before: [0, 2]");
+    assert!(refused(&next, &other).contains("leases.voters"));
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -385,7 +385,10 @@
             call.status = status;
             call.socket.consume(took);
             if over {
-                let good = (200..300).contains(&status) || matches!(what, What::Trial(..)) && status < 500;
+                let good = match what {
+                    What::Task(_) => (200..300).contains(&status),
+                    What::Trial(..) => doorcourse_suspects::is_well(status),
+                };
                 return self.over(now, &what, if good { "" } else { "answered otherwise" });
             }
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -670,10 +670,8 @@
         while let Some(word) = fleet.hints.pop_front() {
             let Some(view) = self.decision.backends().find(|b| *b.name == *word.node) else { continue };
             let keep = self.config.leases.as_ref().and_then(|l| l.suspects).map_or(0, |s| s.keep);
-            let left = keep.saturating_sub(word.age) as f64;
-            // It is left alone as after a failure of its own, until the word runs out or is taken back.
-            let (failures, until) = if word.bad { (view.failures.max(1), now + left) } else { (0, now) };
-            views.push(doorcourse::BackendView { failures, eject_until: until, ..view });
+            let (failures, left) = doorcourse_suspects::remembered(&word, keep, view.failures);
+            views.push(doorcourse::BackendView { failures, eject_until: now + left as f64, ..view });
         }
         if !views.is_empty() {
             self.io.events.push_back(Event::Remembered(views));
--- a/crates/lease/src/codec.rs
+++ b/crates/lease/src/codec.rs
@@ -22,8 +22,6 @@
 struct Wire {
     #[prost(uint64, tag = "1")]
     version: u64,
-    #[prost(bool, tag = "2")]
-    votes: bool,
     #[prost(uint64, tag = "3")]
     highest: u64,
     #[prost(uint64, tag = "4")]
@@ -75,8 +73,8 @@
             Item::Take { task } => of(task, 5, 0),
         }
     };
-    let Message { version, votes, highest, round, ref items } = *message;
-    Wire { version, votes, highest, round, items: items.iter().map(item).collect() }.encode_to_vec()
+    let Message { version, highest, round, ref items } = *message;
+    Wire { version, highest, round, items: items.iter().map(item).collect() }.encode_to_vec()
 }
 
 /// Reads a message.
@@ -111,8 +109,8 @@
         })
     };
     let items = wire.items.iter().map(item).collect::<Result<_, _>>()?;
-    let Wire { version, votes, highest, round, .. } = wire;
-    Ok(Message { version, votes, highest, round, items })
+    let Wire { version, highest, round, .. } = wire;
+    Ok(Message { version, highest, round, items })
 }
 
 #[cfg(test)]
@@ -142,10 +140,10 @@
     proptest! {
         #[test]
         fn what_is_written_is_read(
-            version in any::<u64>(), votes in any::<bool>(), highest in any::<u64>(), round in any::<u64>(),
+            version in any::<u64>(), highest in any::<u64>(), round in any::<u64>(),
             items in prop::collection::vec(any_item(), 0..20),
         ) {
-            let message = Message { version, votes, highest, round, items };
+            let message = Message { version, highest, round, items };
             prop_assert_eq!(decode(&encode(&message)), Ok(message));
         }
 
@@ -158,7 +156,7 @@
     #[test]
     fn a_thousand_renewals_fit_one_datagram() {
         let items = (0..1000).map(|task| Item::Ask(Ask { task, token: 1 << 55, length: 600_000 })).collect();
-        let message = Message { version: 9, votes: true, highest: 1 << 55, round: 1 << 40, items };
+        let message = Message { version: 9, highest: 1 << 55, round: 1 << 40, items };
         assert!(encode(&message).len() < 30_000, "{}", encode(&message).len());
     }
 }
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -658,13 +658,7 @@
     // ---- What is said ----
 
     fn message(&self, round: u64) -> Message {
-        Message {
-            version: self.version(),
-            votes: self.climbed,
-            highest: self.highest,
-            round,
-            items: Vec::new(),
-        }
+        Message { version: self.version(), highest: self.highest, round, items: Vec::new() }
     }
 
     fn flush(&mut self, now: Time, out: &mut Vec<Output>) {
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -7,8 +7,6 @@
 pub struct Message {
     /// The sender's list of voters.
     pub version: u64,
-    /// Whether the sender votes: it has waited after its start and its list is settled.
-    pub votes: bool,
     /// The highest token the sender knows of.
     pub highest: Token,
     /// The sender's round: answers name the round of the ask that they answer.
--- a/crates/lease/tests/histories.rs
+++ b/crates/lease/tests/histories.rs
@@ -146,7 +146,7 @@
     let mut out = Vec::new();
     let mut tell = |items: Vec<Item>| {
         out.clear();
-        let message = Message { version: 0, votes: true, highest: 9, round: 1, items };
+        let message = Message { version: 0, highest: 9, round: 1, items };
         leases.handle(1_000, 0, Input::Heard { from: 1, incarnation: 5, message }, &mut out);
         format!("{:?}", leases.clone()).len()
     };
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -94,6 +94,20 @@
     bad: Option<bool>,
 }
 
+/// What a word makes of a node in the decisions of a gateway that sees so many failures of it: the failures that it is
+/// remembered with, and for how many ms it is left alone. It is as after a failure of its own, until the word runs out or is
+/// taken back; its own failures are not told again as others'.
+#[must_use]
+pub fn remembered(word: &Word, keep: Time, failures: u32) -> (u32, Time) {
+    if word.bad { (failures.max(1), keep.saturating_sub(word.age)) } else { (0, 0) }
+}
+
+/// Whether a trial's answer shows a node well: whatever it says of the query, it is not down.
+#[must_use]
+pub fn is_well(status: u16) -> bool {
+    (200..500).contains(&status)
+}
+
 /// What one gateway knows of suspects.
 #[derive(Clone, Debug)]
 pub struct Suspects {
@@ -339,6 +353,18 @@
         assert_eq!(say(&mut other, 1110, 9, "n3", 5, 0), 1);
     }
 
+    #[test]
+    fn a_word_alone_never_makes_a_report() {
+        let word = |bad, age| Word { node: "n0".into(), started: 5, bad, age, gateways: 2 };
+        assert_eq!(remembered(&word(true, 400), 1000, 0), (1, 600));
+        assert_eq!(remembered(&word(true, 400), 1000, 7), (7, 600), "its own failures stay");
+        assert_eq!(remembered(&word(false, 0), 1000, 7), (0, 0));
+        // Else what was heard would come back as evidence, and no word would ever run out.
+        let (failures, _) = remembered(&word(true, 0), 1000, 0);
+        assert!(tick(&mut suspects(1), 0, &[failures], None).is_empty());
+        assert!(is_well(200) && is_well(400) && !is_well(503) && !is_well(100));
+    }
+
     #[test]
     fn nothing_is_tried_without_the_lease_nor_where_the_list_forbids() {
         let mut gateway = suspects(0);
