--- a/crates/platform/src/exchanges.rs
+++ b/crates/platform/src/exchanges.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// The requests whose clients wait for an answer.
+    pub fn waiting(&self) -> Vec<RequestId> {
+        self.open.iter().filter(|(_, o)| o.exchange.is_open()).map(|(id, _)| *id).collect()
+    }
+
     /// Requests that are open, and attempts whose clients are gone.
     pub fn len(&self) -> usize {
         self.open.len()
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -12,7 +12,7 @@
 use crate::watch::Watch;
 use doorcourse::{Action, Event, Gateway, LoadReport, Name, Outcome, RequestId};
 use doorcourse_counter::Call;
-use doorcourse_exchange::{Input, Leave, Phase, Reply, Shares, Start, dial_time};
+use doorcourse_exchange::{Input, LastRounds, Leave, Phase, Reply, Round, Shares, Start, dial_time};
 use doorcourse_net::{Interest, Ready, listen};
 use doorcourse_site::Site;
 use std::collections::{HashMap, VecDeque};
@@ -200,7 +200,7 @@
             self.one(*ready);
         }
         self.clients.tick(&mut self.io, &self.site, &mut self.told);
-        if self.leave.phase(self.io.now) == Phase::Closing {
+        if self.leave.is_closing(self.io.now) {
             if std::mem::replace(&mut self.closed, true) {
                 self.clients.look_at_all();
             } else {
@@ -208,6 +208,9 @@
             }
         }
         self.settle();
+        if self.leave.phase(self.io.now) == Phase::LastAnswers {
+            self.answer_all();
+        }
         self.flush();
         self.watch.tick(
             &self.io,
@@ -296,6 +299,26 @@
         }
     }
 
+    /// Answers all that is open, by the rules: attempts that are out end by their time, and the decisions give the final
+    /// answer. What they send anew goes no further than a buffer, since nothing is written before the last round.
+    fn answer_all(&mut self) {
+        let mut rounds = LastRounds::new(self.site.settings.most_attempts);
+        loop {
+            let (open, input) = match rounds.next(self.exchanges.waiting()) {
+                Round::TimeUp(open) => (open, Input::TimeUp),
+                Round::Cut(left) => (left, Input::Failed),
+                Round::Over => return,
+            };
+            for id in open {
+                self.input(id, input);
+            }
+            self.settle();
+            if input == Input::Failed {
+                return;
+            }
+        }
+    }
+
     fn heard_of_probe(&mut self, id: RequestId, heard: Heard) {
         let (outcome, load) = match heard {
             Heard::Connected | Heard::Written => return,
