Platform: an answer not written yet keeps its connection from ages and making room

Ruled out: the leaving (three of the four processes had not been told to leave). At fault: clients.rs, settle() put the answer into the output without a word in Held; Clients::tick, later in the same turn and before the flush, saw nothing open and a last command older than the idle age of 5 s, and dropped the connection with its answer. make_room() could do the same; on a table that is three quarters full the age is 2 s. Change: what is put into the output counts as unread from that moment, and a connection is idle since its last answer. Both new tests were seen to fail without the change.

--- a/crates/exchange/src/leave.rs
+++ b/crates/exchange/src/leave.rs
@@ -138,7 +138,7 @@
     }
 
     fn idle() -> Held {
-        Held { opened: 0.0, spoke: Some(50.0), midway: None, unread: None, open: 0, ending: None }
+        Held { spoke: Some(50.0), ..Held::new(0.0) }
     }
 
     #[test]
--- a/crates/exchange/src/table.rs
+++ b/crates/exchange/src/table.rs
@@ -60,9 +60,11 @@
     pub opened: Millis,
     /// When a command that can be taken came last.
     pub spoke: Option<Millis>,
+    /// When its last answer was given.
+    pub answered: Option<Millis>,
     /// Since when a command is midway.
     pub midway: Option<Millis>,
-    /// Since when it has something to read and takes nothing.
+    /// Since when it has something to read and takes nothing, also where that is not written yet.
     pub unread: Option<Millis>,
     /// Requests and answers that are open.
     pub open: usize,
@@ -71,6 +73,18 @@
 }
 
 impl Held {
+    /// One that was opened now.
+    #[must_use]
+    pub fn new(now: Millis) -> Self {
+        Self { opened: now, spoke: None, answered: None, midway: None, unread: None, open: 0, ending: None }
+    }
+
+    /// Since when it stands idle, where it has said anything good: its last answer may have come long after its last
+    /// command, and who has just been answered is about to ask again.
+    fn idle_since(&self) -> Option<Millis> {
+        self.spoke.map(|at| self.answered.map_or(at, |answered| answered.max(at)))
+    }
+
     /// Whether its age is over.
     #[must_use]
     pub fn is_over(&self, now: Millis, ages: &Ages) -> bool {
@@ -81,7 +95,7 @@
         if self.open > 0 || self.unread.is_some() {
             return false;
         }
-        match self.spoke {
+        match self.idle_since() {
             _ if old(self.midway, ages.silent) => true,
             None => now >= self.opened + ages.silent,
             Some(at) => self.midway.is_none() && now >= at + ages.idle,
@@ -93,7 +107,7 @@
     /// that spoke once and hold on, the silent ones are those that have just come and are about to ask.
     #[must_use]
     pub fn rank(&self) -> Option<(u8, Millis)> {
-        match (self.ending, self.spoke) {
+        match (self.ending, self.idle_since()) {
             (Some(at), _) => Some((0, at)),
             (None, _) if self.open > 0 || self.unread.is_some() => None,
             (None, None) => Some((1, self.opened - SILENT_OLDER)),
@@ -128,7 +142,7 @@
     const AGES: Ages = Ages { silent: 2000.0, idle: 5000.0, unread: 2500.0 };
 
     fn held() -> Held {
-        Held { opened: 100.0, spoke: None, midway: None, unread: None, open: 0, ending: None }
+        Held::new(100.0)
     }
 
     #[test]
@@ -136,6 +150,12 @@
         assert!(!held().is_over(2099.0, &AGES) && held().is_over(2100.0, &AGES));
         let spoke = Held { spoke: Some(1000.0), ..held() };
         assert!(!spoke.is_over(5999.0, &AGES) && spoke.is_over(6000.0, &AGES));
+        let answered = Held { answered: Some(5500.0), ..spoke };
+        assert!(
+            !answered.is_over(10_499.0, &AGES) && answered.is_over(10_500.0, &AGES),
+            "idle since its answer"
+        );
+        assert_eq!(answered.rank(), Some((1, 5500.0)));
         let midway = Held { midway: Some(1500.0), ..spoke };
         assert!(!midway.is_over(3499.0, &AGES) && midway.is_over(3500.0, &AGES));
         let open = Held { open: 1, ..midway };
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -113,14 +113,19 @@
         room && !self.lost && now >= self.resume
     }
 
-    /// Moves answers whose turn it is to the output.
-    fn settle(&mut self) {
+    /// Moves answers whose turn it is to the output. From here on they are there to be read, also while they are not
+    /// written yet: nothing that looks at the connection before the turn's flush may take it for idle.
+    fn settle(&mut self, now: f64) {
         while let Some(Slot::Ready(given)) = self.slots.front() {
             given.encode(self.watched.socket.output());
             self.slots.pop_front();
             self.first += 1;
+            self.held.answered = Some(now);
         }
         self.held.open = self.slots.len();
+        if self.watched.socket.pending() > 0 {
+            self.held.unread.get_or_insert(now);
+        }
     }
 }
 
@@ -167,8 +172,7 @@
             let Ok(socket) = Socket::new(stream) else { continue };
             let token = Token { kind: Kind::Client, serial: io.serial(), at: self.conns.vacant_key() };
             let Ok(watched) = Watched::new(io, socket, token, Interest::READ) else { continue };
-            let held =
-                HeldOpen { opened: io.now, spoke: None, midway: None, unread: None, open: 0, ending: None };
+            let held = HeldOpen::new(io.now);
             let (commands, slots) = (Commands::new(LIMITS), VecDeque::new());
             let at = self.conns.insert(Conn {
                 watched,
@@ -266,7 +270,7 @@
             conn.held.midway.get_or_insert(io.now);
         }
         if used > 0 {
-            conn.settle();
+            conn.settle(io.now);
             mark(&mut self.dirty, conn);
         }
     }
@@ -297,7 +301,7 @@
         if wrong {
             Self::fault(conn, now);
         }
-        conn.settle();
+        conn.settle(now);
         mark(&mut self.dirty, conn);
     }
 
@@ -407,3 +411,60 @@
         dirty.push(conn.watched.token.at);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Read;
+    use std::net::TcpStream;
+
+    const SETTINGS: &str =
+        r#"{"fleet-size":1,"classes":[{"name":"r","effect":"idempotent"}],"plans":[{"name":"p"}]}"#;
+
+    /// A room with one client that has asked, and the place of its request.
+    fn asked(most: usize) -> (Io, Site, Clients, Place, TcpStream) {
+        let (mut io, site) = (Io::new().unwrap(), doorcourse_site::parse(SETTINGS).unwrap());
+        let listener = doorcourse_net::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let words =
+            ["Q.ASK", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=r,t=p,d=480,units=1,spread=1,first=0"];
+        let mut bytes = Vec::new();
+        doorcourse_resp::command(&mut bytes, &words);
+        client.write_all(&bytes).unwrap();
+        let (mut clients, mut told) = (Clients::new(&mut io, listener, most).unwrap(), Vec::new());
+        while told.is_empty() {
+            clients.accept(&mut io, &site, &mut told);
+            for at in 0..clients.conns.len() {
+                clients.read(&mut io, &site, at, &mut told);
+            }
+        }
+        let Some(Told::Asked(place, _)) = told.pop() else { panic!("a good request") };
+        (io, site, clients, place, client)
+    }
+
+    fn answer_of(mut clients: Clients, mut io: Io, site: &Site, mut client: TcpStream) -> String {
+        clients.flush(&mut io, site, &Leave::default(), &mut Vec::new());
+        drop(clients);
+        let mut text = String::new();
+        client.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    #[test]
+    fn an_answer_given_long_after_its_command_is_written_before_any_age_counts() {
+        let (mut io, site, mut clients, place, client) = asked(8);
+        io.now += 2.0 * AGES.idle;
+        clients.answer(io.now, place, Given::Failed("no answer in time"));
+        // The sweep of ages comes before the flush of the same turn.
+        clients.tick(&mut io, &site, &mut Vec::new());
+        assert_eq!(answer_of(clients, io, &site, client), "-ERR failed: no answer in time\r\n");
+    }
+
+    #[test]
+    fn a_connection_with_an_answer_to_write_is_not_the_one_that_makes_room() {
+        let (io, site, mut clients, place, client) = asked(1);
+        clients.answer(io.now, place, Given::Busy(None));
+        assert!(!clients.make_room());
+        assert_eq!(answer_of(clients, io, &site, client), "-BUSY\r\n");
+    }
+}
