Platform: a last look before any connection ends, signals heeded before listening

Need: the other edges at which a taken request can go down, found by reading and shown by tests. A connection that an age, a full table or the leaving ended was closed unseen, with whatever had just been written to it: it gets one last read now, and stays where that finds a command (test for all three; the age and room cases fail without it). SIGTERM between listen and the handlers killed the process with what the system had let in: signals are taken over first.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -1,7 +1,7 @@
 //! `platform`.
 
 use clap::Args;
-use doorcourse_platform::{Config, Platform as Running};
+use doorcourse_platform::{Config, Platform as Running, Signals};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -18,10 +18,11 @@
 }
 
 pub fn run(wanted: &Platform) -> anyhow::Result<ExitCode> {
+    let signals = Signals::take()?;
     let mut config = Config::open(&wanted.config)?;
     config.listen = wanted.listen.unwrap_or(config.listen);
     let mut platform = Running::new(wanted.config.clone(), config)?;
-    platform.heed_signals()?;
+    platform.heed(signals)?;
     platform.run()?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -10,7 +10,7 @@
 /// A secret has at least so many bytes, and a file at most so many of them.
 const SECRET: usize = 16;
 const SECRETS: usize = 8;
-const TASKS: usize = 1000;
+const TASKS: usize = 1024;
 
 /// How the gateways hear of each other.
 #[derive(Clone, PartialEq, Eq)]
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -160,13 +160,13 @@
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return true,
                 Err(_) => {
                     // The peer is gone again, or descriptors are short, which a connection less mends.
-                    if !self.make_room() {
+                    if !self.make_room(io, site, told) {
                         return true;
                     }
                     continue;
                 }
             };
-            if self.conns.len() >= self.most && !self.make_room() {
+            if self.conns.len() >= self.most && !self.make_room(io, site, told) {
                 continue;
             }
             let Ok(socket) = Socket::new(stream) else { continue };
@@ -191,13 +191,32 @@
         false
     }
 
-    /// Closes the connection that matters least; false where all matter.
-    fn make_room(&mut self) -> bool {
-        let ranked = self.conns.iter().filter_map(|(at, conn)| Some((conn.held.rank()?, at)));
-        let first = ranked.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        let Some((_, at)) = first else { return false };
-        self.conns.remove(at);
-        true
+    /// Closes the connection that matters least; false where all matter. One on which a request has just come matters:
+    /// it is seen by the last look, and another has to go.
+    fn make_room(&mut self, io: &mut Io, site: &Site, told: &mut Vec<Told>) -> bool {
+        loop {
+            let ranked = self.conns.iter().filter_map(|(at, conn)| Some((conn.held.rank()?, at)));
+            let first = ranked.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let Some((_, at)) = first else { return false };
+            let part = |held: &HeldOpen| held.rank().is_some();
+            if self.end(io, site, at, part, told) {
+                return true;
+            }
+        }
+    }
+
+    /// Ends a connection, unless one last look finds a command on it: what was written to a connection that was open is
+    /// taken. True where the connection is gone.
+    fn end(
+        &mut self, io: &mut Io, site: &Site, at: usize, ends: impl Fn(&HeldOpen) -> bool,
+        told: &mut Vec<Told>,
+    ) -> bool {
+        self.read(io, site, at, told);
+        if self.conns.get(at).is_some_and(|conn| ends(&conn.held)) {
+            tracing::trace!(target: "doorcourse::requests", at, "connection ended");
+            self.remove(at, told);
+        }
+        !self.conns.contains(at)
     }
 
     pub fn ready(&mut self, io: &mut Io, site: &Site, token: Token, ready: Ready, told: &mut Vec<Told>) {
@@ -317,6 +336,7 @@
     /// Writes what the turn left to write; commands that waited for room to answer are taken then.
     /// Once the gateway leaves, a connection on which nothing is open then ends.
     pub fn flush(&mut self, io: &mut Io, site: &Site, leave: &Leave, told: &mut Vec<Told>) {
+        let now = io.now;
         // Commands that are taken here may be answered at once: it ends because each round takes some of the input.
         while let Some(at) = self.dirty.pop() {
             let Some(conn) = self.conns.get_mut(at).filter(|c| c.dirty) else { continue };
@@ -339,15 +359,10 @@
             if !conn.watched.socket.input.is_empty() {
                 self.take(io, site, at, told);
             }
-            if self.conns.get(at).is_some_and(|conn| leave.parts(io.now, &conn.held)) {
-                // What came since the last look was written to a connection that was open: it is taken, and the
-                // connection ends behind its answer.
-                self.read(io, site, at, told);
-                if self.conns.get(at).is_some_and(|conn| leave.parts(io.now, &conn.held)) {
-                    tracing::trace!(target: "doorcourse::requests", at, "connection closed: leaving");
-                    self.remove(at, told);
-                    continue;
-                }
+            let parts = |held: &HeldOpen| leave.parts(now, held);
+            if self.conns.get(at).is_some_and(|conn| parts(&conn.held)) && self.end(io, site, at, parts, told)
+            {
+                continue;
             }
             self.rest(io, at);
         }
@@ -370,11 +385,12 @@
             return;
         }
         self.swept = io.now;
-        let ages = AGES.under(self.conns.len(), self.most);
+        let (now, ages) = (io.now, AGES.under(self.conns.len(), self.most));
         for at in 0..self.conns.capacity() {
             let Some(conn) = self.conns.get_mut(at) else { continue };
-            if conn.held.is_over(io.now, &ages) {
-                self.remove(at, told);
+            let over = |held: &HeldOpen| held.is_over(now, &ages);
+            if over(&conn.held) {
+                self.end(io, site, at, over, told);
             } else if conn.faults > 0 && conn.reads(io.now) {
                 self.take(io, site, at, told);
                 self.rest(io, at);
@@ -462,9 +478,35 @@
 
     #[test]
     fn a_connection_with_an_answer_to_write_is_not_the_one_that_makes_room() {
-        let (io, site, mut clients, place, client) = asked(1);
+        let (mut io, site, mut clients, place, client) = asked(1);
         clients.answer(io.now, place, Given::Busy(None));
-        assert!(!clients.make_room());
+        assert!(!clients.make_room(&mut io, &site, &mut Vec::new()));
         assert_eq!(answer_of(clients, io, &site, client), "-BUSY\r\n");
     }
+
+    #[test]
+    fn a_request_that_has_just_come_is_seen_before_its_connection_ends() {
+        for why in ["age", "room", "leaving"] {
+            let (mut io, site, mut clients, place, mut client) = asked(1);
+            clients.answer(io.now, place, Given::Busy(None));
+            clients.flush(&mut io, &site, &Leave::default(), &mut Vec::new());
+            client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+            let (mut told, mut leave) = (Vec::new(), Leave::default());
+            io.now += 2.0 * AGES.idle;
+            match why {
+                "age" => clients.tick(&mut io, &site, &mut told),
+                "room" => assert!(!clients.make_room(&mut io, &site, &mut told), "{why}"),
+                _ => {
+                    leave.tell(0.0, 1000.0);
+                    clients.look_at_all();
+                    clients.flush(&mut io, &site, &leave, &mut told);
+                }
+            }
+            let Some(Told::Ping(place)) = told.pop() else { panic!("{why}: it was not seen") };
+            clients.answer(io.now, place, Given::Pong);
+            clients.flush(&mut io, &site, &leave, &mut told);
+            assert_eq!(clients.connections(), usize::from(why != "leaving"), "{why}");
+            assert_eq!(answer_of(clients, io, &site, client), "-BUSY\r\n+PONG\r\n", "{why}");
+        }
+    }
 }
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -117,8 +117,9 @@
                                 Some(Part::Data(bytes)) => {
                                     let lines = bytes.contains(&b'\n');
                                     self.line.extend_from_slice(bytes);
-                                    if self.watching {
-                                        fault = self.lines(told);
+                                    // Each list ends with a line: what is midway in one is not read again and again.
+                                    if self.watching && lines {
+                                        fault = self.lists(told);
                                     }
                                     if lines {
                                         self.follow.heard(io.now);
@@ -136,7 +137,7 @@
                 link.socket.consume(used);
                 if fault.is_none() && ended && !self.watching {
                     let whole = std::mem::take(&mut self.line);
-                    fault = self.list(&whole, told).err();
+                    fault = Members::read(&whole).and_then(|list| self.take(list, told)).err();
                     if fault.is_none() {
                         // The list is in: the watch goes on from it, on the same connection.
                         return self.ask(io, link);
@@ -155,24 +156,26 @@
         }
     }
 
-    /// Takes the whole lines; a fault where one cannot be followed.
-    fn lines(&mut self, told: &mut Vec<Members>) -> Option<String> {
-        let mut from = 0;
-        let mut fault = None;
+    /// Takes the lists that are whole; a fault where one cannot be followed.
+    fn lists(&mut self, told: &mut Vec<Members>) -> Option<String> {
         let held = std::mem::take(&mut self.line);
-        while let Some(end) = held[from..].iter().position(|b| *b == b'\n').filter(|_| fault.is_none()) {
-            let line = held[from..from + end].trim_ascii();
-            if !line.is_empty() {
-                fault = self.list(line, told).err();
+        let (mut from, mut fault) = (0, None);
+        while fault.is_none() {
+            from += held[from..].iter().take_while(|b| b.is_ascii_whitespace()).count();
+            match Members::read_first(&held[from..]) {
+                Ok(None) => break,
+                Ok(Some((list, took))) => {
+                    from += took;
+                    fault = self.take(list, told).err();
+                }
+                Err(why) => fault = Some(why),
             }
-            from += end + 1;
         }
         self.line = held[from..].to_vec();
         fault
     }
 
-    fn list(&mut self, bytes: &[u8], told: &mut Vec<Members>) -> Result<(), String> {
-        let list = Members::read(bytes)?;
+    fn take(&mut self, list: Members, told: &mut Vec<Members>) -> Result<(), String> {
         if self.follow.take(list.seq, list.whole)? {
             tracing::info!(target: "doorcourse::discovery", version = list.seq, "discovery up");
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,4 +20,4 @@
 mod watch;
 
 pub use config::{Config, Limits};
-pub use run::{Platform, Stopper};
+pub use run::{Platform, Signals, Stopper};
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -69,6 +69,29 @@
     }
 }
 
+/// SIGTERM, SIGINT and SIGHUP as bytes on pipes. Taken before anything listens: from then on a signal that would end
+/// the process on the spot waits instead, and with it whatever the system has let in at the door.
+#[derive(Debug)]
+pub struct Signals(Vec<(UnixStream, u8)>);
+
+impl Signals {
+    /// Takes them over.
+    ///
+    /// # Errors
+    /// When the system refuses.
+    pub fn take() -> std::io::Result<Self> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        let mut pipes = Vec::new();
+        for (number, byte) in [(SIGTERM, STOP), (SIGINT, STOP), (SIGHUP, RELOAD)] {
+            let (wake, ours) = UnixStream::pair()?;
+            ours.set_nonblocking(true)?;
+            signal_hook::low_level::pipe::register(number, wake)?;
+            pipes.push((ours, byte));
+        }
+        Ok(Self(pipes))
+    }
+}
+
 impl Platform {
     /// Takes the file in and listens; nothing is served before `run`.
     ///
@@ -134,16 +157,12 @@
         self.address
     }
 
-    /// Has SIGTERM, SIGINT and SIGHUP wake the loop.
+    /// Has these signals wake the loop; such as came already are taken in by its first turn.
     ///
     /// # Errors
     /// When the system refuses.
-    pub fn heed_signals(&mut self) -> std::io::Result<()> {
-        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-        for (number, byte) in [(SIGTERM, STOP), (SIGINT, STOP), (SIGHUP, RELOAD)] {
-            let (wake, ours) = UnixStream::pair()?;
-            ours.set_nonblocking(true)?;
-            signal_hook::low_level::pipe::register(number, wake)?;
+    pub fn heed(&mut self, signals: Signals) -> std::io::Result<()> {
+        for (ours, byte) in signals.0 {
             let token = Token { kind: Kind::Signal, serial: self.io.serial(), at: self.signals.len() };
             self.io.poller.add(&ours, token.pack(), Interest::READ)?;
             self.signals.push((ours, Some(byte)));
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -21,8 +21,11 @@
 /// So many failures in a row make a node a suspect: one may be chance.
 const FAILURES: u32 = 2;
 /// The most nodes that one gateway reports, and the most gateways that are listened to.
-const REPORTED: usize = 64;
+const REPORTED: usize = 1024;
 const HEARD: usize = 1024;
+/// The names that one message may hold, in bytes, with this much beside each: a datagram carries it.
+const NAMES: usize = 48_000;
+const BESIDE: usize = 16;
 
 /// How suspects are dealt with.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -169,10 +172,16 @@
 
     fn tick(&mut self, now: Time, seen: Vec<Seen>, held: Option<u64>, out: &mut Vec<Output>) {
         let (number, keep) = (self.settings.number, self.settings.keep);
+        let mut room = NAMES;
+        let mut fits = |node: &str| {
+            let left = room.checked_sub(node.len() + BESIDE);
+            left.map(|left| room = left).is_some()
+        };
         let fails: Vec<Report> = seen
             .iter()
             .filter(|s| s.ready && s.failures >= FAILURES)
             .take(REPORTED)
+            .take_while(|s| fits(&s.node))
             .map(|s| Report { node: s.node.clone(), started: s.started })
             .collect();
         self.nodes = seen.into_iter().map(|s| (s.node.clone(), s)).collect();
