--- /dev/null
+++ b/crates/cli/tests/running/mod.rs
@@ -0,0 +1,66 @@
+//! The built binary as a process between stand-ins.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use crate::rig::{Counter, Discovery, settings};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value as Json, json};
+use std::io::{BufRead, BufReader, Lines};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+
+pub struct Gateway {
+    pub child: Child,
+    log: Lines<BufReader<ChildStderr>>,
+    pub file: PathBuf,
+    pub address: std::net::SocketAddr,
+}
+
+impl Gateway {
+    /// Waits for the log line with this message.
+    pub fn line(&mut self, message: &str) -> Json {
+        let lines = self.log.by_ref().map_while(Result::ok);
+        let mut lines = lines.map(|l| serde_json::from_str::<Json>(&l).expect("the log is JSON"));
+        lines.find(|l| l["message"] == message).unwrap_or_else(|| panic!("no line {message:?}"))
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+pub fn config(discovery: &Discovery, counter: &Counter) -> Json {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": discovery.address.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "counter": counter.address.to_string(),
+        "known": {"seq": 0, "whole": true, "hosts": []}, "settings": settings()
+    })
+}
+
+pub fn command(file: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_doorcourse"));
+    command.arg("platform").env("RELAY_NAME", "n0").env("RELAY_CONFIG", file);
+    command.env("RELAY_LISTEN", "127.0.0.1:0").stderr(Stdio::piped());
+    command
+}
+
+pub fn start(name: &str, config: &Json) -> Gateway {
+    let file = std::env::temp_dir().join(format!("doorcourse-smoke-{}-{name}.json", std::process::id()));
+    std::fs::write(&file, config.to_string()).unwrap();
+    let mut child = command(&file).spawn().unwrap();
+    let log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut gateway = Gateway { child, log, file, address: "127.0.0.1:1".parse().unwrap() };
+    let address = gateway.line("started")["address"].as_str().unwrap().parse().unwrap();
+    gateway.address = address;
+    gateway.line("discovery up");
+    gateway
+}
--- a/crates/exchange/src/leave.rs
+++ b/crates/exchange/src/leave.rs
@@ -110,6 +110,8 @@
     #[must_use]
     pub fn parts(&self, now: Millis, held: &Held) -> bool {
         let owes = held.open > 0 || held.unread.is_some() || held.midway.is_some() || held.ending.is_some();
+        #[cfg(feature = "spoilt-leave")]
+        let owes = owes || self.told.is_some_and(|told| now >= told.last_call + NEWCOMER / 2.0);
         let comes = held.spoke.is_none() && now < held.opened + NEWCOMER;
         self.is_closing(now) && !owes && !comes
     }
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -422,16 +422,19 @@
 
     /// The same on a connection that may end: `None` where it did.
     pub fn try_ask(&mut self, class: &str, time: u32) -> Option<Value> {
-        let mut bytes = Vec::new();
-        self.encode_ask(class, time, &mut bytes);
-        self.stream.write_all(&bytes).ok()?;
-        self.answer()
+        if self.begin_ask(class, time).1 { self.answer() } else { None }
     }
 
-    pub fn send_ask(&mut self, class: &str, time: u32) -> String {
+    /// The same without waiting: the id, and whether the connection took it.
+    pub fn begin_ask(&mut self, class: &str, time: u32) -> (String, bool) {
         let mut bytes = Vec::new();
         let id = self.encode_ask(class, time, &mut bytes);
-        self.stream.write_all(&bytes).unwrap();
+        (id, self.stream.write_all(&bytes).is_ok())
+    }
+
+    pub fn send_ask(&mut self, class: &str, time: u32) -> String {
+        let (id, taken) = self.begin_ask(class, time);
+        assert!(taken, "the connection ended");
         id
     }
 
