Who waits at the door when it closes is let in first, in serve as on the platform

Need: a process that shares its core finds a crowd at the door in the very turn in which its doors close. Seen by tests that stop a process in its grace, let 150 clients connect and write, and have it go on: 'client 64 was closed unseen' on the platform without last_call's loop (one turn lets 64 in), a reset of clients in serve. In serve there were two causes: close_listeners() dropped the queue, and Life ended in the same tick by a count from before the doors closed and by a quiet that newcomers did not break. Change: both let the queue in first, bounded by what the system holds; the count after the doors are closed decides, newcomers count as about to speak.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -93,3 +93,30 @@
         assert!(said.contains(field) && said.contains(&*file.to_string_lossy()), "{field}: {said}");
     }
 }
+
+/// More connections than one turn lets in wait at the door, their requests written, when the grace is over: the process
+/// stood still meanwhile, as one does that shares its core.
+#[test]
+fn who_waits_at_the_door_when_it_closes_is_let_in_first() {
+    let backend = Backend::start(|_| Answer::Bytes(value("good")));
+    let (discovery, counter) =
+        (Discovery::start(vec![host("b0", backend.address, "active")]), Counter::start());
+    let mut config = config(&discovery, &counter);
+    config["limits"]["sockets"] = json!(1024);
+    let mut gateway = start("door", &config);
+    assert!(is_served(&Client::open(gateway.address).ask("lookup", 1000), "good"));
+    gateway.signal(Signal::TERM);
+    gateway.line("leaving");
+    gateway.signal(Signal::STOP);
+    let mut clients: Vec<_> = (0..150).map(|_| Client::open(gateway.address)).collect();
+    clients.iter_mut().for_each(|client| drop(client.send_ask("lookup", 2400)));
+    std::thread::sleep(std::time::Duration::from_millis(800));
+    gateway.signal(Signal::CONT);
+    for (at, client) in clients.iter_mut().enumerate() {
+        let answer = client.answer().unwrap_or_else(|| panic!("client {at} was closed unseen"));
+        assert!(is_served(&answer, "good") || rig::is_busy(&answer), "{answer:?}");
+        assert_eq!(client.answer(), None, "its connection ends behind its answer");
+    }
+    gateway.line("left");
+    assert!(gateway.child.wait().unwrap().success());
+}
--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -314,3 +314,26 @@
     third.wait("\"serving\"");
     assert!(third.end(rustix::process::Signal::TERM).success());
 }
+
+/// More connections than one turn lets in wait at the door, their requests written, when a drain closes it: the process
+/// stood still meanwhile.
+#[test]
+fn who_waits_at_the_door_when_a_drain_closes_it_is_let_in_first() {
+    use rustix::process::{Pid, Signal, kill_process};
+    let place = Place::new("door", "life { notice_ms: 300 }\n");
+    let mut old = place.serve(&[]);
+    let to = address(&old.wait("serving"));
+    assert!(served(to));
+    let signal = |signal| kill_process(Pid::from_child(&old.child), signal).expect("it runs");
+    signal(Signal::TERM);
+    old.wait("draining");
+    signal(Signal::STOP);
+    let mut clients: Vec<_> = (0..150).map(|_| connect(to)).collect();
+    clients.iter_mut().for_each(|client| client.write_all(&request()).expect("written"));
+    std::thread::sleep(Duration::from_millis(400));
+    signal(Signal::CONT);
+    for client in &mut clients {
+        assert!(answer(client).starts_with("HTTP/1.1 "), "a whole answer, served or refused");
+    }
+    assert!(old.child.wait().expect("it ends").success());
+}
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -88,6 +88,10 @@
     spare: Option<std::fs::File>,
 }
 
+/// Connections let in at a time.
+const ACCEPTS: usize = 64;
+/// Connections that the system may hold at a door.
+const QUEUE: usize = 1024;
 /// Input of one client that is held while its request is answered: pipelining, but not without bound.
 const PIPELINED: usize = 16 << 10;
 /// How long a client that was told to go may still talk, in ms.
@@ -129,10 +133,29 @@
         self.connections.len()
     }
 
-    pub fn accept(&mut self, io: &mut Io, config: &Config, at: usize) {
+    /// Closes the doors behind who waits there already: the system has let them in, and their requests may be written.
+    pub fn last_call(&mut self, io: &mut Io, config: &Config) {
+        let before = self.connections.len();
+        for at in 0..self.listeners.len() {
+            // As many as the system's queue holds; a crowd that goes on coming ends there.
+            for _ in 0..QUEUE.div_ceil(ACCEPTS) {
+                if self.accept(io, config, at) {
+                    break;
+                }
+            }
+        }
+        if self.connections.len() > before {
+            // They are about to speak, if they have not done so.
+            self.spoke_at = io.now();
+        }
+        self.close_listeners();
+    }
+
+    /// Lets in who waits at a door, a bounded number; true where nobody is left.
+    pub fn accept(&mut self, io: &mut Io, config: &Config, at: usize) -> bool {
         // Bounded, so that a flood of connections does not hold up those that are open.
-        for _ in 0..64 {
-            let Some(listener) = self.listeners.get(at) else { return };
+        for _ in 0..ACCEPTS {
+            let Some(listener) = self.listeners.get(at) else { return true };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(error) if error.raw_os_error().is_some_and(out_of_descriptors) => {
@@ -143,7 +166,7 @@
                     self.spare = std::fs::File::open("/dev/null").ok();
                     continue;
                 }
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return true,
                 Err(_) => continue,
             };
             let Ok(mut socket) = Socket::new(stream) else { continue };
@@ -181,6 +204,7 @@
             });
             io.timers.set(until, Alarm::Client(slot, generation));
         }
+        false
     }
 
     /// Sets when the connection's patience ends. An earlier alarm finds the later time and sets itself again.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -271,7 +271,7 @@
 
     fn ready(&mut self, ready: Ready) {
         match Token::unpack(ready.token) {
-            Token::Listener(at) => self.clients.accept(&mut self.io, &self.config, at),
+            Token::Listener(at) => drop(self.clients.accept(&mut self.io, &self.config, at)),
             Token::Client(slot, generation) => {
                 self.clients.ready(&mut self.io, &self.config, slot, generation, ready);
             }
@@ -500,7 +500,7 @@
                         fleet.leave(&mut self.io);
                     }
                 }
-                Output::CloseListeners => self.clients.close_listeners(),
+                Output::CloseListeners => self.clients.last_call(&mut self.io, &self.config),
                 Output::Reload => self.reload.start(&self.config),
                 Output::TakeSettings => self.take_settings(),
                 Output::RefuseReload(why) => self.reload.refuse(why.to_string()),
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -188,13 +188,15 @@
     state: State,
     left: bool,
     closed: bool,
+    /// What is left was counted after the doors were closed: who came in last is among it.
+    counted: bool,
 }
 
 impl Life {
     /// A process that has just begun.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
-        Self { settings, state: State::Starting, left: false, closed: false }
+        Self { settings, state: State::Starting, left: false, closed: false, counted: false }
     }
 
     /// Where it stands.
@@ -220,6 +222,7 @@
         match self.state {
             State::HandingOver { until, .. } | State::GivingBack { until } => until,
             State::Draining { close_at, until } if close_at > now => close_at.min(until),
+            State::Draining { .. } if self.closed && !self.counted => now,
             State::Draining { until, .. } => until,
             State::Starting | State::Serving | State::Stopped => f64::INFINITY,
         }
@@ -312,10 +315,9 @@
                 if now >= until {
                     out.push(Output::AnswerAll);
                     self.give_back(now, out);
-                } else if self.closed
-                    && left.requests == 0
-                    && (left.clients == 0 || left.quiet >= self.settings.quiet)
-                {
+                } else if !std::mem::replace(&mut self.counted, self.closed) {
+                    // The doors close with this tick: who waits there is let in, and counts from the next one on.
+                } else if left.requests == 0 && (left.clients == 0 || left.quiet >= self.settings.quiet) {
                     self.give_back(now, out);
                 }
             }
