Tests of the leaving: pipelined, half read, read slowly, told twice, told at the start

Need: the cases that the issue names at each edge of the end, beside the crowd at the door and the rolling restart. Change: two tests in crates/platform/tests/life.rs and one on the built binary, judged from the clients' own records. The start's test fails by its own rule where a process that has written 'started' is ended by the signal.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -120,3 +120,27 @@
     gateway.line("left");
     assert!(gateway.child.wait().unwrap().success());
 }
+
+/// SIGTERM at any moment of a start, small steps apart, while nobody tells a list: a process that listens ends in order.
+#[test]
+fn told_to_leave_while_it_starts_it_ends_in_order_once_it_listens() {
+    let (discovery, counter) = (std::net::TcpListener::bind("127.0.0.1:0").unwrap(), Counter::start());
+    let mut config = config(&Discovery::start(Vec::new()), &counter);
+    config["discovery"] = json!(discovery.local_addr().unwrap().to_string());
+    let file = std::env::temp_dir().join(format!("doorcourse-smoke-{}-early.json", std::process::id()));
+    std::fs::write(&file, config.to_string()).unwrap();
+    let mut listened = 0;
+    for step in 0..12 {
+        let child = command(&file).spawn().unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(2 * step));
+        rustix::process::kill_process(rustix::process::Pid::from_child(&child), Signal::TERM).unwrap();
+        let output = child.wait_with_output().unwrap();
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        if log.contains("started") {
+            listened += 1;
+            assert!(output.status.success() && log.contains("\"left\""), "{step}: {log}");
+        }
+    }
+    std::fs::remove_file(&file).unwrap();
+    assert!(listened > 0, "none came as far as listening");
+}
--- a/crates/platform/tests/life.rs
+++ b/crates/platform/tests/life.rs
@@ -6,6 +6,7 @@
     Answer, Backend, Counter, Discovery, LIMIT, Rig, Shared, host, is_failed, is_served, settings, value,
 };
 use serde_json::json;
+use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -231,3 +232,62 @@
     // 0.7 s of doors that are open, at one client in 5 ms, less what a busy machine delays.
     assert!(answered >= 100, "{answered} answered");
 }
+
+/// Commands behind one another, a command of which half has come, and answers that are read late: each at the last call.
+#[test]
+fn what_is_midway_at_the_last_call_is_finished() {
+    let long = "v".repeat(60_000);
+    let text = value(&long);
+    let backend = Backend::start(move |_| {
+        std::thread::sleep(Duration::from_millis(30));
+        Answer::Bytes(text.clone())
+    });
+    let mut rig = Rig::before(&[backend.address]);
+    let (mut piped, mut half, mut slow) = (rig.client(), rig.client(), rig.client());
+    let whole = half.encoded("lookup", 2000);
+    half.stream.write_all(&whole[..whole.len() / 2]).unwrap();
+    rig.stopper.stop();
+    std::thread::sleep(Duration::from_millis(600));
+    (0..10).for_each(|_| drop(piped.send_ask("lookup", 2000)));
+    (0..20).for_each(|_| drop(slow.send_ask("lookup", 2000)));
+    // The doors are closed by now; the rest of the command comes on a connection that is still open.
+    std::thread::sleep(Duration::from_millis(500));
+    half.stream.write_all(&whole[whole.len() / 2..]).unwrap();
+    let good = |answer: Option<doorcourse_resp::Value>| {
+        let answer = answer.expect("a whole answer");
+        assert!(is_served(&answer, &long) || rig::is_busy(&answer), "{answer:.80?}");
+    };
+    good(half.answer());
+    (0..10).for_each(|_| good(piped.answer()));
+    (0..20).for_each(|_| good(slow.answer()));
+    for client in [&mut half, &mut piped, &mut slow] {
+        assert_eq!(client.answer(), None, "its connection ends behind its answers");
+    }
+    rig.join();
+}
+
+/// Told twice, in the middle of a reload, with nobody answering: every client has its answer before the kill.
+#[test]
+fn a_gateway_that_leaves_among_the_silent_answers_all_before_it_may_be_killed() {
+    let silent: Vec<_> = (0..3).map(|_| Backend::start(|_| Answer::Silence)).collect();
+    let mut rig = Rig::before(&silent.iter().map(|b| b.address).collect::<Vec<_>>());
+    let mut clients: Vec<_> = (0..9).map(|_| rig.client()).collect();
+    for (at, client) in clients.iter_mut().enumerate() {
+        client.send_ask(["lookup", "save", "order"][at % 3], 2400);
+    }
+    silent[0].commands.wait("a request to be sent on", |c| !c.is_empty());
+    // Its new counter and list are nowhere to be reached.
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    rig.file["counter"] = json!(nobody.local_addr().unwrap().to_string());
+    rig.file["discovery"] = rig.file["counter"].clone();
+    rig.write();
+    rig.stopper.reload();
+    rig.stopper.stop();
+    rig.stopper.reload();
+    rig.stopper.stop();
+    for (at, client) in clients.iter_mut().enumerate() {
+        let answer = client.answer().unwrap_or_else(|| panic!("client {at} has no answer"));
+        assert!(is_failed(&answer) || rig::is_busy(&answer), "{answer:?}");
+    }
+    rig.join();
+}
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -438,6 +438,13 @@
         id
     }
 
+    /// The bytes of a request with a new id.
+    pub fn encoded(&mut self, class: &str, time: u32) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        self.encode_ask(class, time, &mut bytes);
+        bytes
+    }
+
     fn encode_ask(&mut self, class: &str, time: u32, bytes: &mut Vec<u8>) -> String {
         let id = id();
         let key = if class == "save" { format!(",k={id}") } else { String::new() };
