Tests: 1,024 gateways and backends within 32 MB, and a crowd on a full table

Need: the sizes that the issue promises, on the built binary, and its case of a crowd. Change: one process with 1,024 gateways in its settings and 1,024 backends in file and list, indented, serves and reloads with a peak (VmHWM) below 32 MB, also as a debug build. 120 clients at once on 96 descriptors: whoever was sent on has a whole answer.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -144,3 +144,63 @@
     std::fs::remove_file(&file).unwrap();
     assert!(listened > 0, "none came as far as listening");
 }
+
+/// The largest fleet that is promised: 1,024 gateways in the settings and 1,024 backends in the file and in the list,
+/// indented, on a machine of 32 MB.
+#[test]
+fn a_thousand_gateways_and_backends_fit_in_a_small_machine() {
+    let backend = Backend::start(|_| Answer::Bytes(value("good")));
+    let hosts: Vec<Json> =
+        (0..1024).map(|n| host(&format!("s-{n:08x}-of-a-long-name"), backend.address, "active")).collect();
+    let (discovery, counter) = (Discovery::start(hosts.clone()), Counter::start());
+    let mut config = config(&discovery, &counter);
+    config["settings"]["fleet-size"] = json!(1024);
+    config["known"] = json!({"seq": 0, "whole": true, "hosts": hosts});
+    let gateway = start("large", &serde_json::from_str(&format!("{config:#}")).unwrap());
+    std::fs::write(&gateway.file, format!("{config:#}")).unwrap();
+    let mut client = Client::open(gateway.address);
+    for round in 0..3 {
+        for _ in 0..100 {
+            let answer = client.ask("lookup", 2000);
+            assert!(is_served(&answer, "good") || rig::is_busy(&answer), "{answer:?}");
+        }
+        // Its file is indented too, and read again each time.
+        gateway.signal(Signal::HUP);
+        let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).unwrap();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("the system tells its peak");
+        let peak: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+        assert!(peak < 32 << 10, "round {round}: {peak} kB");
+    }
+}
+
+/// A crowd at once on a machine with room for a few: whoever is let in has a whole answer, and of who is closed unseen
+/// nothing was sent on.
+#[test]
+fn a_crowd_on_a_full_table_loses_nobody_who_was_let_in() {
+    let backend = Backend::start(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(60));
+        Answer::Bytes(value("good"))
+    });
+    let (discovery, counter) =
+        (Discovery::start(vec![host("b0", backend.address, "active")]), Counter::start());
+    let mut config = config(&discovery, &counter);
+    config["limits"]["sockets"] = json!(96);
+    let gateway = start("crowd", &config);
+    let address = gateway.address;
+    let clients: Vec<_> = (0..120)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let mut client = Client::open(address);
+                let (id, taken) = client.begin_ask("lookup", 2400);
+                (id, taken && client.answer().is_some())
+            })
+        })
+        .collect();
+    let seen: Vec<(String, bool)> = clients.into_iter().map(|c| c.join().unwrap()).collect();
+    let answered = seen.iter().filter(|(_, answered)| *answered).count();
+    assert!(answered >= 20, "{answered} answered");
+    let sent_on = backend.commands.change(|c| c.iter().map(|c| c.words[2].clone()).collect::<Vec<_>>());
+    for (id, answered) in &seen {
+        assert!(*answered || !sent_on.contains(id), "{id} was sent on and has no answer");
+    }
+}
