--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -146,7 +146,7 @@
     Ready(bool),
     /// Tell clients to go with their next answer.
     ClientsGo,
-    /// Close the listeners.
+    /// Let in who waits at the listeners, then close them; the next `Tick` counts who came.
     CloseListeners,
     /// Read the settings again, beside the loop; then tell `ReloadRead`.
     Reload,
