Keyed repeats end with their window, in line and on connections that come up late

Cause: src/logic.rs asked may_try_again when an attempt ended, and neither hold nor dispatch asked again; and between the decision and the first byte lies the dial, of up to 1.5 s, which nothing bounded by the window. Ruled out: the group (the attempt stayed in its cell) and a second copy (the earlier attempts' connections had ended). Change: send_by is the one bound for trying again, holding and sending; Action::Send tells what is left of the window, and both hosts withdraw an attempt that is not written by then. Tests: tests/effects.rs; two on sockets (in line past the window; a connection that comes up past it).

--- a/crates/gateway/src/exchanges.rs
+++ b/crates/gateway/src/exchanges.rs
@@ -144,15 +144,24 @@
         (arrival, bytes)
     }
 
-    /// The decisions send a request to a node: what goes onto the wire.
-    pub fn sent(&mut self, now: f64, id: RequestId, backend: Name) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
+    /// The decisions send a request to a node; the number of the attempt.
+    pub fn sent(&mut self, now: f64, id: RequestId, backend: Name) -> u32 {
+        let Some(request) = self.requests.get_mut(&id) else { return 0 };
         (request.backend, request.sent_at) = (backend, now);
         // Nothing of an earlier attempt's answer may colour this one's.
         (request.head, request.whole) = (None, false);
         request.held.clear();
         request.scan.reset();
         request.exchange.handle(Input::Sent, &mut Vec::new());
+        request.exchange.attempts()
+    }
+
+    /// The time is over in which an attempt is dropped as a repeat: it is withdrawn unless it is written.
+    pub fn window_over(&mut self, now: f64, id: RequestId, attempt: u32) {
+        let out = |r: &Request| r.exchange.is_out() && r.exchange.attempts() == attempt;
+        if self.requests.get(&id).is_some_and(out) {
+            self.tell(now, id, Input::Withdrawn);
+        }
     }
 
     pub fn wire<'a>(&'a self, id: RequestId, path: &'a str) -> Option<Wire<'a>> {
--- a/crates/gateway/src/io.rs
+++ b/crates/gateway/src/io.rs
@@ -67,6 +67,8 @@
 pub(crate) enum Alarm {
     Decision(u64),
     TimeUp(RequestId),
+    /// The time is over in which an attempt is dropped as a repeat: the request and the number of its attempt.
+    Window(u64, u32),
     Client(usize, u32),
     NodeIdle(usize, u32),
     NodeList,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -334,6 +334,7 @@
         match alarm {
             Alarm::Decision(token) => self.io.events.push_back(Event::Timer { token }),
             Alarm::TimeUp(id) => self.exchanges.tell(self.io.now(), id, Tell::TimeUp),
+            Alarm::Window(id, attempt) => self.exchanges.window_over(self.io.now(), id, attempt),
             Alarm::Client(slot, generation) => {
                 self.clients.time(&mut self.io, &self.config, slot, generation);
             }
@@ -388,7 +389,7 @@
     fn act(&mut self, action: Action) {
         let now = self.io.now();
         match action {
-            Action::Send { id, backend, timeout: _ } => self.send(id, &backend),
+            Action::Send { id, backend, timeout: _, window } => self.send(id, &backend, window),
             Action::Refuse { id, retry_after, why } => {
                 self.exchanges.tell(now, id, Tell::Refused { retry_after, why });
             }
@@ -403,8 +404,11 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, backend: &Name) {
-        self.exchanges.sent(self.io.now(), id, backend.clone());
+    fn send(&mut self, id: RequestId, backend: &Name, window: Option<f64>) {
+        let attempt = self.exchanges.sent(self.io.now(), id, backend.clone());
+        if let Some(window) = window {
+            self.io.timers.set(self.io.now() + window, Alarm::Window(id, attempt));
+        }
         let Some(wire) = self.exchanges.wire(id, &self.config.path) else { return };
         match self.nodes.send(&mut self.io, &self.config.limits, id, backend, &wire) {
             Some(connection) => {
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -48,6 +48,8 @@
     TimeUp(u64),
     /// An attempt's connection should be up: the request and the number of its attempt.
     Dial(u64, u32),
+    /// The time is over in which an attempt is dropped as a repeat: it must not be written any more.
+    Window(u64, u32),
     /// A probe should be answered.
     Probe(u64),
 }
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -280,6 +280,11 @@
                         self.said.push((id, Heard::Lost));
                     }
                 }
+                Alarm::Window(id, attempt) => {
+                    if self.exchanges.is_out(id, attempt) {
+                        self.input(id, Input::Withdrawn);
+                    }
+                }
             }
             self.settle();
         }
@@ -404,7 +409,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, backend, timeout } => {
+            Action::Send { id, backend, timeout, window } => {
                 let Some(out) = self.exchanges.send(self.io.now, id, &backend) else { return };
                 if let Some(timeout) = timeout {
                     self.io.timers.set(self.io.now + timeout, Alarm::TimeUp(id));
@@ -415,6 +420,9 @@
                 if self.backends.dial_is_due(id) && limit > 0.0 {
                     self.io.timers.set(self.io.now + dial, Alarm::Dial(id, out.attempt));
                 }
+                if let Some(window) = window {
+                    self.io.timers.set(self.io.now + window, Alarm::Window(id, out.attempt));
+                }
             }
             Action::Refuse { id, retry_after, why } => self.input(id, Input::Refused { retry_after, why }),
             Action::Fail { id } => self.input(id, Input::Failed),
--- a/crates/platform/tests/outcomes.rs
+++ b/crates/platform/tests/outcomes.rs
@@ -3,9 +3,10 @@
 
 mod rig;
 
-use rig::{Answer, Backend, Rig, is_busy, is_failed, is_served, value};
+use rig::{Answer, Backend, LateBackend, Rig, host, is_busy, is_failed, is_served, value};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 /// A backend that does this to the first command and serves all others.
 fn once(first: impl Fn() -> Answer + Send + Sync + 'static) -> Backend {
@@ -141,3 +142,62 @@
         }
     }
 }
+
+/// Settings whose keyed class has its repeats dropped for so long only, with time to wait for a backend beyond it.
+fn short_window(window: f64) -> serde_json::Value {
+    let mut settings = rig::settings();
+    let save = &mut settings["classes"][1];
+    (save["goal-time-ms"], save["hard-limit-ms"], save["window-ms"]) =
+        (8000.into(), 16_000.into(), window.into());
+    settings["permissions"]["dial-timeout-ms"] = 3000.into();
+    settings
+}
+
+/// Waits until a time after something that happened before: what it holds back is let go only then.
+fn past(began: Instant, time: Duration) {
+    std::thread::sleep(time.saturating_sub(began.elapsed()));
+}
+
+#[test]
+fn a_keyed_repeat_that_waits_in_line_is_not_sent_past_its_window() {
+    let backend = Backend::start(|_| Answer::Reset);
+    let later = Backend::start(|_| Answer::Bytes(value("again")));
+    let rig = Rig::new(vec![host("b0", backend.address, "active")], short_window(300.0), 1024);
+    let mut client = rig.client();
+    let began = Instant::now();
+    client.send_ask("save", 9000);
+    // Twice reset, the backend is left alone, and the request waits for another: there is one when the window is over.
+    backend.commands.wait("both attempts", |c| c.len() == 2);
+    past(began, Duration::from_millis(310));
+    rig.discovery.tell(vec![host("b1", later.address, "active")]);
+    let answer = client.answer().unwrap();
+    assert!(is_failed(&answer), "{answer:?}");
+    assert_eq!((backend.count(), later.count()), (2, 0));
+    // Nor has anything been left behind that goes out later.
+    assert!(is_served(&client.ask("order", 9000), "again"));
+    assert_eq!(later.count(), 1);
+}
+
+#[test]
+fn a_keyed_repeat_whose_connection_comes_up_past_its_window_is_not_written() {
+    let first = Backend::start(|_| Answer::Reset);
+    let late = LateBackend::start(|_| Answer::Bytes(value("again")));
+    let hosts = vec![host("b0", first.address, "active"), host("b1", late.address(), "leaving")];
+    let rig = Rig::new(hosts, short_window(400.0), 1024);
+    let mut client = rig.client();
+    let began = Instant::now();
+    client.send_ask("save", 9000);
+    first.commands.wait("the first attempt", |c| !c.is_empty());
+    // From here on only the one whose queue is full: it is chosen, and its connection does not come up.
+    rig.discovery.tell(vec![host("b0", first.address, "leaving"), host("b1", late.address(), "active")]);
+    // The window is over; the connection comes up after it, with the next try of the system.
+    past(began, Duration::from_millis(410));
+    let late = late.open();
+    let answer = client.answer().unwrap();
+    assert!(is_failed(&answer), "{answer:?}");
+    // What it carries first is this request.
+    let mut other = rig.client();
+    let id = other.send_ask("save", 9000);
+    assert!(is_served(&other.answer().unwrap(), "again"));
+    assert_eq!(late.commands.change(|c| c.iter().map(|c| c.words[2].clone()).collect::<Vec<_>>()), [id]);
+}
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -77,7 +77,10 @@
 
 impl Backend {
     pub fn start(script: impl Fn(&Command) -> Answer + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::over(TcpListener::bind("127.0.0.1:0").unwrap(), Box::new(script))
+    }
+
+    fn over(listener: TcpListener, script: Box<Script>) -> Self {
         let address = listener.local_addr().unwrap();
         let (commands, ended) = (Shared::new(Vec::new()), Shared::new(Vec::new()));
         let (seen, over, script) = (commands.clone(), ended.clone(), Arc::new(script));
@@ -100,6 +103,42 @@
     }
 }
 
+/// A backend whose connections do not come up until it is opened: its queue is full, as on a machine that is behind.
+pub struct LateBackend {
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+    script: Box<Script>,
+}
+
+impl LateBackend {
+    pub fn start(script: impl Fn(&Command) -> Answer + Send + Sync + 'static) -> Self {
+        use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
+        let fd = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+        bind(&fd, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        listen(&fd, 0).unwrap();
+        let listener = TcpListener::from(fd);
+        let address = listener.local_addr().unwrap();
+        // The queue is full once a connection does not come up any more.
+        let mut queued = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+            queued.push(stream);
+        }
+        Self { listener, queued, script: Box::new(script) }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Lets in what waits; what is refused until now comes up when the system tries it again, within a second or so.
+    pub fn open(self) -> Backend {
+        let Self { listener, queued, script } = self;
+        let backend = Backend::over(listener, script);
+        drop(queued);
+        backend
+    }
+}
+
 fn serve(mut stream: TcpStream, connection: usize, seen: &Shared<Vec<Command>>, script: &Script) {
     let mut commands = Commands::new(CommandLimits { words: 8, word: 64 << 10, bytes: 128 << 10 });
     let (mut input, mut room) = (Vec::new(), [0; 4096]);
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -312,7 +312,7 @@
 
 fn write_action(reply: &mut String, i: u64, action: &Action) -> fmt::Result {
     match action {
-        Action::Send { id, backend, timeout } => {
+        Action::Send { id, backend, timeout, .. } => {
             writeln!(reply, "HAND_OFF\t{i}\t{id}\t{backend}\t{:.3}", timeout.unwrap_or(0.0))
         }
         Action::Refuse { id, retry_after, .. } => writeln!(reply, "SHED\t{i}\t{id}\t{retry_after:.3}"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -467,6 +467,9 @@
         backend: Name,
         /// The attempt's time-out; `None` until the client gives up.
         timeout: Option<Millis>,
+        /// For a repeat that is dropped as such for a time only: what is left of that time. The attempt is withdrawn
+        /// unless it is written whole by then.
+        window: Option<Millis>,
     },
     /// Final answer: refused, harmless to try again.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -538,9 +538,10 @@
     }
 
     fn hold(&mut self, id: RequestId, stage: Stage, until: Millis, out: &mut Vec<Action>) {
+        let Some(last) = self.requests.get(&id).map(|r| self.send_by(r)) else { return };
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.stage = stage;
-        request.hold_until = until.min(request.deadline - LAST_TICKS * self.settings.tick);
+        request.hold_until = until.min(last);
         let after = (request.hold_until - self.now).max(0.0);
         out.push(Action::SetTimer { after, token: id * 2 });
     }
@@ -622,7 +623,10 @@
     }
 
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let chosen = if self.open_allowed(id) { self.pick(id) } else { None };
+        let Some(request) = self.requests.get(&id) else { return false };
+        let left = self.send_by(request) - self.now;
+        let in_time = request.attempts == 0 || left > 0.0;
+        let chosen = if in_time && self.open_allowed(id) { self.pick(id) } else { None };
         let Some(name) = chosen else { return false };
         let (request, backend) = (self.requests.get_mut(&id), self.backends.get_mut(&name));
         let (Some(request), Some(backend)) = (request, backend) else { return false };
@@ -631,7 +635,9 @@
             customer.open += 1;
         }
         (request.stage, request.sent_at, request.attempts) = (Stage::Out, self.now, request.attempts + 1);
-        out.push(Action::Send { id, backend: name, timeout: None });
+        let keyed = self.settings.classes[request.class].effect == Effect::Keyed;
+        let window = (keyed && request.may_have_run.is_some()).then_some(left);
+        out.push(Action::Send { id, backend: name, timeout: None, window });
         true
     }
 
@@ -751,14 +757,21 @@
 
     fn may_try_again(&self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let (class, last) = (&self.settings.classes[request.class], LAST_TICKS * self.settings.tick);
-        let allowed = match (&request.may_have_run, class.effect) {
-            (None, _) => true,
+        let allowed = match (&request.may_have_run, self.settings.classes[request.class].effect) {
+            (None, _) | (_, Effect::Keyed) => true,
             (_, Effect::Safe) => request.attempts < REPEAT_MOST,
-            (Some((sent, _)), Effect::Keyed) => self.now - sent < class.memory - last,
             (Some(_), Effect::Unsafe) => false,
         };
-        allowed && request.deadline - self.now > last && request.attempts < self.settings.most_attempts
+        allowed && self.now < self.send_by(request) && request.attempts < self.settings.most_attempts
+    }
+
+    /// Until when an attempt may begin: while an answer could still come, and a keyed repeat while it is dropped
+    /// as such. Guards repeats that waited in line past their window.
+    fn send_by(&self, request: &Request) -> Millis {
+        let class = &self.settings.classes[request.class];
+        let first = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
+        let dropped = first.map_or(f64::INFINITY, |(sent, _)| sent + class.memory);
+        request.deadline.min(dropped) - LAST_TICKS * self.settings.tick
     }
 
     // ---- The counter ----
--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -121,3 +121,24 @@
     let did = door.end(1, 1, &next, Outcome::Broken);
     assert!(sends(&did) == 0 && refused(&did, 1), "{did:?}");
 }
+
+#[test]
+fn a_keyed_repeat_that_waits_in_line_is_over_with_its_window() {
+    let mut changed = settings();
+    changed.classes[1].memory = 150.0;
+    let mut door = Door::new(changed, &["a1"]);
+    let at = door.served(1, "c", "plain", "keyed");
+    // Broken twice, the one backend is left alone and the request waits for another of its cell.
+    let did = door.end_after(10.0, 1, 0, &at, Outcome::Broken);
+    let window = |did: &[Action]| {
+        did.iter().find_map(|a| if let Action::Send { window, .. } = a { *window } else { None })
+    };
+    assert_eq!(window(&did), Some(142.0), "what is left of it, less two ticks");
+    assert_eq!(sends(&door.end_after(10.0, 1, 1, &at, Outcome::Broken)), 0);
+    door.now += 141.0;
+    let late = |name| Event::BackendChanges(vec![backend(name, BackendState::Ready, None)]);
+    assert_eq!(sends(&door.tell(late("b1"))), 0, "another cell");
+    door.now += 1.0;
+    assert_eq!(sends(&door.tell(late("a2"))), 0, "past its window");
+    assert!(failed(&door.pass(0.0, &[1]), 1));
+}
