A client that has gone is told by the poller, and nothing is begun for it any more

Seen by reading, each confirmed by a test that failed first: (1) Conn::reads stops at 64 commands, 128 KiB unread and in a faulty client's pause, and epoll was asked for no RDHUP: a close behind unread bytes was heard only when an answer made room (30 s in the test, with its requests retried meanwhile). (2) Exchange kept an attempt whose connection was still coming up when its client left: written up to 1.5 s late. (3) Timers ran before clients' events in a turn, so a dial that ran out began a retry while the close was readable. (4) A client that was gone when it was let in: its request was begun and never told of the close, found by the test of a burst of clients. Change: Interest asks for the peer's end, Ready tells it apart; both hosts take ends first, then timers. Exchange withdraws what is not written when its client goes, one rule for both fronts, and its units go back to the block.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -4,7 +4,7 @@
 mod rig;
 mod running;
 
-use rig::{Answer, Backend, Client, Counter, Discovery, host, is_failed, is_served, value};
+use rig::{Answer, Backend, Client, Counter, Discovery, LateBackend, host, is_failed, is_served, value};
 use running::{command, config, start};
 use rustix::process::Signal;
 use serde_json::{Value as Json, json};
@@ -204,3 +204,33 @@
         assert!(*answered || !sent_on.contains(id), "{id} was sent on and has no answer");
     }
 }
+
+/// A process that stands still while its client goes and while an attempt's time to connect runs out hears of both at
+/// once: the client comes first, and nothing is begun for it, nor a good connection spent on it.
+#[test]
+fn a_client_that_has_gone_comes_before_what_is_due() {
+    let late = LateBackend::start(|_| Answer::Bytes(value("late")));
+    let good = Backend::start(|_| Answer::Bytes(value("good")));
+    let hosts = vec![host("b0", late.address(), "active"), host("b1", good.address, "active")];
+    let (discovery, counter) = (Discovery::start(hosts), Counter::start());
+    let mut config = config(&discovery, &counter);
+    config["settings"]["extra"]["has-counter"] = json!(false);
+    let gateway = start("gone", &config);
+    let mut client = Client::open(gateway.address);
+    // Read together, they go to the backend with the fewest: one to each.
+    let both = [client.encoded("lookup", 2400), client.encoded("lookup", 2400)].concat();
+    std::io::Write::write_all(&mut client.stream, &both).unwrap();
+    good.commands.wait("the one that could be sent", |c| c.len() == 1);
+    gateway.signal(Signal::STOP);
+    drop(client);
+    // Longer than any connection is waited for here.
+    std::thread::sleep(std::time::Duration::from_millis(400));
+    gateway.signal(Signal::CONT);
+    let mut other = Client::open(gateway.address);
+    let id = other.send_ask("order", 1000);
+    assert!(is_served(&other.answer().unwrap(), "good"));
+    let seen = good
+        .commands
+        .change(|c| c[1..].iter().map(|c| (c.words[2].clone(), c.connection)).collect::<Vec<_>>());
+    assert_eq!(seen, [(id, 1)]);
+}
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -234,7 +234,7 @@
                 self.end(outcome, units, out);
             }
             Input::Withdrawn => {
-                if self.attempt.is_some_and(|a| matches!(a.wire, Wire::Connecting | Wire::Unsent)) {
+                if self.is_unsent() {
                     out.push(Output::Abandon);
                     self.break_off(Outcome::NeverSent, out);
                 }
@@ -253,14 +253,7 @@
                 }
             }
             Input::TimeUp => self.time_up(out),
-            Input::ClientGone => {
-                // An attempt that is out goes on: nothing stops the node's work, and its end is still told.
-                if self.client != Client::Done {
-                    self.client = Client::Done;
-                    out.push(Output::Left);
-                }
-                self.over(out);
-            }
+            Input::ClientGone => self.client_gone(out),
             Input::Refused { retry_after, why } => self.finish(Final::Refused { retry_after, why }, out),
             Input::Failed => {
                 let failure = match self.last {
@@ -274,6 +267,27 @@
         }
     }
 
+    /// An attempt that is written goes on: nothing stops the node's work, and its end is still told. One that is not
+    /// written is withdrawn at once: nobody waits for it.
+    fn client_gone(&mut self, out: &mut Vec<Output>) {
+        let waited = std::mem::replace(&mut self.client, Client::Done) != Client::Done;
+        if self.is_unsent() {
+            self.attempt = None;
+            self.last = Some(Outcome::NeverSent);
+            let ended = Output::Ended { outcome: Outcome::NeverSent, true_units: None, finished: true };
+            out.extend([Output::Abandon, Output::Forget, ended]);
+        }
+        if waited {
+            out.push(Output::Left);
+        }
+        self.over(out);
+    }
+
+    /// Whether an attempt is out of which nothing can have reached the node.
+    fn is_unsent(&self) -> bool {
+        self.attempt.is_some_and(|a| matches!(a.wire, Wire::Connecting | Wire::Unsent))
+    }
+
     fn advance(&mut self, wire: Wire) {
         if let Some(attempt) = &mut self.attempt {
             attempt.wire = wire;
@@ -369,9 +383,8 @@
     fn time_up(&mut self, out: &mut Vec<Output>) {
         if self.attempt.is_some() {
             out.push(Output::Abandon);
-            let unsent = self.attempt.is_some_and(|a| matches!(a.wire, Wire::Connecting | Wire::Unsent));
             // Nothing was written: it never ran, also when time ran out over it.
-            self.break_off(if unsent { Outcome::ConnectFailed } else { Outcome::TimedOut }, out);
+            self.break_off(if self.is_unsent() { Outcome::ConnectFailed } else { Outcome::TimedOut }, out);
             // Whatever the decisions make of it, the client is told of its time and not of a node.
             self.last = Some(Outcome::TimedOut);
             return;
--- a/crates/exchange/tests/lives.rs
+++ b/crates/exchange/tests/lives.rs
@@ -92,6 +92,18 @@
     assert!(out.contains(&ended(Outcome::Served, Some(3.0), true)));
 }
 
+#[test]
+fn an_attempt_that_is_not_written_is_withdrawn_with_its_client() {
+    for upto in [&SENT[..1], &SENT[..2]] {
+        let (mut exchange, out) = run(&[upto, &[Input::ClientGone]].concat());
+        let never = ended(Outcome::NeverSent, None, true);
+        assert_eq!(out, [Output::Abandon, Output::Forget, never, Output::Left, Output::Over]);
+        let mut more = Vec::new();
+        [Input::Connected, Input::Written, Input::Lost].map(|i| exchange.handle(i, &mut more));
+        assert!(more.is_empty());
+    }
+}
+
 #[test]
 fn time_up_while_held_is_failed_by_the_net() {
     let out = run(&[Input::TimeUp, Input::Failed]).1;
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -88,6 +88,9 @@
     spare: Option<std::fs::File>,
 }
 
+/// What a fresh connection waits for. Its client's end is told apart from reading: a client that has gone has gone
+/// also behind what is not read yet (RFC 9112 section 9.5: a received close is to be watched for all the time).
+const CLIENT: Interest = Interest::READ.with_end();
 /// Connections let in at a time.
 const ACCEPTS: usize = 64;
 /// Connections that the system may hold at a door.
@@ -180,7 +183,7 @@
             let decoder = Decoder::new(Role::Requests, HttpLimits { line, head, fields, body });
             let entry = self.connections.vacant_entry();
             let slot = entry.key();
-            if io.poller.add(&socket, Token::Client(slot, generation).pack(), Interest::READ).is_err() {
+            if io.poller.add(&socket, Token::Client(slot, generation).pack(), CLIENT).is_err() {
                 continue;
             }
             let until = io.now() + limits.idle_time.min(limits.head_time);
@@ -195,7 +198,7 @@
                 minor: 1,
                 framing: Framing::None,
                 until,
-                interest: Interest::READ,
+                interest: CLIENT,
                 held: Held::default(),
                 customer: None,
                 taken: false,
@@ -253,15 +256,17 @@
     pub fn ready(&mut self, io: &mut Io, config: &Config, slot: usize, generation: u32, ready: Ready) {
         let known = self.connections.get_mut(slot).filter(|c| c.generation == generation);
         let Some(client) = known else { return };
+        if ready.ended {
+            // A client that ends its side is taken as gone: it is how a tool that gives up looks.
+            return self.gone(slot);
+        }
         if ready.read {
             if let Phase::Lingering = client.phase {
                 client.socket.input.clear();
             }
             let idle = client.socket.input.is_empty();
-            let paused = !client.interest.read;
-            let (count, flow) = if paused && ready.broken { (0, Flow::Broken) } else { client.socket.read() };
+            let (count, flow) = client.socket.read();
             if flow != Flow::Open {
-                // A client that ends its side is taken as gone: it is how a tool that gives up looks.
                 return self.gone(slot);
             }
             if count > 0 {
@@ -476,7 +481,7 @@
         let answering = matches!(client.phase, Phase::Answering(_) | Phase::Asked) || client.closing || waits;
         let lingering = matches!(client.phase, Phase::Lingering);
         let read = lingering || !answering || client.socket.input.len() < PIPELINED;
-        let interest = Interest { read, write: unread > 0 };
+        let interest = Interest::of(read, unread > 0).with_end();
         let bytes = (client.socket.input.len() + client.body.len() + unread) as u64;
         let taken = std::mem::take(&mut client.taken);
         self.accounts.note(io.now(), &mut client.held, client.customer.as_ref(), bytes, unread, taken);
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -162,7 +162,7 @@
     fn connect(&mut self, io: &mut Io) {
         let (generation, now) = (io.generation(), io.now());
         let Side::Shared { settings, link, connection } = &mut self.side else { return };
-        let interest = Interest { read: true, write: true };
+        let interest = Interest::BOTH;
         let made = connect(settings.address).and_then(|socket| {
             io.poller.add(&socket, Token::Counter(generation).pack(), interest)?;
             Ok(Connection { socket, generation, connected: false, interest })
@@ -190,7 +190,7 @@
             link.lost(now, "broken while writing", &mut actions);
             return self.carry_out(io, actions);
         }
-        let interest = Interest { read: true, write: made.socket.pending() > 0 };
+        let interest = Interest::of(true, made.socket.pending() > 0);
         if interest != made.interest {
             made.interest = interest;
             let _ = io.poller.change(&made.socket, Token::Counter(made.generation).pack(), interest);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -308,7 +308,7 @@
         let entry = self.out.vacant_entry();
         let token = Token::Call(entry.key(), generation).pack();
         let made = connect(address).and_then(|socket| {
-            io.poller.add(&socket, token, Interest { read: true, write: true })?;
+            io.poller.add(&socket, token, Interest::BOTH)?;
             Ok(socket)
         });
         match made {
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -395,7 +395,7 @@
             drop(self.watchers.remove(slot));
             return;
         }
-        let interest = Interest { read: !pending, write: pending };
+        let interest = Interest::of(!pending, pending);
         if interest != watcher.interest {
             watcher.interest = interest;
             let token = Token::Watcher(slot, watcher.generation).pack();
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -118,7 +118,7 @@
         let generation = io.generation();
         let entry = self.connections.vacant_entry();
         let slot = entry.key();
-        let interest = Interest { read: true, write: true };
+        let interest = Interest::BOTH;
         io.poller.add(&socket, Token::Node(slot, generation).pack(), interest)?;
         let limits =
             HttpLimits { line: limits.line, head: limits.head, fields: limits.fields, body: limits.answer };
@@ -289,7 +289,7 @@
     fn settle(&mut self, io: &Io, slot: usize) {
         let Some(connection) = self.connections.get_mut(slot) else { return };
         let write = connection.connecting || connection.socket.pending() > 0;
-        let interest = Interest { read: !connection.paused, write };
+        let interest = Interest::of(!connection.paused, write);
         if interest != connection.interest {
             connection.interest = interest;
             let token = Token::Node(slot, connection.generation).pack();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -233,10 +233,7 @@
         let mut ready = Vec::new();
         loop {
             self.pump();
-            while let Some(alarm) = self.io.timers.due(self.io.now()) {
-                self.alarm(alarm);
-                self.pump();
-            }
+            self.alarms();
             let counter_due = self.counter.tick(&mut self.io);
             if let Some(fleet) = &mut self.fleet {
                 fleet.tick(&mut self.io);
@@ -262,13 +259,26 @@
             let wait = if first.is_finite() { self.io.clock.until(first) } else { Duration::from_secs(3600) };
             let wait = wait.min(Duration::from_secs_f64(fleet.min(3.6e6) / 1000.0));
             self.io.poller.wait(Some(wait), &mut ready)?;
-            for ready in ready.drain(..) {
+            // Clients that have gone come first, then what is due: no attempt begins for who has gone.
+            ready.sort_by_key(|r| !(r.ended && matches!(Token::unpack(r.token), Token::Client(..))));
+            let gone = ready.iter().take_while(|r| r.ended).count();
+            for (at, ready) in ready.drain(..).enumerate() {
+                if at == gone {
+                    self.alarms();
+                }
                 self.ready(ready);
                 self.pump();
             }
         }
     }
 
+    fn alarms(&mut self) {
+        while let Some(alarm) = self.io.timers.due(self.io.now()) {
+            self.alarm(alarm);
+            self.pump();
+        }
+    }
+
     fn ready(&mut self, ready: Ready) {
         match Token::unpack(ready.token) {
             Token::Listener(at) => drop(self.clients.accept(&mut self.io, &self.config, at)),
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -224,6 +224,11 @@
         Some(Answer { status, head, body: String::from_utf8(body).expect("a text") })
     }
 
+    /// Ends the client's side.
+    pub fn end(&mut self) {
+        self.stream.shutdown(std::net::Shutdown::Write).expect("the connection is open");
+    }
+
     /// Whether the connection ends with nothing more on it.
     pub fn ends(&mut self) -> bool {
         while self.more() {}
@@ -260,7 +265,7 @@
     Script { address, got }
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut held = Vec::new();
     let mut bytes = [0; 4096];
     loop {
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -14,16 +14,33 @@
     pub read: bool,
     /// Room to write.
     pub write: bool,
+    /// The peer's end, told apart from reading: also while nothing is read, and ahead of bytes that are not read yet.
+    pub end: bool,
 }
 
 impl Interest {
     /// Reading alone.
-    pub const READ: Self = Self { read: true, write: false };
+    pub const READ: Self = Self::of(true, false);
+    /// Both ways: a connection that is not made yet.
+    pub const BOTH: Self = Self::of(true, true);
+
+    /// Reading and writing as they are of use.
+    #[must_use]
+    pub const fn of(read: bool, write: bool) -> Self {
+        Self { read, write, end: false }
+    }
+
+    /// The same, and the peer's end.
+    #[must_use]
+    pub const fn with_end(self) -> Self {
+        Self { end: true, ..self }
+    }
 
     fn flags(self) -> epoll::EventFlags {
         let mut flags = epoll::EventFlags::empty();
         flags.set(epoll::EventFlags::IN, self.read);
         flags.set(epoll::EventFlags::OUT, self.write);
+        flags.set(epoll::EventFlags::RDHUP, self.end);
         flags
     }
 }
@@ -39,6 +56,8 @@
     pub write: bool,
     /// Both directions are over or broken.
     pub broken: bool,
+    /// The peer has ended its side, or the connection is broken; told where it was asked for.
+    pub ended: bool,
 }
 
 /// An epoll instance.
@@ -82,13 +101,14 @@
         Ok(epoll::delete(&self.epoll, fd)?)
     }
 
-    /// Waits until something is ready or the time is over; a signal ends the wait with nothing.
+    /// Waits until something is ready or the time is over; a signal ends the wait with nothing. All that a machine of
+    /// 1,024 descriptors can have ready comes at once: who takes ends first has to see them all.
     ///
     /// # Errors
     /// When the system fails.
     pub fn wait(&self, most: Option<Duration>, ready: &mut Vec<Ready>) -> io::Result<()> {
         ready.clear();
-        let mut room = [const { MaybeUninit::<epoll::Event>::uninit() }; 256];
+        let mut room = [const { MaybeUninit::<epoll::Event>::uninit() }; 1024];
         // Rounded up to the next ms by hand: a wait that ends too early would spin.
         let most = most.map(|m| m + Duration::from_micros(200));
         let most = most.map(|m| Timespec { tv_sec: m.as_secs() as i64, tv_nsec: m.subsec_nanos().into() });
@@ -106,6 +126,8 @@
                     .intersects(epoll::EventFlags::IN | epoll::EventFlags::HUP | epoll::EventFlags::ERR),
                 write: flags.contains(epoll::EventFlags::OUT),
                 broken: flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR),
+                ended: flags
+                    .intersects(epoll::EventFlags::RDHUP | epoll::EventFlags::HUP | epoll::EventFlags::ERR),
             }
         }));
         Ok(())
--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -248,7 +248,7 @@
             }
             let full = self.conns.len() >= self.most;
             let token = Token { kind: Kind::Backend, serial: io.serial(), at: self.conns.vacant_key() };
-            let interest = Interest { read: true, write: true };
+            let interest = Interest::BOTH;
             let made = if full {
                 Err(None)
             } else {
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -171,7 +171,7 @@
             }
             let Ok(socket) = Socket::new(stream) else { continue };
             let token = Token { kind: Kind::Client, serial: io.serial(), at: self.conns.vacant_key() };
-            let Ok(watched) = Watched::new(io, socket, token, Interest::READ) else { continue };
+            let Ok(watched) = Watched::new(io, socket, token, Interest::READ.with_end()) else { continue };
             let held = HeldOpen::new(io.now);
             let (commands, slots) = (Commands::new(LIMITS), VecDeque::new());
             let at = self.conns.insert(Conn {
@@ -185,8 +185,12 @@
                 lost: false,
                 dirty: false,
             });
-            // What a client sends right behind its connection is mostly there by now.
+            // What a client sends right behind its connection is mostly there by now; so is the end of one that has
+            // gone while it waited at the door.
             self.read(io, site, at, told);
+            if self.conns.get(at).is_some_and(|conn| !conn.lost) {
+                self.read(io, site, at, told);
+            }
         }
         false
     }
@@ -221,10 +225,14 @@
 
     pub fn ready(&mut self, io: &mut Io, site: &Site, token: Token, ready: Ready, told: &mut Vec<Told>) {
         let Some(conn) = self.conns.get_mut(token.at).filter(|c| c.watched.token == token) else { return };
+        if ready.ended {
+            // The page's word for it: a client that closes has gone, whatever it left unread.
+            return self.remove(token.at, told);
+        }
         if ready.write {
             mark(&mut self.dirty, conn);
         }
-        if ready.broken || ready.read && conn.reads(io.now) {
+        if ready.read && conn.reads(io.now) {
             self.read(io, site, token.at, told);
         } else {
             self.rest(io, token.at);
@@ -299,6 +307,11 @@
         conn.resume = now + pause(conn.faults);
     }
 
+    /// Whether the client of a command still waits for its answer.
+    pub fn waits(&mut self, place: Place) -> bool {
+        self.slot(place).is_some()
+    }
+
     /// The command at a place is a request of this number from now on.
     pub fn begun(&mut self, place: Place, id: RequestId) {
         if let Some(slot) = self.slot(place) {
--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -160,7 +160,7 @@
 
     fn dial(&mut self, io: &mut Io, at: usize, events: &mut Vec<Event>) {
         let token = Token { kind: Kind::Counter, serial: io.serial(), at };
-        let interest = Interest { read: true, write: true };
+        let interest = Interest::BOTH;
         let side = &mut self.sides[at];
         side.connected = false;
         match connect(side.address).and_then(|socket| Watched::new(io, socket, token, interest)) {
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -52,7 +52,7 @@
 
     fn dial(&mut self, io: &mut Io) {
         let token = Token { kind: Kind::Discovery, serial: io.serial(), at: 0 };
-        let interest = Interest { read: true, write: true };
+        let interest = Interest::BOTH;
         match connect(self.address).and_then(|socket| Watched::new(io, socket, token, interest)) {
             Ok(link) => self.state = State::Connecting { link },
             Err(error) => self.lost(io, &error.to_string()),
--- a/crates/platform/src/exchanges.rs
+++ b/crates/platform/src/exchanges.rs
@@ -152,6 +152,11 @@
     pub fn handle(&mut self, now: f64, advice: bool, id: RequestId, input: Input, out: &mut Vec<Do>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let mut outputs = std::mem::take(&mut self.outputs);
+        match input {
+            Input::Written => tracing::trace!(target: LOG, number = id, "written"),
+            Input::ClientGone => tracing::trace!(target: LOG, number = id, "client gone"),
+            _ => {}
+        }
         open.exchange.handle(input, &mut outputs);
         let mut over = false;
         for output in outputs.drain(..) {
--- a/crates/platform/src/io.rs
+++ b/crates/platform/src/io.rs
@@ -91,7 +91,7 @@
 
     /// Changes the registration where it differs.
     pub fn want(&mut self, io: &Io, read: bool, write: bool) {
-        let interest = Interest { read, write };
+        let interest = Interest { read, write, ..self.interest };
         if interest != self.interest {
             self.interest = interest;
             // It fails only for descriptors that are gone, which nothing is told of any more.
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -208,10 +208,14 @@
 
     fn turn(&mut self, ready: &mut [Ready]) {
         self.io.now = self.io.clock.now();
-        ready.sort_unstable_by_key(|r| r.token);
+        // Clients that have gone come before all that could begin an attempt for them.
+        let client = |r: &Ready| r.token >> 56 == Kind::Client as u64;
+        ready.sort_unstable_by_key(|r| (!(r.ended && client(r)), r.token));
+        let gone = ready.iter().take_while(|r| r.ended && client(r)).count();
+        let (gone, ready) = ready.split_at(gone);
         let inside = ready.iter().take_while(|r| r.token >> 56 < Kind::Listener as u64).count();
         let (inside, clients) = ready.split_at(inside);
-        for ready in inside {
+        for ready in gone.iter().chain(inside) {
             self.one(*ready);
         }
         self.tick();
@@ -389,6 +393,8 @@
                 let given = if self.start.is_ready(self.io.now) { Given::Pong } else { Given::Loading };
                 self.clients.answer(self.io.now, place, given);
             }
+            // Its client has gone in the moment in which it was read.
+            Told::Asked(place, _) if !self.clients.waits(place) => {}
             Told::Asked(place, ask) => {
                 let given = match self.exchanges.begin(self.io.now, &self.site, &self.leave, place, *ask) {
                     Begun::Taken { id, until, event } => {
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -219,7 +219,7 @@
         let entry = self.connections.vacant_entry();
         let slot = entry.key();
         let token = (generation & 0xffff_ffff) << 32 | slot as u64;
-        self.poller.add(&socket, token, Interest { read: true, write: true })?;
+        self.poller.add(&socket, token, Interest::BOTH)?;
         let limits = HttpLimits { body: 1 << 40, ..HttpLimits::default() };
         entry.insert(Connection {
             socket,
@@ -278,7 +278,7 @@
         if writing != connection.writing {
             connection.writing = writing;
             let token = (connection.generation & 0xffff_ffff) << 32 | slot as u64;
-            let _ = self.poller.change(&connection.socket, token, Interest { read: true, write: writing });
+            let _ = self.poller.change(&connection.socket, token, Interest::of(true, writing));
         }
     }
 
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -375,7 +375,7 @@
         }
         if writing != connection.writing {
             connection.writing = writing;
-            let interest = Interest { read: true, write: writing };
+            let interest = Interest::of(true, writing);
             let _ = self.poller.change(&connection.socket, CONNECTIONS + slot as u64, interest);
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -743,11 +743,13 @@
             customer.lease -= paid;
             (customer.owed, customer.store) = (customer.owed + more, customer.store - more);
         }
+        customer.open = customer.open.saturating_sub(1);
+        request.stage = Stage::Queue;
         if end.finished || outcome == Outcome::Served {
+            // Nothing was written before its client had gone: what no backend heard of is not used.
+            request.attempts -= u32::from(outcome == Outcome::NeverSent);
             return self.forget(id);
         }
-        customer.open = customer.open.saturating_sub(1);
-        request.stage = Stage::Queue;
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
         if !never_ran && request.may_have_run.is_none() {
             request.may_have_run = Some((request.sent_at, end.backend));
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -110,3 +110,27 @@
     assert_eq!(sends(&door.ask(1, "c", "plain", "safe")), 0);
     assert_eq!(sends(&door.pass(100.0, &[1])), 1);
 }
+
+#[test]
+fn units_of_a_request_whose_client_went_before_anything_was_written_go_back() {
+    for (outcome, paid) in [(Outcome::NeverSent, true), (Outcome::Broken, false)] {
+        let mut door = Door::new(settings(), &["a1", "a2", "a3", "a4", "a5", "a6"]);
+        let (name, _) = count(&door.ask(1, "c", "plain", "safe")).expect("a block is asked for");
+        let (_, backend) = sent(&door.total(name, 5.0)).expect("sent on");
+        let end = AttemptEnd {
+            id: 1,
+            attempt: 0,
+            backend,
+            outcome,
+            latency: 40.0,
+            true_units: None,
+            finished: true,
+            load: None,
+        };
+        door.tell(Event::AttemptEnded(end));
+        door.tell(Event::ClientLeft { id: 1 });
+        // The block held five.
+        let served = (2..=6).filter(|id| sends(&door.ask(*id, "c", "plain", "safe")) == 1).count();
+        assert_eq!(served, if paid { 5 } else { 4 }, "{outcome:?}");
+    }
+}
