--- a/crates/exchange/tests/follow.rs
+++ b/crates/exchange/tests/follow.rs
@@ -131,22 +131,18 @@
         match follow.tick(now) {
             None => continue,
             Some(Due::Dead(_)) => drop(follow.lost(now)),
-            Some(Due::Dial) if now >= back => loop {
-                match follow.ask(now) {
-                    Some(_) if std::mem::take(&mut steps_back) => {
-                        follow.answers();
-                        assert!(follow.take(0, false).is_err());
-                        follow.cannot_follow();
-                        follow.lost(now);
-                        break;
-                    }
-                    from => {
-                        follow.answers();
-                        follow.take(9, from.is_none()).expect("a list that can be followed");
-                        return now - back;
-                    }
+            Some(Due::Dial) if now >= back => {
+                let from = follow.ask(now);
+                follow.answers();
+                if from.is_some() && std::mem::take(&mut steps_back) {
+                    assert!(follow.take(0, false).is_err());
+                    follow.cannot_follow();
+                    follow.lost(now);
+                } else {
+                    follow.take(9, from.is_none()).expect("a list that can be followed");
+                    return now - back;
                 }
-            },
+            }
             Some(Due::Dial) => match *faults.next().expect("they go round") {
                 Fault::Refused => drop(follow.lost(now)),
                 Fault::NeverUp => {}
