--- a/crates/exchange/tests/lives.rs
+++ b/crates/exchange/tests/lives.rs
@@ -99,7 +99,7 @@
         let never = ended(Outcome::NeverSent, None, true);
         assert_eq!(out, [Output::Abandon, Output::Forget, never, Output::Left, Output::Over]);
         let mut more = Vec::new();
-        [Input::Connected, Input::Written, Input::Lost].map(|i| exchange.handle(i, &mut more));
+        [Input::Connected, Input::Written, Input::Lost].iter().for_each(|i| exchange.handle(*i, &mut more));
         assert!(more.is_empty());
     }
 }
