--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -249,3 +249,19 @@
     }
     assert!(heard < 400, "nothing was cut");
 }
+
+#[test]
+fn an_error_line_is_not_taken_away_by_what_comes_behind_the_fault() {
+    let (_backend, rig) = rig();
+    for behind in [1_000, 100_000] {
+        let mut client = rig.client();
+        client.stream.write_all(b"*-1\r\n").unwrap();
+        client.wait_for_end();
+        client.stream.write_all(&vec![b'x'; behind]).unwrap();
+        // Also once the connection is closed on the other side, by its age.
+        std::thread::sleep(Duration::from_millis(600));
+        assert!(client.stream.take_error().unwrap().is_none(), "closed over what was not read: a reset");
+        assert!(client.to_the_end().starts_with("-ERR "));
+        assert!(is_served(&rig.client().ask("lookup", 1000), "good"));
+    }
+}
--- a/crates/platform/tests/life.rs
+++ b/crates/platform/tests/life.rs
@@ -291,3 +291,34 @@
     }
     rig.join();
 }
+
+/// A request that is written once the connection's end is there, before the answer that came ahead of it is read: it
+/// is not begun, and the answer is not lost to a reset.
+#[test]
+fn what_crosses_the_end_of_a_connection_takes_no_answer_with_it() {
+    let open = Shared::new(false);
+    let gate: Arc<Shared<bool>> = open.clone();
+    let backend = Backend::start(move |_| {
+        gate.wait("the test to let it answer", |open| *open);
+        Answer::Bytes(value("good"))
+    });
+    let mut rig = Rig::before(&[backend.address]);
+    let (mut client, mut idle) = (rig.client(), rig.client());
+    client.send_ask("lookup", 2400);
+    backend.commands.wait("the request to be sent on", |c| c.len() == 1);
+    rig.stopper.stop();
+    idle.call(&["PING"]);
+    idle.wait_for_end();
+    open.change(|open| *open = true);
+    client.wait_for_end();
+    for client in [&mut client, &mut idle] {
+        client.send_ask("order", 1000);
+        // And again, once the other side's system has had the first.
+        client.send_ask("order", 1000);
+    }
+    assert_eq!(client.to_the_end(), "$4\r\ngood\r\n");
+    assert_eq!(idle.to_the_end(), "");
+    drop((client, idle));
+    rig.join();
+    assert_eq!(backend.count(), 1, "a request was begun behind the end of its connection");
+}
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -494,6 +494,21 @@
         id
     }
 
+    /// Waits until the other side has ended, with all that it wrote before still to be read here.
+    pub fn wait_for_end(&self) {
+        use rustix::event::{PollFd, PollFlags, Timespec, poll};
+        let mut fds = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let limit = Timespec { tv_sec: LIMIT.as_secs() as i64, tv_nsec: 0 };
+        assert_eq!(poll(&mut fds, Some(&limit)).unwrap(), 1, "the connection does not end");
+    }
+
+    /// Reads to the end, which has to be one in order: what came before it.
+    pub fn to_the_end(&mut self) -> String {
+        let mut text = String::from_utf8(std::mem::take(&mut self.input)).unwrap();
+        self.stream.read_to_string(&mut text).expect("an end in order, not a reset");
+        text
+    }
+
     /// The next answer; `None` at the end of the connection.
     pub fn answer(&mut self) -> Option<Value> {
         let mut room = [0; 4096];
