--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -261,7 +261,7 @@
         // Also once the connection is closed on the other side, by its age.
         std::thread::sleep(Duration::from_millis(600));
         assert!(client.stream.take_error().unwrap().is_none(), "closed over what was not read: a reset");
-        assert!(client.to_the_end().starts_with("-ERR "));
+        assert!(client.rest().starts_with("-ERR "));
         assert!(is_served(&rig.client().ask("lookup", 1000), "good"));
     }
 }
--- a/crates/platform/tests/life.rs
+++ b/crates/platform/tests/life.rs
@@ -316,8 +316,8 @@
         // And again, once the other side's system has had the first.
         client.send_ask("order", 1000);
     }
-    assert_eq!(client.to_the_end(), "$4\r\ngood\r\n");
-    assert_eq!(idle.to_the_end(), "");
+    assert_eq!(client.rest(), "$4\r\ngood\r\n");
+    assert_eq!(idle.rest(), "");
     drop((client, idle));
     rig.join();
     assert_eq!(backend.count(), 1, "a request was begun behind the end of its connection");
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -503,7 +503,7 @@
     }
 
     /// Reads to the end, which has to be one in order: what came before it.
-    pub fn to_the_end(&mut self) -> String {
+    pub fn rest(&mut self) -> String {
         let mut text = String::from_utf8(std::mem::take(&mut self.input)).unwrap();
         self.stream.read_to_string(&mut text).expect("an end in order, not a reset");
         text
