A loop that is late looks again before it does what is due

Change: Poller::wait looks once more after EINTR; both loops look again when they are over 5 ms late for what was due.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -259,6 +259,8 @@
             let wait = if first.is_finite() { self.io.clock.until(first) } else { Duration::from_secs(3600) };
             let wait = wait.min(Duration::from_secs_f64(fleet.min(3.6e6) / 1000.0));
             self.io.poller.wait(Some(wait), &mut ready)?;
+            let late = Duration::try_from_secs_f64((self.io.now() - first) / 1000.0).unwrap_or_default();
+            self.io.poller.look_again(late, &mut ready)?;
             // Clients that have gone come first, then what is due: no attempt begins for who has gone.
             ready.sort_by_key(|r| !(r.ended && matches!(Token::unpack(r.token), Token::Client(..))));
             let gone = ready.iter().take_while(|r| r.ended).count();
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -101,7 +101,18 @@
         Ok(epoll::delete(&self.epoll, fd)?)
     }
 
-    /// Waits until something is ready or the time is over; a signal ends the wait with nothing. All that a machine of
+    /// Looks again where the loop is late for what was due: a process may stand still between its wait and the look at
+    /// the clock, and what came meanwhile is told before what is due is done. Readiness is by level: nothing is lost.
+    ///
+    /// # Errors
+    /// When the system fails.
+    pub fn look_again(&self, late: Duration, ready: &mut Vec<Ready>) -> io::Result<()> {
+        const LATE: Duration = Duration::from_millis(5);
+        if late > LATE { self.wait(Some(Duration::ZERO), ready) } else { Ok(()) }
+    }
+
+    /// Waits until something is ready or the time is over. A signal ends the wait, not the look: what is ready by then
+    /// is told, so that nothing that is due is done ahead of it. All that a machine of
     /// 1,024 descriptors can have ready comes at once: who takes ends first has to see them all.
     ///
     /// # Errors
@@ -111,26 +122,32 @@
         let mut room = [const { MaybeUninit::<epoll::Event>::uninit() }; 1024];
         // Rounded up to the next ms by hand: a wait that ends too early would spin.
         let most = most.map(|m| m + Duration::from_micros(200));
-        let most = most.map(|m| Timespec { tv_sec: m.as_secs() as i64, tv_nsec: m.subsec_nanos().into() });
+        let mut most =
+            most.map(|m| Timespec { tv_sec: m.as_secs() as i64, tv_nsec: m.subsec_nanos().into() });
         count(|c| c.waits += 1);
-        let found = match epoll::wait(&self.epoll, &mut room, most.as_ref()) {
-            Ok((found, _)) => found,
-            Err(rustix::io::Errno::INTR) => return Ok(()),
-            Err(error) => return Err(error.into()),
-        };
-        ready.extend(found.iter().map(|event| {
-            let flags = event.flags;
-            Ready {
-                token: event.data.u64(),
-                read: flags
-                    .intersects(epoll::EventFlags::IN | epoll::EventFlags::HUP | epoll::EventFlags::ERR),
-                write: flags.contains(epoll::EventFlags::OUT),
-                broken: flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR),
-                ended: flags
-                    .intersects(epoll::EventFlags::RDHUP | epoll::EventFlags::HUP | epoll::EventFlags::ERR),
+        loop {
+            match epoll::wait(&self.epoll, &mut room, most.as_ref()) {
+                Ok((found, _)) => {
+                    ready.extend(found.iter().map(told));
+                    return Ok(());
+                }
+                Err(rustix::io::Errno::INTR) => most = Some(Timespec { tv_sec: 0, tv_nsec: 0 }),
+                Err(error) => return Err(error.into()),
             }
-        }));
-        Ok(())
+        }
+    }
+}
+
+fn told(event: &epoll::Event) -> Ready {
+    use epoll::EventFlags;
+    let flags = event.flags;
+    let has = |of| flags.intersects(of);
+    Ready {
+        token: event.data.u64(),
+        read: has(EventFlags::IN | EventFlags::HUP | EventFlags::ERR),
+        write: has(EventFlags::OUT),
+        broken: has(EventFlags::HUP | EventFlags::ERR),
+        ended: has(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR),
     }
 }
 
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
+use std::time::Duration;
 
 const STOP: u8 = 1;
 const RELOAD: u8 = 2;
@@ -95,6 +96,11 @@
     }
 }
 
+/// So many ms, none where there are fewer.
+fn ms(span: f64) -> Duration {
+    Duration::try_from_secs_f64(span / 1000.0).unwrap_or_default()
+}
+
 impl Platform {
     /// Takes the file in and listens; nothing is served before `run`.
     ///
@@ -193,6 +199,8 @@
             let due = self.due();
             let wait = (due < f64::INFINITY).then(|| self.io.clock.until(due));
             self.io.poller.wait(wait, &mut ready)?;
+            self.io.now = self.io.clock.now();
+            self.io.poller.look_again(ms(self.io.now - due), &mut ready)?;
             self.turn(&mut ready);
         }
         tracing::info!("left");
@@ -212,7 +220,6 @@
     }
 
     fn turn(&mut self, ready: &mut [Ready]) {
-        self.io.now = self.io.clock.now();
         // Clients that have gone come before all that could begin an attempt for them.
         let client = |r: &Ready| r.token >> 56 == Kind::Client as u64;
         ready.sort_unstable_by_key(|r| (!(r.ended && client(r)), r.token));
