--- a/src/logic.rs
+++ b/src/logic.rs
@@ -767,8 +767,8 @@
         allowed && self.now < self.send_by(request) && request.attempts < self.settings.most_attempts
     }
 
-    /// Until when an attempt may begin: while an answer could still come, and a keyed repeat while it is dropped
-    /// as such. Guards repeats that waited in line past their window.
+    /// Until when an attempt may begin: while an answer can come, and a keyed repeat while it is dropped as
+    /// such. Guards repeats that waited in line past their window.
     fn send_by(&self, request: &Request) -> Millis {
         let class = &self.settings.classes[request.class];
         let first = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
