A drain waits for half a request and for an answer that is not read whole

Cause: crates/lifecycle counted requests and, for all else, the time in which no client has spoken (life.quiet_ms, 1 s). A request that had come in part counted as a quiet client, and so did an answer that its client had not read whole: both were closed with the idle ones. At the deadline and at a second signal all connections were dropped behind the answers just given. Ruled out: the new process (it has its own connections), the 1,000 idle ones (closed is right for them).

Change: the host tells how many connections are midway (Client::is_midway: half a request, output not taken, a last word on its way); a drain and giving back wait for them, within the limits that each has and the deadline. A second signal answers half a request with 503 before it ends.

--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -316,21 +316,25 @@
 }
 
 /// More connections than one turn lets in wait at the door, their requests written, when a drain closes it: the process
-/// stood still meanwhile.
+/// stood still meanwhile. The notice is long, so that it cannot be over before the process stands still: on a machine that
+/// was busy with more, the doors were closed by then and the clients refused.
 #[test]
 fn who_waits_at_the_door_when_a_drain_closes_it_is_let_in_first() {
     use rustix::process::{Pid, Signal, kill_process};
-    let place = Place::new("door", "life { notice_ms: 300 }\n");
+    const NOTICE: Duration = Duration::from_secs(4);
+    let place = Place::new("door", &format!("life {{ notice_ms: {} }}\n", NOTICE.as_millis()));
     let mut old = place.serve(&[]);
     let to = address(&old.wait("serving"));
     assert!(served(to));
     let signal = |signal| kill_process(Pid::from_child(&old.child), signal).expect("it runs");
     signal(Signal::TERM);
     old.wait("draining");
+    let told = std::time::Instant::now();
     signal(Signal::STOP);
     let mut clients: Vec<_> = (0..150).map(|_| connect(to)).collect();
     clients.iter_mut().for_each(|client| client.write_all(&request()).expect("written"));
-    std::thread::sleep(Duration::from_millis(400));
+    // The notice began before the word of it came.
+    std::thread::sleep(NOTICE.saturating_sub(told.elapsed()));
     signal(Signal::CONT);
     for client in &mut clients {
         assert!(answer(client).starts_with("HTTP/1.1 "), "a whole answer, served or refused");
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -54,6 +54,24 @@
     closing: bool,
 }
 
+impl Client {
+    /// Whether a request has begun to come and is not whole.
+    fn is_in_request(&self) -> bool {
+        match self.phase {
+            Phase::Head => !self.closing && self.decoder.in_message(!self.socket.input.is_empty()),
+            Phase::Body(_) => true,
+            Phase::Asked | Phase::Answering(_) | Phase::Lingering => false,
+        }
+    }
+
+    /// Whether either side is owed something: the rest of a request, or the rest of an answer. Who has had a last word
+    /// is owed the time to read it: a close over bytes that were not read takes it away.
+    fn is_midway(&self) -> bool {
+        let last_word = matches!(self.phase, Phase::Lingering) || self.closing;
+        last_word || self.socket.pending() > 0 || self.is_in_request()
+    }
+}
+
 /// What the clients' side has to say.
 #[derive(Debug)]
 pub(crate) enum Said {
@@ -246,9 +264,10 @@
         if client.until > now {
             return io.timers.set(client.until, Alarm::Client(slot, generation));
         }
-        let begun = client.decoder.in_message(!client.socket.input.is_empty());
         match client.phase {
-            Phase::Head | Phase::Body(_) if begun => self.reply(io, config, slot, &front::too_slow(), None),
+            Phase::Head | Phase::Body(_) if client.is_in_request() => {
+                self.reply(io, config, slot, &front::too_slow(), None)
+            }
             _ => self.drop(slot),
         }
     }
@@ -300,10 +319,30 @@
         }
     }
 
-    /// All connections are closed, whatever they carry.
-    pub fn drop_all(&mut self) {
+    /// How many connections are midway: in a request that has not come whole, or in an answer that is not read whole.
+    pub fn midway(&self) -> usize {
+        self.connections.iter().filter(|(_, client)| client.is_midway()).count()
+    }
+
+    /// All is answered: who rests is closed, half a request has its last word, and last answers go on to be read. An
+    /// answer that broke off is reset, so that its client cannot take it for whole.
+    pub fn end_all(&mut self, io: &mut Io, config: &Config) {
         let slots: Vec<usize> = self.connections.iter().map(|(slot, _)| slot).collect();
-        slots.into_iter().for_each(|slot| self.drop(slot));
+        for slot in slots {
+            let Some(client) = self.connections.get_mut(slot) else { continue };
+            match client.phase {
+                Phase::Answering(_) | Phase::Asked => self.cut(slot),
+                Phase::Head | Phase::Body(_) if client.is_in_request() => {
+                    self.reply(io, config, slot, &front::full("the gateway is stopping"), None);
+                }
+                _ if !client.is_midway() => self.drop(slot),
+                Phase::Lingering => {}
+                _ => {
+                    client.closing = true;
+                    self.settle(io, slot);
+                }
+            }
+        }
     }
 
     /// Reads on in what a client sent, until a request is whole or more is needed.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -242,7 +242,9 @@
             self.pump();
             let (requests, clients, calls) = (self.exchanges.count(), self.clients.count(), self.counter.out);
             let quiet = self.io.now() - self.clients.spoke_at;
-            self.life(Input::Tick(Out { requests, clients, calls, quiet }));
+            // All connections are looked through only where an end waits for them.
+            let midway = if self.life.wants_clients() { 0 } else { self.clients.midway() };
+            self.life(Input::Tick(Out { requests, clients, midway, calls, quiet }));
             self.pump();
             if self.ended {
                 self.save_state();
@@ -565,7 +567,7 @@
             }
             self.pump();
         }
-        self.clients.drop_all();
+        self.clients.end_all(&mut self.io, &self.config);
     }
 
     /// Takes the settings that were read. A request under way keeps the schema that it was priced with.
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -313,3 +313,12 @@
         true
     })
 }
+
+/// One GET of a watcher's on a connection of its own.
+pub fn watch(door: &Door, target: &str) -> Answer {
+    let stream = TcpStream::connect(door.health.expect("a listener for watchers")).expect("a connection");
+    stream.set_read_timeout(Some(LIMIT)).expect("a limit");
+    let mut client = Client::over(stream);
+    client.write(format!("GET {target} HTTP/1.1\r\nhost: a\r\n\r\n").as_bytes());
+    client.answer().expect("an answer")
+}
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use helper::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
@@ -169,3 +169,77 @@
     door.stop();
     assert!(client.ends());
 }
+
+/// One that ends where clients are quiet, and that looks at all that is open each time a watcher asks.
+const HASTY: &str = "life { quiet_ms: 0 drain_ms: 60000 } health { listen: \"127.0.0.1:0\" }\n";
+
+/// The gateway drains, and has looked at what is left several times since.
+fn drains(door: &Door) {
+    door.stopper.stop();
+    while watch(door, "/ready").status != 503 {
+        std::thread::yield_now();
+    }
+    for _ in 0..5 {
+        assert_eq!(watch(door, "/live").status, 200, "it has not ended");
+    }
+}
+
+#[test]
+fn half_a_request_is_taken_whole_by_a_gateway_that_drains_among_quiet_clients() {
+    let node = script(vec![good(), good()]);
+    let mut door = Door::new(&[node.address], HASTY);
+    let (mut half, whole) = (door.client(), post("free", PREVIEW, ""));
+    half.write(&whole[..60]);
+    // An answer to one who came later tells that the half is there.
+    assert_eq!(door.ask("free", PREVIEW).status, 200);
+    drains(&door);
+    half.write(&whole[60..]);
+    let last = half.answer().expect("an answer");
+    assert!(last.status == 200 && last.has("connection: close"), "{last:?}");
+    drop(half);
+    door.stop();
+}
+
+#[test]
+fn an_answer_that_is_not_read_whole_yet_outlives_its_request_in_a_gateway_that_drains() {
+    // More than the system holds between two sockets.
+    const LENGTH: usize = 24 << 20;
+    let long: Act = Box::new(|stream| stream.write_all(&answer(&" ".repeat(LENGTH))).is_ok());
+    let node = script(vec![long]);
+    let limits = "limits { client_buffer_bytes: 64000000 customer_bytes: 80000000 unread_ms: 60000 }";
+    let mut door = Door::new(&[node.address], &format!("{HASTY}{limits}"));
+    let mut client = door.client();
+    client.send("free", PREVIEW, "");
+    node.got.recv_timeout(LIMIT).expect("it is out");
+    while !watch(&door, "/metrics").body.contains("requests_open 0\n") {
+        std::thread::yield_now();
+    }
+    drains(&door);
+    let mut all = Vec::new();
+    client.stream.read_to_end(&mut all).expect("an end in order");
+    let head = all.windows(4).position(|w| w == b"\r\n\r\n").expect("a head") + 4;
+    assert_eq!(all.len() - head, LENGTH, "the whole answer");
+    drop(client);
+    door.stop();
+}
+
+#[test]
+fn half_a_request_has_a_last_word_where_a_second_signal_ends_all() {
+    let node = script(vec![good()]);
+    let mut door = Door::new(&[node.address], "life { drain_ms: 60000 give_back_ms: 60000 }");
+    let (mut half, whole) = (door.client(), post("free", PREVIEW, ""));
+    half.write(&whole[..whole.len() - 3]);
+    assert_eq!(door.ask("free", PREVIEW).status, 200);
+    door.stopper.stop();
+    door.stopper.stop();
+    let last = half.answer().expect("a last word");
+    assert!(
+        (last.status, last.code().as_str()) == (503, "GATEWAY_FULL") && last.has("connection: close"),
+        "{last:?}"
+    );
+    // It is waited for until it was read: its client's end is enough, long before the time to give back is over.
+    drop(half);
+    let start = Instant::now();
+    door.stop();
+    assert!(start.elapsed() < LIMIT);
+}
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -515,16 +515,6 @@
     }
 }
 
-/// One GET of a watcher's on a connection of its own.
-fn watch(door: &Door, target: &str) -> Answer {
-    let stream =
-        std::net::TcpStream::connect(door.health.expect("a listener for watchers")).expect("a connection");
-    stream.set_read_timeout(Some(LIMIT)).expect("a limit");
-    let mut client = Client::over(stream);
-    client.write(format!("GET {target} HTTP/1.1\r\nhost: a\r\n\r\n").as_bytes());
-    client.answer().expect("an answer")
-}
-
 #[test]
 fn who_watches_is_told_apart_from_clients() {
     let (world, _) = world(1);
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -21,7 +21,7 @@
     pub drain: f64,
     /// A new process has this long to become ready.
     pub handover: f64,
-    /// What is held for the counter has this long to go back.
+    /// What is held for the counter has this long to go back, and last answers have it to be read.
     pub give_back: f64,
     /// Clients without a request are closed once none spoke for this long: closing one that is just about to
     /// speak loses its request, and it cannot know whether it ran.
@@ -80,6 +80,8 @@
     pub requests: usize,
     /// Client connections.
     pub clients: usize,
+    /// Of these, connections midway: in a request that has not come whole, or in an answer that is not read whole.
+    pub midway: usize,
     /// Counter calls.
     pub calls: usize,
     /// How long no client has spoken, in ms.
@@ -317,11 +319,17 @@
                     self.give_back(now, out);
                 } else if !std::mem::replace(&mut self.counted, self.closed) {
                     // The doors close with this tick: who waits there is let in, and counts from the next one on.
-                } else if left.requests == 0 && (left.clients == 0 || left.quiet >= self.settings.quiet) {
+                } else if left.requests == 0
+                    && left.midway == 0
+                    && (left.clients == 0 || left.quiet >= self.settings.quiet)
+                {
+                    // Being quiet ends who rests. Who is midway has limits of his own, and the deadline.
                     self.give_back(now, out);
                 }
             }
-            State::GivingBack { until } if now >= until || left.calls == 0 => self.end(out),
+            State::GivingBack { until } if now >= until || (left.calls == 0 && left.midway == 0) => {
+                self.end(out)
+            }
             _ => {}
         }
     }
--- a/crates/lifecycle/tests/life.rs
+++ b/crates/lifecycle/tests/life.rs
@@ -15,7 +15,7 @@
 }
 
 fn out(requests: usize, clients: usize, calls: usize) -> Input {
-    Input::Tick(Out { requests, clients, calls, quiet: 0.0 })
+    Input::Tick(Out { requests, clients, midway: 0, calls, quiet: 0.0 })
 }
 
 #[test]
@@ -54,13 +54,31 @@
 
 #[test]
 fn clients_that_might_still_speak_are_waited_for_and_quiet_ones_are_not() {
-    let quiet = |quiet| Input::Tick(Out { requests: 0, clients: 5, calls: 1, quiet });
+    let quiet = |quiet| Input::Tick(Out { requests: 0, clients: 5, midway: 0, calls: 1, quiet });
     let (life_, _) = life(&[(10.0, Input::Drain), (110.0, quiet(50.0)), (200.0, quiet(299.0))]);
     assert!(matches!(life_.state(), State::Draining { .. }));
     let (life_, _) = life(&[(10.0, Input::Drain), (110.0, quiet(50.0)), (400.0, quiet(300.0))]);
     assert!(matches!(life_.state(), State::GivingBack { .. }));
 }
 
+#[test]
+fn who_is_midway_is_waited_for_however_quiet_it_is_and_no_longer_than_the_deadline() {
+    let midway = |midway| Input::Tick(Out { requests: 0, clients: 5, midway, calls: 0, quiet: 900.0 });
+    let (life_, _) =
+        life(&[(10.0, Input::Drain), (110.0, midway(1)), (120.0, midway(1)), (1109.0, midway(1))]);
+    assert!(matches!(life_.state(), State::Draining { .. }), "half a request, or half an answer");
+    let done = [(10.0, Input::Drain), (110.0, midway(1)), (120.0, midway(1)), (130.0, midway(0))];
+    assert!(matches!(life(&done).0.state(), State::GivingBack { .. }));
+    // At the deadline all is answered, and the last answers have the time of giving back to be read.
+    let late = [(10.0, Input::Drain), (110.0, midway(1)), (1110.0, midway(1)), (1309.0, midway(1))];
+    let (life_, did) = life(&late);
+    assert!(did.contains(&Output::AnswerAll) && matches!(life_.state(), State::GivingBack { .. }));
+    let read = [&late[..], &[(1309.5, midway(0))]].concat();
+    assert_eq!(life(&read).0.state(), State::Stopped, "they are read: nothing is left to wait for");
+    let never = [&late[..], &[(1310.0, midway(1))]].concat();
+    assert_eq!(life(&never).0.state(), State::Stopped, "a client that reads nothing holds nobody");
+}
+
 #[test]
 fn reloads_are_refused_by_reason() {
     assert_eq!(life(&[(1.0, Input::Reload)]).1, [Output::Reload]);
