--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -1,6 +1,7 @@
 //! Following the list of nodes over a watch that may fall silent, break off or say what cannot be followed: when a
 //! connection to the list's source is dead, when the next one is made, and from which version on it asks.
 
+use crate::mutant::mutant;
 use doorcourse::Millis;
 
 /// A watch without a whole line for this long is dead: an empty one comes every 2 s. It counts from the asking on, so
@@ -90,6 +91,10 @@
     /// The settings name another grace.
     pub fn set_grace(&mut self, grace: Millis) {
         self.again = (grace / 2.0).clamp(2.0 * SHORTEST_WAIT, ANSWER);
+        // A call that nobody answers is waited for as a watch is.
+        if mutant("waits-in-silence") {
+            self.again = SILENT;
+        }
         self.wait = (grace / 4.0).clamp(SHORTEST_WAIT, LONGEST_WAIT);
     }
 
--- a/crates/exchange/src/leave.rs
+++ b/crates/exchange/src/leave.rs
@@ -16,6 +16,7 @@
 //! A connection that merely had a request open when the doors closed is no exception: clients go on sending on whatever
 //! stays open, up to the moment at which the process is killed, so every connection is closed as it falls idle.
 
+use crate::mutant::mutant;
 use crate::table::Held;
 use doorcourse::Millis;
 
@@ -70,6 +71,8 @@
     pub fn tell(&mut self, now: Millis, longest: Millis) -> bool {
         let first = self.told.is_none();
         let end = now + longest.min(MOST) + GRACE - MARGIN;
+        // The kill is not reckoned with.
+        let end = if mutant("no-kill") { end + 10_000.0 } else { end };
         self.told.get_or_insert(Told { last_call: now + GRACE, end });
         first
     }
@@ -110,8 +113,10 @@
     #[must_use]
     pub fn parts(&self, now: Millis, held: &Held) -> bool {
         let owes = held.open > 0 || held.unread.is_some() || held.midway.is_some() || held.ending.is_some();
-        #[cfg(feature = "spoilt-leave")]
-        let owes = owes || self.told.is_some_and(|told| now >= told.last_call + NEWCOMER / 2.0);
+        // Looked at once, when the listener closes.
+        let once =
+            mutant("looks-once") && self.told.is_some_and(|told| now >= told.last_call + NEWCOMER / 2.0);
+        let owes = owes || once;
         let comes = held.spoke.is_none() && now < held.opened + NEWCOMER;
         self.is_closing(now) && !owes && !comes
     }
--- a/crates/exchange/tests/follow.rs
+++ b/crates/exchange/tests/follow.rs
@@ -44,7 +44,9 @@
     // A grace of no time at all makes no loop of it, and a long one none that asks once in a blue moon.
     for (grace, least, most) in [(0.0, 20.0, 20.0), (1e9, 250.0, 250.0)] {
         let mut follow = Follow::new(None, grace);
-        let refused = dials(&mut follow, 0.0, 5000.0, |follow, now| drop(follow.lost(now)));
+        let refused = dials(&mut follow, 0.0, 5000.0, |follow, now| {
+            let _ = follow.lost(now);
+        });
         assert!(refused.windows(2).all(|w| w[1] - w[0] >= least && w[1] - w[0] <= most), "{grace}");
     }
 }
@@ -53,7 +55,9 @@
 fn a_source_that_says_nothing_is_asked_anew_well_within_the_grace_and_may_answer_late() {
     for grace in [100.0, 200.0, 250.0, 1000.0] {
         let mut follow = Follow::new(None, grace);
-        let silent = dials(&mut follow, 0.0, 10_000.0, |follow, now| drop(follow.ask(now)));
+        let silent = dials(&mut follow, 0.0, 10_000.0, |follow, now| {
+            let _ = follow.ask(now);
+        });
         // Whenever it comes back, the next call is made so soon behind.
         assert!(silent.windows(2).all(|w| w[1] - w[0] <= 0.75 * grace), "{grace}: {silent:?}");
     }
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::ask::{self, Ask, Wrong};
 use crate::io::{Io, Kind, Token, Watched};
 use doorcourse::RequestId;
-use doorcourse_exchange::{Ages, HeldOpen, Leave, pause};
+use doorcourse_exchange::{Ages, HeldOpen, Leave, mutant, pause};
 use doorcourse_net::{Flow, Interest, Ready, Socket, is_out_of_descriptors};
 use doorcourse_resp::{CommandLimits, Commands, Fault};
 use doorcourse_site::Site;
@@ -136,15 +136,22 @@
             given.encode(self.watched.socket.output());
             self.slots.pop_front();
             self.first += 1;
-            self.held.answered = Some(now);
+            if !mutant("answer-unseen") {
+                self.held.answered = Some(now);
+            }
         }
         self.held.open = self.slots.len();
-        if self.watched.socket.pending() > 0 {
+        if self.watched.socket.pending() > 0 && !mutant("answer-unseen") {
             self.held.unread.get_or_insert(now);
         }
     }
 }
 
+/// What a client's connection waits for at first.
+fn interest() -> Interest {
+    if mutant("end-unheard") { Interest::READ } else { Interest::READ.with_end() }
+}
+
 const LISTENER: Token = Token { kind: Kind::Listener, serial: 0, at: 0 };
 
 pub(crate) struct Clients {
@@ -204,7 +211,7 @@
             }
             let Ok(socket) = Socket::new(stream) else { continue };
             let token = Token { kind: Kind::Client, serial: io.serial(), at: self.conns.vacant_key() };
-            let Ok(watched) = Watched::new(io, socket, token, Interest::READ.with_end()) else { continue };
+            let Ok(watched) = Watched::new(io, socket, token, interest()) else { continue };
             let held = HeldOpen::new(io.now);
             let (commands, slots) = (Commands::new(LIMITS), VecDeque::new());
             let at = self.conns.insert(Conn {
@@ -252,7 +259,9 @@
         &mut self, io: &mut Io, site: &Site, at: usize, ends: impl Fn(&HeldOpen) -> bool,
         told: &mut Vec<Told>,
     ) -> bool {
-        self.read(io, site, at, told);
+        if !mutant("no-last-look") {
+            self.read(io, site, at, told);
+        }
         let Some(conn) = self.conns.get_mut(at) else { return true };
         if !ends(&conn.held) {
             return false;
@@ -457,7 +466,8 @@
     /// The last call: who waits at the door is let in, as far as the system's queue goes, and the door is closed. Each
     /// connection is looked at in the next flush, which ends those that owe nothing.
     pub fn last_call(&mut self, io: &mut Io, site: &Site, told: &mut Vec<Told>) {
-        for _ in 0..QUEUE.div_ceil(ACCEPTS) {
+        let rounds = if mutant("closes-on-queue") { 0 } else { QUEUE.div_ceil(ACCEPTS) };
+        for _ in 0..rounds {
             if self.let_in(io, site, ACCEPTS, told) {
                 break;
             }
--- a/crates/platform/tests/rig/mod.rs
+++ b/crates/platform/tests/rig/mod.rs
@@ -184,6 +184,8 @@
     hosts: Vec<Json>,
     watchers: Vec<TcpStream>,
     asked: usize,
+    /// Calls come up and are never answered.
+    silent: bool,
 }
 
 pub fn host(name: &str, address: SocketAddr, health: &str) -> Json {
@@ -214,6 +216,9 @@
         each_target(stream, |target, stream| {
             state.change(|s| {
                 s.asked += 1;
+                if s.silent {
+                    return Ok(());
+                }
                 let list = json!({"seq": s.seq, "whole": true, "hosts": s.hosts}).to_string();
                 if !target.contains("watch=1") {
                     return write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
@@ -240,6 +245,17 @@
         self.state.change(|s| s.watchers.retain_mut(|w| w.write_all(&chunk(line)).is_ok()));
     }
 
+    /// Goes down: all watches are cut off, and calls are never answered, also those that are out at the return.
+    pub fn go_down(&self) {
+        self.state.change(|s| s.silent = true);
+        self.cut();
+    }
+
+    /// Is back with this list.
+    pub fn come_back(&self, hosts: Vec<Json>) {
+        self.state.change(|s| (s.silent, s.seq, s.hosts) = (false, s.seq + 1, hosts));
+    }
+
     /// Ends all watches.
     pub fn cut(&self) {
         self.state.change(|s| s.watchers.drain(..).for_each(|w| drop(w.shutdown(std::net::Shutdown::Both))));
