Full tables refuse newcomers, serve counts its descriptors, late loops decided without I/O

A newcomer on a full table whose clients all have requests open was dropped over the request that it had written (Clients::let_in): a reset, which tells nothing. What it has asked is refused now (turn_away), and its connection ends in order. Test: a process with 64 descriptors, all places taken by open orders, stands still until newcomers' requests are written; "a refusal, not an end" without the mend.

`serve` took its file's limits.connections for granted. With 64 descriptors and 100 idle clients the hundredth was closed without a word, and nothing was left to read settings with; the reading thread's clone of the pipe needed a descriptor too, without which a reading was never heard of (by reading the code; not shown singly). Connections are bounded by the share that the platform uses as well, and the pipe is shared. Test with `ulimit -n 64` and two SIGHUPs; without the mend the 503 does not come.

How late a loop is before it looks again stood in Poller::look_again, beside the I/O: looks_again in crates/exchange, the same 5 ms in both hosts.

--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -9,9 +9,12 @@
 mod rig;
 mod running;
 
+use doorcourse_exchange::Shares;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rig::{Answer, Backend, Client, Counter, Discovery, LIMIT, Shared, host, is_served, settings, value};
+use rig::{
+    Answer, Backend, Client, Counter, Discovery, LIMIT, Shared, host, is_busy, is_served, settings, value,
+};
 use running::{Gateway, command, config, start};
 use rustix::net::sockopt::set_socket_linger;
 use rustix::process::Signal;
@@ -321,6 +324,45 @@
     assert!(asked.elapsed() < LIMIT);
 }
 
+/// A table that is full of clients with requests open: whoever comes with a request is refused, not closed unseen. The
+/// process stands still until the newcomers' requests are written.
+#[test]
+fn a_newcomer_with_a_request_is_refused_where_nobody_can_go() {
+    // As many as bear a request on each connection.
+    let silent: Vec<_> = (0..16).map(|_| backend(|_| Answer::Silence)).collect();
+    let hosts = silent.iter().enumerate().map(|(n, (b, _))| host(&format!("b{n}"), b.address, "active"));
+    let (discovery, counter) = (Discovery::start(hosts.collect()), Counter::start());
+    let mut file = config(&discovery, &counter);
+    file["limits"]["sockets"] = json!(64);
+    file["settings"]["extra"]["has-counter"] = json!(false);
+    for class in file["settings"]["classes"].as_array_mut().unwrap() {
+        class["hard-limit-ms"] = json!(30_000);
+    }
+    let gateway = start("full", &file);
+    // A few have no connection to a backend: they are refused, and may go for newcomers.
+    let Shares { clients: full, backends: out } = Shares::of(64);
+    let mut busy: Vec<Client> = (0..full).map(|_| Client::open(gateway.address)).collect();
+    busy.iter_mut().for_each(|client| drop(client.send_ask("order", 29_000)));
+    let asked = Instant::now();
+    while silent.iter().map(|(b, _)| b.count()).sum::<usize>() < out {
+        assert!(asked.elapsed() < LIMIT, "not all are out");
+        std::thread::yield_now();
+    }
+    gateway.signal(Signal::STOP);
+    let mut newcomers: Vec<Client> = (0..4 * (full - out)).map(|_| Client::open(gateway.address)).collect();
+    for client in &mut newcomers {
+        client.send_ask("lookup", 2000);
+        client.send_ask("lookup", 2000);
+    }
+    gateway.signal(Signal::CONT);
+    for client in &mut newcomers {
+        for _ in 0..2 {
+            let answer = client.answer().expect("a refusal, not an end");
+            assert!(is_busy(&answer), "{answer:?}");
+        }
+    }
+}
+
 /// A process that shuts down ends each connection as it falls idle, and takes nothing on that would outlast the kill. The
 /// order of events is that of the gateway's own clock: an answer that is due later is still to come.
 #[test]
--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -19,7 +19,11 @@
 
 impl Process {
     fn spawn(arguments: &[&str]) -> Self {
-        let mut command = Command::new(BINARY);
+        Self::of(BINARY, arguments)
+    }
+
+    fn of(program: &str, arguments: &[&str]) -> Self {
+        let mut command = Command::new(program);
         command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the binary starts");
         let (told, lines) = mpsc::channel();
@@ -341,3 +345,26 @@
     }
     assert!(old.child.wait().expect("it ends").success());
 }
+
+/// Idle clients take all descriptors that the system allows: who comes on top is told that the gateway is full, and the
+/// settings are read again all the same, twice.
+#[test]
+fn settings_are_read_again_while_idle_clients_take_what_the_system_allows() {
+    let place = Place::new("descriptors", "");
+    let settings = place.file("settings.txtpb");
+    let gateway =
+        Process::of("sh", &["-c", "ulimit -n 64 && exec \"$0\" serve --config \"$1\"", BINARY, &settings]);
+    let to = address(&gateway.wait("\"serving\""));
+    let mut idle: Vec<TcpStream> = (0..100).map(|_| connect(to)).collect();
+    let told = answer(idle.last_mut().expect("a hundred"));
+    assert!(told.starts_with("HTTP/1.1 503") && told.contains("GATEWAY_FULL"), "{told}");
+    let text = std::fs::read_to_string(&settings).expect("settings");
+    for rate in [3, 4] {
+        std::fs::write(&settings, text.replace("rate: 2 burst: 10", &format!("rate: {rate} burst: 10")))
+            .expect("written");
+        let hangup = rustix::process::Signal::HUP;
+        rustix::process::kill_process(rustix::process::Pid::from_child(&gateway.child), hangup)
+            .expect("it runs");
+        gateway.wait("settings reloaded");
+    }
+}
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -5,9 +5,9 @@
 use crate::io::{Alarm, Io, Token};
 use doorcourse::{Name, RequestId};
 use doorcourse_config::Config;
-use doorcourse_exchange::{Accounts, Bounds, Held};
+use doorcourse_exchange::{Accounts, Bounds, Held, Shares};
 use doorcourse_http::{Decoder, Framing, Limits as HttpLimits, Part, Role, chunk, chunk_end, response_head};
-use doorcourse_net::{Flow, Interest, Ready, Socket, is_out_of_descriptors};
+use doorcourse_net::{Flow, Interest, Ready, Socket, is_out_of_descriptors, most_descriptors};
 use slab::Slab;
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
@@ -540,7 +540,8 @@
 fn bounds(config: &Config) -> Bounds {
     let limits = &config.limits;
     Bounds {
-        connections: limits.connections,
+        // What the system allows is shared with the nodes' side and the program's own files; who comes on top is told so.
+        connections: limits.connections.min(Shares::of(most_descriptors()).clients),
         requests: limits.requests,
         bytes: limits.buffered,
         customer_bytes: limits.customer_bytes,
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -26,7 +26,9 @@
     /// Who waits for this reading, and for the next.
     askers: Vec<Asker>,
     next_askers: Vec<Asker>,
-    wake: UnixStream,
+    /// Shared with the reading thread: a clone of its own would need a descriptor, and without one nobody would hear that
+    /// the settings are read.
+    wake: Arc<UnixStream>,
     signal: UnixStream,
     /// Answers for those who asked.
     pub told: VecDeque<(Asker, Result<Change, String>)>,
@@ -47,6 +49,7 @@
         signal.set_nonblocking(true)?;
         wake.set_nonblocking(true)?;
         let (askers, next_askers, told) = (Vec::new(), Vec::new(), VecDeque::new());
+        let wake = Arc::new(wake);
         Ok(Self { reread, reading: None, again: false, read: None, askers, next_askers, wake, signal, told })
     }
 
@@ -84,7 +87,7 @@
             return self.over(Err("this gateway cannot read its settings again".into()));
         };
         let (told, receiver) = mpsc::channel();
-        let (old, wake) = (Arc::clone(config), self.wake.try_clone());
+        let (old, wake) = (Arc::clone(config), Arc::clone(&self.wake));
         let started = std::thread::Builder::new().name("settings".into()).spawn(move || {
             let read = reread().map(|config| {
                 let change = compare(&old, &config);
@@ -92,7 +95,7 @@
             });
             let _ = told.send(read);
             // An empty word: the loop looks at the channel whenever this pipe speaks.
-            let _ = wake.map(|w| std::io::Write::write(&mut &w, &[READ]));
+            let _ = std::io::Write::write(&mut &*wake, &[READ]);
         });
         match started {
             Ok(_) => self.reading = Some(receiver),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,7 @@
 use doorcourse::{Action, Event, Name, RequestId};
 use doorcourse_config::{Change, Config, Node};
 use doorcourse_counter::Call;
-use doorcourse_exchange::{HandDrains, Input as Tell, LastRounds, Round};
+use doorcourse_exchange::{HandDrains, Input as Tell, LastRounds, Round, looks_again};
 use doorcourse_lifecycle::{Input, Life, Out, Output};
 use doorcourse_net::{Interest, Ready, listen};
 use serde_json::{Value, json};
@@ -261,8 +261,10 @@
             let wait = if first.is_finite() { self.io.clock.until(first) } else { Duration::from_secs(3600) };
             let wait = wait.min(Duration::from_secs_f64(fleet.min(3.6e6) / 1000.0));
             self.io.poller.wait(Some(wait), &mut ready)?;
-            let late = Duration::try_from_secs_f64((self.io.now() - first) / 1000.0).unwrap_or_default();
-            self.io.poller.look_again(late, &mut ready)?;
+            if looks_again(self.io.now() - first) {
+                // Readiness is by level: nothing that was told before is lost.
+                self.io.poller.wait(Some(Duration::ZERO), &mut ready)?;
+            }
             // Clients that have gone come first, then what is due: no attempt begins for who has gone.
             ready.sort_by_key(|r| !(r.ended && matches!(Token::unpack(r.token), Token::Client(..))));
             let gone = ready.iter().take_while(|r| r.ended).count();
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -101,16 +101,6 @@
         Ok(epoll::delete(&self.epoll, fd)?)
     }
 
-    /// Looks again where the loop is late for what was due: a process may stand still between its wait and the look at
-    /// the clock, and what came meanwhile is told before what is due is done. Readiness is by level: nothing is lost.
-    ///
-    /// # Errors
-    /// When the system fails.
-    pub fn look_again(&self, late: Duration, ready: &mut Vec<Ready>) -> io::Result<()> {
-        const LATE: Duration = Duration::from_millis(5);
-        if late > LATE { self.wait(Some(Duration::ZERO), ready) } else { Ok(()) }
-    }
-
     /// Waits until something is ready or the time is over. A signal ends the wait, not the look: what is ready by then
     /// is told, so that nothing that is due is done ahead of it. All that a machine of
     /// 1,024 descriptors can have ready comes at once: who takes ends first has to see them all.
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -206,10 +206,11 @@
                 // The peer is gone again.
                 Err(_) => continue,
             };
+            let Ok(socket) = Socket::new(stream) else { continue };
             if self.conns.len() >= self.most && !self.make_room(io, site, told) {
+                turn_away(socket);
                 continue;
             }
-            let Ok(socket) = Socket::new(stream) else { continue };
             let token = Token { kind: Kind::Client, serial: io.serial(), at: self.conns.vacant_key() };
             let Ok(watched) = Watched::new(io, socket, token, interest()) else { continue };
             let held = HeldOpen::new(io.now);
@@ -488,6 +489,20 @@
     }
 }
 
+/// There is no place for this newcomer, and nobody can go: whatever it has asked already is refused, which is harmless to
+/// repeat elsewhere, where a close over what it wrote would tell it nothing.
+fn turn_away(mut socket: Socket) {
+    socket.read();
+    let (input, mut used, mut commands) = (std::mem::take(&mut socket.input), 0, Commands::new(LIMITS));
+    while let Ok(Some((_, took))) = commands.read(&input[used..]) {
+        used += took;
+        Given::Busy(None).encode(socket.output());
+    }
+    // Within the system's room for a new connection: what is read at once makes a few answers.
+    socket.flush();
+    socket.end_writing();
+}
+
 fn mark(dirty: &mut Vec<usize>, conn: &mut Conn) {
     if !std::mem::replace(&mut conn.dirty, true) {
         dirty.push(conn.watched.token.at);
--- a/crates/platform/src/run.rs
+++ b/crates/platform/src/run.rs
@@ -12,7 +12,9 @@
 use crate::watch::Watch;
 use doorcourse::{Action, Event, Gateway, LoadReport, Name, Outcome, RequestId};
 use doorcourse_counter::Call;
-use doorcourse_exchange::{Input, LastRounds, Leave, Phase, Reply, Round, Shares, Start, dial_time};
+use doorcourse_exchange::{
+    Input, LastRounds, Leave, Phase, Reply, Round, Shares, Start, dial_time, looks_again,
+};
 use doorcourse_net::{Interest, Ready, listen, most_descriptors};
 use doorcourse_site::Site;
 use std::collections::{HashMap, VecDeque};
@@ -96,11 +98,6 @@
     }
 }
 
-/// So many ms, none where there are fewer.
-fn ms(span: f64) -> Duration {
-    Duration::try_from_secs_f64(span / 1000.0).unwrap_or_default()
-}
-
 impl Platform {
     /// Takes the file in and listens; nothing is served before `run`.
     ///
@@ -200,7 +197,10 @@
             let wait = (due < f64::INFINITY).then(|| self.io.clock.until(due));
             self.io.poller.wait(wait, &mut ready)?;
             self.io.now = self.io.clock.now();
-            self.io.poller.look_again(ms(self.io.now - due), &mut ready)?;
+            if looks_again(self.io.now - due) {
+                // Readiness is by level: nothing that was told before is lost.
+                self.io.poller.wait(Some(Duration::ZERO), &mut ready)?;
+            }
             self.turn(&mut ready);
         }
         tracing::info!("left");
