--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -269,6 +269,20 @@
     assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults[..faults.len().min(20)].join("\n"));
 }
 
+/// A process that was told to shut down and stands still since, with 150 in its accept queue whose requests are written;
+/// `None` where the machine took so long that the listener was closed before.
+fn halted_in_its_grace(file: &Json) -> Option<(Gateway, Vec<Client>)> {
+    let mut gateway = start("queue", file);
+    assert!(is_served(&Client::open(gateway.address).ask("lookup", 2000), "good"));
+    gateway.signal(Signal::TERM);
+    gateway.line("leaving");
+    gateway.signal(Signal::STOP);
+    let connect = |_| TcpStream::connect(gateway.address).ok().map(Client::over);
+    let mut clients = (0..150).map(connect).collect::<Option<Vec<Client>>>()?;
+    clients.iter_mut().for_each(|client| drop(client.send_ask("lookup", 2000)));
+    Some((gateway, clients))
+}
+
 /// Whoever waits in the accept queue, with the request written, when the listener closes: the process stood still.
 #[test]
 fn who_waits_in_the_accept_queue_when_the_listener_closes_is_answered() {
@@ -277,21 +291,11 @@
     let mut file = config(&discovery, &counter);
     // Room for all of them: a table that is full of requests is another matter.
     file["limits"]["sockets"] = json!(1024);
-    let mut gateway = start("queue", &file);
-    assert!(is_served(&Client::open(gateway.address).ask("lookup", 2000), "good"));
-    gateway.signal(Signal::STOP);
-    // The word to shut down waits with them; the listener closes 0.7 s after it is heard, and the process stands still again.
-    gateway.signal(Signal::TERM);
-    gateway.signal(Signal::CONT);
-    gateway.line("leaving");
-    let heard = Instant::now();
-    gateway.signal(Signal::STOP);
-    assert!(heard.elapsed() < Duration::from_millis(600), "the machine stood still itself");
-    let mut clients: Vec<Client> = (0..150).map(|_| Client::open(gateway.address)).collect();
-    for client in &mut clients {
-        client.send_ask("lookup", 2000);
-    }
-    std::thread::sleep(Duration::from_millis(750).saturating_sub(heard.elapsed()));
+    let halted = (0..5).find_map(|_| halted_in_its_grace(&file));
+    let (mut gateway, mut clients) =
+        halted.expect("the machine is too slow for a grace of 0.7 s, five times");
+    // The listener closes 0.7 s after the word.
+    std::thread::sleep(Duration::from_millis(750));
     gateway.signal(Signal::CONT);
     let lost = clients.iter_mut().filter_map(|c| c.answer().is_none().then_some(())).count();
     assert_eq!(lost, 0, "of 150 whom the system had accepted");
