--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -15,7 +15,7 @@
 use rig::{
     Answer, Backend, Client, Counter, Discovery, LIMIT, Shared, host, is_busy, is_served, settings, value,
 };
-use running::{Gateway, command, config, start};
+use running::{Gateway, command, config, crowd, longest, start};
 use rustix::net::sockopt::set_socket_linger;
 use rustix::process::Signal;
 use serde_json::{Value as Json, json};
@@ -157,20 +157,13 @@
     file["settings"]["rules"]["drain-grace-ms"] = json!(GRACE.as_millis());
     file["settings"]["plans"][0]["refill"] = json!(1e6);
     file["settings"]["plans"][0]["burst"] = json!(1e6);
-    for class in file["settings"]["classes"].as_array_mut().unwrap() {
-        class["hard-limit-ms"] = json!(LONGEST);
-    }
+    longest(&mut file, LONGEST);
     file["known"] = json!({"seq": 1, "whole": true, "hosts": list("active")});
     let mut fleet: Vec<_> = (0..GATEWAYS).map(|at| start(&format!("rare-{seed}-{at}"), &file)).collect();
     let places = Shared::new(fleet.iter().map(|g| Some(g.address)).collect::<Vec<_>>());
     let over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS as u64)
-        .map(|at| {
-            let (places, over) = (places.clone(), over.clone());
-            let random = ChaCha8Rng::seed_from_u64(seed * 1000 + at);
-            std::thread::spawn(move || client(random, &places, &over))
-        })
-        .collect();
+    let (asked, until) = (places.clone(), over.clone());
+    let clients = crowd(CLIENTS, seed, move |random| client(random, &asked, &until));
     served[1].0.commands.wait("the load", |c| c.len() >= CLIENTS * 4);
     // Two are killed while discovery is down, and come back before it does; one stands still across its return.
     let mut killed = HashSet::new();
@@ -310,9 +303,7 @@
     let (discovery, counter) =
         (Discovery::start(vec![host("b0", silent.address, "active")]), Counter::start());
     let mut file = config(&discovery, &counter);
-    for class in file["settings"]["classes"].as_array_mut().unwrap() {
-        class["hard-limit-ms"] = json!(LONGEST);
-    }
+    longest(&mut file, LONGEST);
     let gateway = start("age", &file);
     let mut clients: Vec<Client> = (0..20).map(|_| Client::open(gateway.address)).collect();
     let asked = Instant::now();
@@ -339,9 +330,7 @@
     let mut file = config(&discovery, &counter);
     file["limits"]["sockets"] = json!(64);
     file["settings"]["extra"]["has-counter"] = json!(false);
-    for class in file["settings"]["classes"].as_array_mut().unwrap() {
-        class["hard-limit-ms"] = json!(30_000);
-    }
+    longest(&mut file, 30_000);
     let gateway = start("full", &file);
     // A few have no connection to a backend: they are refused, and may go for newcomers.
     let Shares { clients: full, backends: out } = Shares::of(64);
@@ -385,9 +374,7 @@
     let (discovery, counter) =
         (Discovery::start(vec![host("b0", silent.address, "active")]), Counter::start());
     let mut file = config(&discovery, &counter);
-    for class in file["settings"]["classes"].as_array_mut().unwrap() {
-        class["hard-limit-ms"] = json!(LONGEST);
-    }
+    longest(&mut file, LONGEST);
     let mut gateway = start("kill", &file);
     let (mut early, mut busy) = (Client::open(gateway.address), Client::open(gateway.address));
     early.send_ask("order", 2500);
--- a/crates/cli/tests/rolling.rs
+++ b/crates/cli/tests/rolling.rs
@@ -6,10 +6,10 @@
 mod rig;
 mod running;
 
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rig::{Answer, Backend, Client, Counter, Discovery, LIMIT, Shared, host, settings, value};
-use running::{Gateway, config, start};
+use running::{Gateway, config, crowd, start};
 use rustix::process::Signal;
 use serde_json::json;
 use std::collections::{BTreeMap, HashSet};
@@ -128,13 +128,8 @@
         (0..GATEWAYS).map(|at| Some(start(&format!("roll-{seed}-{at}"), &file))).collect();
     let places = Shared::new(fleet.iter().map(|g| g.as_ref().map(|g| g.address)).collect::<Vec<_>>());
     let over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS as u64)
-        .map(|at| {
-            let (places, over) = (places.clone(), over.clone());
-            let random = ChaCha8Rng::seed_from_u64(seed * 1000 + at);
-            std::thread::spawn(move || client(random, &places, &over))
-        })
-        .collect();
+    let (asked, until) = (places.clone(), over.clone());
+    let clients = crowd(CLIENTS, seed, move |random| client(random, &asked, &until));
     backends[1].commands.wait("the load", |c| c.len() >= CLIENTS);
     let mut faults = Vec::new();
     for from in (0..GATEWAYS).step_by(STEP) {
--- a/crates/cli/tests/running/mod.rs
+++ b/crates/cli/tests/running/mod.rs
@@ -3,12 +3,15 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use crate::rig::{Counter, Discovery, LIMIT, settings};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value as Json, json};
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc;
+use std::sync::{Arc, mpsc};
+use std::thread::JoinHandle;
 
 pub struct Gateway {
     pub child: Child,
@@ -72,3 +75,22 @@
     gateway.line("discovery up");
     gateway
 }
+
+/// Gives every class so much time at most.
+pub fn longest(file: &mut Json, ms: u32) {
+    for class in file["settings"]["classes"].as_array_mut().unwrap() {
+        class["hard-limit-ms"] = json!(ms);
+    }
+}
+
+/// So many clients at once, each a thread with random numbers of its own.
+pub fn crowd<T: Send + 'static>(
+    count: usize, seed: u64, one: impl Fn(ChaCha8Rng) -> T + Send + Sync + 'static,
+) -> Vec<JoinHandle<T>> {
+    let one = Arc::new(one);
+    let begin = |at: u64| {
+        let (one, random) = (one.clone(), ChaCha8Rng::seed_from_u64(seed * 1000 + at));
+        std::thread::spawn(move || one(random))
+    };
+    (0..count as u64).map(begin).collect()
+}
