Test: an answer that was set aside and breaks off keeps to discovery's sum

Need: on the last read, the property test was seen to play calls that are set aside, and none that is answered after all and then breaks off.

Change: one test; no product code.

Measured: passes for graces of 80 ms to 5 s; fails ("1000: Some(4250.0)") where the time of such a call counts from its answer instead of its asking.

--- a/crates/exchange/tests/follow.rs
+++ b/crates/exchange/tests/follow.rs
@@ -91,6 +91,33 @@
     assert_eq!(dropped, Some(1000.0));
 }
 
+/// The call that was set aside begins to be answered and breaks off: the sum counts from its asking on all the same.
+#[test]
+fn an_answer_set_aside_that_breaks_off_keeps_to_the_sum() {
+    for grace in [80.0, 200.0, 1000.0, 5000.0] {
+        let mut follow = Follow::new(Some(5), grace);
+        assert_eq!((follow.tick(0.0), follow.ask(0.0)), (Some(Due::Dial), Some(5)));
+        let mut now = follow.due();
+        assert_eq!(follow.tick(now), Some(Due::SetAside), "{grace}");
+        assert!(follow.aside_answers());
+        follow.answers();
+        let mut dialled = None;
+        while dialled.is_none() {
+            now = follow.due().max(now);
+            match follow.tick(now) {
+                Some(Due::Dial) => dialled = Some(now),
+                Some(Due::Dead(_)) => {
+                    let _ = follow.lost(now);
+                }
+                Some(Due::SetAside | Due::DropAside) => panic!("{grace}: it has answered"),
+                None => {}
+            }
+        }
+        assert!(dialled.is_some_and(|at| at <= Follow::WORST), "{grace}: {dialled:?}");
+        assert_eq!(follow.ask(now), None, "a watch that told nothing: the whole list is next");
+    }
+}
+
 #[test]
 fn a_watch_lives_by_whole_lines_and_every_other_step_by_its_time() {
     let mut follow = Follow::new(Some(3), 1000.0);
