Test of a keyed repeat's window starts its clock at the first attempt, not before it

The window of 300 ms runs from the moment in which the gateway sends the first attempt; the test waited 310 ms from before the client's own write, so whatever the client and the gateway took beyond 10 ms (and two ticks) let a repeat through that was still inside its window. Ruled out: the gateway, whose send_by is the window less two ticks and is asked for again at each sending (src/logic.rs).

Change: both tests count from when the first attempt has come to its backend, which is never before its sending. What is asked for is as strict as before: two attempts, none behind the window.

--- a/crates/platform/tests/outcomes.rs
+++ b/crates/platform/tests/outcomes.rs
@@ -153,22 +153,28 @@
     settings
 }
 
+/// Waits for a backend's first attempt and tells when it was there: the window runs from its sending, which was before.
+fn first_came(backend: &Backend) -> Instant {
+    backend.commands.wait("the first attempt", |c| !c.is_empty());
+    Instant::now()
+}
+
 /// Waits until a time after something that happened before: what it holds back is let go only then.
-fn past(began: Instant, time: Duration) {
-    std::thread::sleep(time.saturating_sub(began.elapsed()));
+fn past(since: Instant, time: Duration) {
+    std::thread::sleep(time.saturating_sub(since.elapsed()));
 }
 
 #[test]
 fn a_keyed_repeat_that_waits_in_line_is_not_sent_past_its_window() {
     let backend = Backend::start(|_| Answer::Reset);
     let later = Backend::start(|_| Answer::Bytes(value("again")));
-    let rig = Rig::new(vec![host("b0", backend.address, "active")], short_window(300.0), 1024);
+    let rig = Rig::new(vec![host("b0", backend.address, "active")], short_window(500.0), 1024);
     let mut client = rig.client();
-    let began = Instant::now();
     client.send_ask("save", 9000);
+    let first = first_came(&backend);
     // Twice reset, the backend is left alone, and the request waits for another: there is one when the window is over.
     backend.commands.wait("both attempts", |c| c.len() == 2);
-    past(began, Duration::from_millis(310));
+    past(first, Duration::from_millis(510));
     rig.discovery.tell(vec![host("b1", later.address, "active")]);
     let answer = client.answer().unwrap();
     assert!(is_failed(&answer), "{answer:?}");
@@ -185,13 +191,12 @@
     let hosts = vec![host("b0", first.address, "active"), host("b1", late.address(), "leaving")];
     let rig = Rig::new(hosts, short_window(400.0), 1024);
     let mut client = rig.client();
-    let began = Instant::now();
     client.send_ask("save", 9000);
-    first.commands.wait("the first attempt", |c| !c.is_empty());
+    let came = first_came(&first);
     // From here on only the one whose queue is full: it is chosen, and its connection does not come up.
     rig.discovery.tell(vec![host("b0", first.address, "leaving"), host("b1", late.address(), "active")]);
     // The window is over; the connection comes up after it, with the next try of the system.
-    past(began, Duration::from_millis(410));
+    past(came, Duration::from_millis(410));
     let late = late.open();
     let answer = client.answer().unwrap();
     assert!(is_failed(&answer), "{answer:?}");
