A backend that moved or was started anew has connections of its own

Cause, found by reading the paths that end a backend's life and confirmed by two tests on sockets: the pool was the id's alone. A connection still coming up to the old address counted as the one that new requests wait for (Pool::wants_dial), so they waited for its time-out and failed with "no answer in time"; and a connection whose answer came in behind the list went back to the pool (Backends::rest) and carried the next request to where the backend had been.

Change: Pool has a life, one for each start and address; Backends::begin_life begins another where the list says so and closes what is coming up, and a connection of an earlier life is closed behind its answer.

Measured: both tests fail without the change ("no answer in time"; answered by the connection of the start before) and pass with it; the platform's and exchange's tests pass.

--- a/crates/exchange/src/pool.rs
+++ b/crates/exchange/src/pool.rs
@@ -17,9 +17,12 @@
     if keepalive > 0.0 { keepalive * RETIRE } else { f64::INFINITY }
 }
 
-/// The connections of one node.
+/// The connections of one start of one node at one address. Another start, or the same at another address, has another
+/// pool: what was made for the one before carries nothing for it, and is not what its requests wait for.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    /// Which of the starts and addresses that the host has heard of, in all.
+    life: u64,
     /// Those that stand idle and since when, the one used last behind.
     idle: Vec<(usize, Millis)>,
     waiting: VecDeque<RequestId>,
@@ -28,6 +31,18 @@
 }
 
 impl Pool {
+    /// The pool of this life, which no other has.
+    #[must_use]
+    pub fn of(life: u64) -> Self {
+        Self { life, ..Self::default() }
+    }
+
+    /// Which life its connections are made for.
+    #[must_use]
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
     /// A connection for a request: the one used last, so that those not needed age and go. Such as stood idle for too
     /// long are given as `old`, to be closed. It counts as busy from here on.
     pub fn take(&mut self, now: Millis, keep: Millis, old: &mut Vec<usize>) -> Option<usize> {
--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -45,6 +45,8 @@
 struct Conn {
     watched: Watched,
     backend: Name,
+    /// The life of its backend that it was made for.
+    life: u64,
     state: State,
     answers: Answers,
     dirty: bool,
@@ -100,6 +102,8 @@
     /// Connections made so far, for the record.
     pub dialed: u64,
     probes: u64,
+    /// Starts and addresses of backends heard of so far.
+    lives: u64,
 }
 
 impl Backends {
@@ -128,10 +132,14 @@
                     if moved || !ready {
                         self.withdraw(&entry.name, said);
                     }
+                    if moved {
+                        self.begin_life(&entry.name);
+                    }
                 }
                 (None, Some(address)) if listed => {
-                    let peer = Peer { address, started: entry.started, ready, listed, pool: Pool::default() };
-                    self.peers.insert(entry.name.clone(), peer);
+                    let (started, pool) = (entry.started, Pool::default());
+                    self.peers.insert(entry.name.clone(), Peer { address, started, ready, listed, pool });
+                    self.begin_life(&entry.name);
                 }
                 (None, _) => {}
             }
@@ -165,6 +173,20 @@
         }
     }
 
+    /// It is another start, or has another address: connections that are coming up to the one before are closed, and what
+    /// is under way on others ends there.
+    fn begin_life(&mut self, name: &Name) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        self.lives += 1;
+        peer.pool = Pool::of(self.lives);
+        self.conns.retain(|_, c| c.backend != *name || !matches!(c.state, State::Dialing { .. }));
+    }
+
+    /// The pool that a connection belongs to, where its backend is still the one that it was made for.
+    fn pool_of(&mut self, backend: &Name, life: u64) -> Option<&mut Pool> {
+        self.peers.get_mut(backend).map(|peer| &mut peer.pool).filter(|pool| pool.life() == life)
+    }
+
     fn tidy(&mut self, name: &Name) {
         if self.peers.get(name).is_some_and(|p| !p.listed && p.pool.is_empty()) {
             self.peers.remove(name);
@@ -259,11 +281,13 @@
             match made {
                 Ok(watched) => {
                     let (backend, state, dirty) = (name.clone(), State::Dialing { since: io.now }, false);
+                    let life = peer.pool.life();
                     peer.pool.dials();
                     self.dialed += 1;
                     self.conns.insert(Conn {
                         watched,
                         backend,
+                        life,
                         state,
                         answers: Answers::default(),
                         dirty,
@@ -294,11 +318,11 @@
     /// Closes a connection and forgets it at its backend.
     fn close(&mut self, at: usize) {
         let Some(conn) = self.conns.try_remove(at) else { return };
-        if let Some(peer) = self.peers.get_mut(&conn.backend) {
+        if let Some(pool) = self.pool_of(&conn.backend, conn.life) {
             match conn.state {
-                State::Dialing { .. } => peer.pool.dialed(),
-                State::Idle { .. } => peer.pool.gone(at),
-                State::Busy { .. } => peer.pool.freed(),
+                State::Dialing { .. } => pool.dialed(),
+                State::Idle { .. } => pool.gone(at),
+                State::Busy { .. } => pool.freed(),
             }
         }
         self.tidy(&conn.backend);
@@ -393,7 +417,8 @@
     /// A connection is free: for who waits, else it is kept.
     fn rest(&mut self, io: &Io, at: usize, said: &mut Vec<(RequestId, Heard)>) {
         let Some(conn) = self.conns.get_mut(at) else { return };
-        let Some(peer) = self.peers.get_mut(&conn.backend).filter(|p| p.ready) else { return self.close(at) };
+        let fits = |p: &&mut Peer| p.ready && p.pool.life() == conn.life;
+        let Some(peer) = self.peers.get_mut(&conn.backend).filter(fits) else { return self.close(at) };
         match std::mem::replace(&mut conn.state, State::Idle { since: io.now }) {
             State::Dialing { .. } => peer.pool.dialed(),
             State::Busy { .. } => peer.pool.freed(),
