serve takes back what is not written to a node that drains, goes or moves

Cause, found by reading and confirmed by tests: between the decision and the first byte lies the dial. serve told the decisions of a new list and left the attempts in dials alone, so a request was written to a node that had been told to drain (502 where another node would have served it); and a connection on its old address went back to the pool of the node at its new one. The idle connections of a node that moved were left to their age.

Change: Exchanges::only_to withdraws what is not written to nodes that must not have it, behind the list; connections keep the address and start that they were made for.

Measured: both tests fail without the change (502 for a node that drains; the next request at the old address) and pass with it, as do the gateway's other tests.

--- a/crates/gateway/src/exchanges.rs
+++ b/crates/gateway/src/exchanges.rs
@@ -164,6 +164,15 @@
         }
     }
 
+    /// These nodes, and no others, may still get what is not written yet; the rest is withdrawn.
+    pub fn only_to(&mut self, now: f64, nodes: &HashSet<Name>) {
+        let out = |r: &Request| r.exchange.is_out() && !nodes.contains(&r.backend);
+        let ids: Vec<_> = self.requests.iter().filter(|(_, r)| out(r)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.tell(now, id, Input::Withdrawn);
+        }
+    }
+
     pub fn wire<'a>(&'a self, id: RequestId, path: &'a str) -> Option<Wire<'a>> {
         let request = self.requests.get(&id)?;
         let mut fields: Vec<(&str, &str)> = vec![
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -10,10 +10,17 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// A node as its connections are made for it: another start of it, or another address, has none of them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Place {
+    address: SocketAddr,
+    started: Option<f64>,
+}
+
 /// Connections to one node that carry no request, the one used last at the end.
 #[derive(Debug)]
 struct Pool {
-    address: SocketAddr,
+    place: Place,
     idle: Vec<usize>,
 }
 
@@ -22,6 +29,7 @@
     socket: Socket,
     generation: u32,
     node: Name,
+    place: Place,
     decoder: Decoder,
     request: Option<RequestId>,
     connecting: bool,
@@ -79,16 +87,29 @@
 }
 
 impl Nodes {
-    /// Takes a list over; idle connections to what is gone are closed.
-    pub fn update(&mut self, nodes: &[Node]) {
-        let mut old = std::mem::take(&mut self.pools);
+    /// Takes a list over; idle connections to what is gone are closed. Names the nodes that are where they were: what is
+    /// not written yet to any other is to be taken back.
+    pub fn update(&mut self, nodes: &[Node]) -> Vec<Name> {
+        let (mut old, mut same) = (std::mem::take(&mut self.pools), Vec::new());
+        let mut gone = Vec::new();
         for node in nodes {
             let name = node.entry.name.clone();
-            let known = old.remove(&name).filter(|p| p.address == node.address);
-            let pool = known.unwrap_or(Pool { address: node.address, idle: Vec::new() });
+            let place = Place { address: node.address, started: node.entry.started };
+            let pool = match old.remove(&name) {
+                Some(pool) if pool.place == place => {
+                    same.push(name.clone());
+                    pool
+                }
+                moved => {
+                    gone.extend(moved.into_iter().flat_map(|pool| pool.idle));
+                    Pool { place, idle: Vec::new() }
+                }
+            };
             self.pools.insert(name, pool);
         }
-        old.into_values().flat_map(|p| p.idle).for_each(|slot| self.let_go(slot));
+        gone.extend(old.into_values().flat_map(|pool| pool.idle));
+        gone.into_iter().for_each(|slot| self.let_go(slot));
+        same
     }
 
     /// Begins an attempt: on an idle connection, else on a new one. `None` where none can even be begun.
@@ -96,13 +117,13 @@
         &mut self, io: &mut Io, limits: &Limits, id: RequestId, node: &Name, wire: &Wire,
     ) -> Option<(usize, u32)> {
         let pool = self.pools.get_mut(node)?;
-        let address = pool.address;
+        let place = pool.place;
         let slot = match pool.idle.pop() {
             Some(slot) => slot,
-            None => self.open(io, limits, node, address).ok()?,
+            None => self.open(io, limits, node, place).ok()?,
         };
         let connection = self.connections.get_mut(slot)?;
-        let host = address.to_string();
+        let host = place.address.to_string();
         let mut fields = vec![("host", host.as_str())];
         fields.extend_from_slice(&wire.fields);
         request(connection.socket.output(), "POST", wire.path, &fields, wire.body);
@@ -111,10 +132,8 @@
         Some((slot, connection.generation))
     }
 
-    fn open(
-        &mut self, io: &mut Io, limits: &Limits, node: &Name, address: SocketAddr,
-    ) -> std::io::Result<usize> {
-        let socket = connect(address)?;
+    fn open(&mut self, io: &mut Io, limits: &Limits, node: &Name, place: Place) -> std::io::Result<usize> {
+        let socket = connect(place.address)?;
         let generation = io.generation();
         let entry = self.connections.vacant_entry();
         let slot = entry.key();
@@ -126,6 +145,7 @@
             socket,
             generation,
             node: node.clone(),
+            place,
             decoder: Decoder::new(Role::Responses, limits),
             request: None,
             connecting: true,
@@ -251,7 +271,7 @@
         connection.news = false;
         connection.idle_until = io.now() + limits.node_idle_time;
         match self.pools.get_mut(&connection.node) {
-            Some(pool) if keep => {
+            Some(pool) if keep && pool.place == connection.place => {
                 pool.idle.push(slot);
                 let alarm = Alarm::NodeIdle(slot, connection.generation);
                 io.timers.set(connection.idle_until, alarm);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,7 +14,7 @@
 use crate::reload::{Reload, Reread};
 use crate::state::StateFile;
 use anyhow::Context;
-use doorcourse::{Action, Event, Name, RequestId};
+use doorcourse::{Action, BackendState, Event, Name, RequestId};
 use doorcourse_config::{Change, Config, Node};
 use doorcourse_counter::Call;
 use doorcourse_exchange::{HandDrains, Input as Tell, LastRounds, Round, looks_again};
@@ -651,14 +651,19 @@
     }
 
     fn take_list(&mut self, nodes: &[Node]) {
-        self.nodes.update(nodes);
+        let same = self.nodes.update(nodes);
         self.listed = nodes.to_vec();
-        self.tell_list();
+        self.tell_list(|name| same.contains(name));
     }
 
-    fn tell_list(&mut self) {
+    /// Tells the decisions of the list; then what is not written yet to a node that must not have it is taken back, so
+    /// that it is placed by the new list. `same` are those that are where they were.
+    fn tell_list(&mut self, same: impl Fn(&Name) -> bool) {
         let list = self.drained.apply(self.listed.iter().map(|n| n.entry.clone()));
+        let fit = list.iter().filter(|e| e.state == BackendState::Ready && same(&e.name));
+        let fit = fit.map(|e| e.name.clone()).collect();
         self.io.events.push_back(Event::BackendList(list));
+        self.exchanges.only_to(self.io.now(), &fit);
     }
 
     /// A person's word about one node here; `false` where there is no such node.
@@ -667,7 +672,7 @@
         let name = node.entry.name.clone();
         if self.drained.drain(&name, drain) {
             tracing::info!(node = %name, drain, "node drained by hand");
-            self.tell_list();
+            self.tell_list(|_| true);
         }
         true
     }
--- a/crates/gateway/tests/helper/mod.rs
+++ b/crates/gateway/tests/helper/mod.rs
@@ -48,7 +48,15 @@
 
     /// A gateway whose settings change: each reload takes the next of these, round and round.
     pub fn changing(nodes: &[SocketAddr], more: &[String]) -> Self {
-        let texts: Vec<String> = more.iter().map(|m| format!("{}{m}", Self::common(nodes))).collect();
+        Self::turning(more.iter().map(|m| format!("{}{m}", Self::common(nodes))).collect())
+    }
+
+    /// The same with lists of nodes as the settings have them.
+    pub fn relisting(lists: &[String]) -> Self {
+        Self::turning(lists.iter().map(|list| format!("{}{PLANS}{list}", Self::common(&[]))).collect())
+    }
+
+    fn turning(texts: Vec<String>) -> Self {
         let config = read(&texts[0]).expect("good settings");
         let next = std::sync::atomic::AtomicUsize::new(0);
         let reread = move || {
@@ -236,6 +244,33 @@
     }
 }
 
+/// A node whose connections do not come up until it is opened: its queue is full, as on a machine that is behind.
+pub struct LateNode {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+}
+
+impl LateNode {
+    pub fn start() -> Self {
+        use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
+        let fd = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+        bind(&fd, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        listen(&fd, 0).expect("a listener");
+        let listener = TcpListener::from(fd);
+        let address = listener.local_addr().expect("an address");
+        let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+        let queued = std::iter::from_fn(connect).collect();
+        Self { address, listener, queued }
+    }
+
+    /// Lets in what waits; the system tries again what it had no room for, within a second or so.
+    pub fn open(self) -> TcpListener {
+        drop(self.queued);
+        self.listener
+    }
+}
+
 /// A node that follows a script: each connection that brings a request gets the next act.
 pub struct Script {
     pub address: SocketAddr,
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -243,3 +243,71 @@
     door.stop();
     assert!(start.elapsed() < LIMIT);
 }
+
+/// Settings whose node `n0` is there and in that state, with what follows; each at a path of its own, which tells when a
+/// reload is in.
+fn listing(path: &str, address: std::net::SocketAddr, state: &str, more: &str) -> String {
+    format!("path: \"/{path}\"\nnodes {{ name: \"n0\" address: \"{address}\" state: {state} }}\n{more}")
+}
+
+/// Asks at a path; the key is nobody's where only the path is of interest.
+fn at(door: &Door, path: &str, key: &str, query: &str) -> Answer {
+    let mut client = door.client();
+    let text = String::from_utf8(post(key, query, "")).expect("a text");
+    client.write(text.replace("/graphql", path).as_bytes());
+    client.answer().expect("an answer")
+}
+
+fn reloads(door: &Door, path: &str) {
+    door.stopper.reload();
+    while at(door, path, "nobody", PREVIEW).status == 404 {
+        std::thread::yield_now();
+    }
+}
+
+/// Its connection is still coming up when its node is told to drain, goes, or is listed at another address: it goes
+/// elsewhere, and nothing of it is written there.
+#[test]
+fn an_attempt_whose_connection_is_coming_up_is_taken_back_from_a_node_that_must_not_have_it() {
+    for what in ["drains", "goes", "moves"] {
+        let (late, other) = (LateNode::start(), script(vec![good(), good()]));
+        let n1 = format!("nodes {{ name: \"n1\" address: \"{}\" }}", other.address);
+        let next = match what {
+            "drains" => listing("next", late.address, "DRAINING", &n1),
+            "goes" => format!("path: \"/next\"\n{n1}"),
+            _ => listing("next", other.address, "READY", ""),
+        };
+        let door = Door::relisting(&[listing("graphql", late.address, "READY", ""), next]);
+        let mut client = door.client();
+        client.send("free", LICENCE, "");
+        assert_eq!(door.ask("nobody", PREVIEW).status, 401);
+        reloads(&door, "/next");
+        // The connection comes up now, if it is still wanted: none may bring a request.
+        let late = late.open();
+        let seen = std::thread::spawn(move || {
+            let mut streams = late.incoming().map(|stream| stream.expect("a connection"));
+            streams.find_map(|mut stream| read_request(&mut stream))
+        });
+        let answer = client.answer().expect("an answer");
+        assert_eq!(answer.status, 200, "{what}: {answer:?}");
+        assert!(other.got.try_recv().expect("it went elsewhere").contains("orderLicence"), "{what}");
+        assert!(!seen.is_finished(), "{what}: the late one got a request");
+    }
+}
+
+/// Its answer is its client's; its connection leads to where the node was.
+#[test]
+fn a_connection_to_the_address_before_is_not_used_again() {
+    let (go, until) = mpsc::channel();
+    let (old, new) = (script(vec![waits(until), good()]), script(vec![good()]));
+    let lists = [listing("graphql", old.address, "READY", ""), listing("next", new.address, "READY", "")];
+    let door = Door::relisting(&lists);
+    let mut client = door.client();
+    client.send("free", PREVIEW, "");
+    old.got.recv_timeout(LIMIT).expect("it is out");
+    reloads(&door, "/next");
+    go.send(()).expect("the node waits");
+    assert_eq!(client.answer().map(|a| a.status), Some(200));
+    assert_eq!(at(&door, "/next", "free", PREVIEW).status, 200);
+    assert!(new.got.try_recv().is_ok(), "it went to where the node was");
+}
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -576,15 +576,8 @@
 /// first that the node sees. The node's queue is full until its requests are to come.
 #[test]
 fn a_request_whose_client_has_gone_is_not_written_when_its_connection_comes_up() {
-    use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
-    let fd = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
-    bind(&fd, &std::net::SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
-    listen(&fd, 0).expect("a listener");
-    let node = std::net::TcpListener::from(fd);
-    let address = node.local_addr().expect("an address");
-    let connect = || std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
-    let queued: Vec<_> = std::iter::from_fn(connect).collect();
-    let door = Door::new(&[address], "");
+    let node = LateNode::start();
+    let door = Door::new(&[node.address], "");
     let mut client = door.client();
     client.send("free", LICENCE, "");
     // Whoever was written to before has been read once another's request has its answer.
@@ -597,7 +590,7 @@
     let mut other = door.client();
     other.send("free", PLAYLIST, "");
     assert_eq!(door.ask("nobody", PREVIEW).status, 401);
-    drop(queued);
+    let node = node.open();
     let seen = std::thread::spawn(move || {
         for stream in node.incoming() {
             let mut stream = stream.expect("a connection");
