Half a head of an earlier call does not take the place of discovery's next call

Change: only a whole head does; the decoder looks at it and reads it once the call is the one that is out.

Measured: the test fails without the change (an order of 1 s ends before the list is heard) and passes with it, three times of three; the other tests of discovery pass.

--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -88,7 +88,7 @@
 }
 
 /// Reads the messages of one connection in one direction.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Decoder {
     role: Role,
     limits: Limits,
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -110,14 +110,20 @@
             let pending = link.socket.pending() > 0;
             link.want(io, true, pending);
         }
-        if ready.read && link.socket.read().0 > 0 {
-            self.watching = self.follow.aside_answers();
-            self.line.clear();
-            self.state = State::Open { link, decoder };
-        } else if ready.read {
-            self.follow.aside_lost();
-        } else {
+        if !ready.read {
             self.aside = Some((link, decoder));
+            return;
+        }
+        let (_, flow) = link.socket.read();
+        // Its head is looked at here and read where the call is the one that is out: half a head shows nothing.
+        match decoder.clone().decode(&link.socket.input) {
+            Ok((_, Some(Part::Head(_)))) => {
+                self.watching = self.follow.aside_answers();
+                self.line.clear();
+                self.state = State::Open { link, decoder };
+            }
+            Ok(_) if flow == Flow::Open => self.aside = Some((link, decoder)),
+            _ => self.follow.aside_lost(),
         }
     }
 
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -255,3 +255,23 @@
         assert!(began.elapsed() < LIMIT, "never heard");
     }
 }
+
+/// Half a head of a call that was set aside shows nothing: it must not take the place of the call that is answered.
+#[test]
+fn half_a_head_of_an_earlier_call_does_not_take_the_place_of_the_next_one() {
+    let (rig, old, calls) = before_silence(600.0);
+    let new = Backend::start(|_| Answer::Bytes(value("new")));
+    let mut first = calls.recv_timeout(LIMIT).expect("a call");
+    let mut next = calls.recv_timeout(LIMIT).expect("a call beside the one that is not answered");
+    first.stream.write_all(b"HTTP/1.1 200 O").unwrap();
+    // What discovery says comes before what clients say: it has been read when this is answered.
+    rig.client().call(&["PING"]);
+    let list = json!({"seq": 2, "whole": true, "hosts": [
+        host("b0", old.address, "leaving"), host("b1", new.address, "active")]});
+    next.answer(&list);
+    // So is each call behind it, where the machine was slower than the gateway waits.
+    std::thread::spawn(move || calls.into_iter().map(|mut call| call.answer(&list)).for_each(drop));
+    // Less than the gateway would wait for the rest of the head.
+    let answer = rig.client().ask("order", 1000);
+    assert!(is_served(&answer, "new"), "{answer:?}");
+}
