Test of a shutdown past the kill no longer depends on which thread of its stand-in is first

The stand-in served whichever command its threads counted first, and a command is known to have come (which has the test send the second) before it is counted. Seen: with 100 ms between the two on the first connection the same assertion fails, two times of two.

Change: what comes first on the first connection is served, nothing else.

--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -362,10 +362,11 @@
 fn a_shutdown_ends_what_falls_idle_and_takes_nothing_past_the_kill() {
     // The longest time counts as 3 s; the platform kills 0.7 s later.
     const KILL: Duration = Duration::from_millis(3700);
-    // It serves what comes first, so that it is not left alone, and nothing after.
+    // It serves what comes first, so that it is not left alone, and nothing after: two connections may be read in either
+    // order.
     let count = AtomicUsize::new(0);
-    let (silent, _) = backend(move |_| {
-        if count.fetch_add(1, Ordering::SeqCst) > 0 {
+    let (silent, _) = backend(move |command| {
+        if command.connection > 1 || count.fetch_add(1, Ordering::SeqCst) > 0 {
             return Answer::Silence;
         }
         std::thread::sleep(Duration::from_millis(1200));
@@ -383,7 +384,8 @@
     silent.commands.wait("both", |c| c.len() == 2);
     let told = Instant::now();
     gateway.signal(Signal::TERM);
-    assert!(is_served(&early.answer().expect("what was open is answered"), "good"));
+    let answer = early.answer().expect("what was open is answered");
+    assert!(is_served(&answer, "good"), "{answer:?}");
     early.wait_for_end();
     busy.stream.set_nonblocking(true).unwrap();
     let answered = busy.stream.peek(&mut [0; 64]).map_err(|e| e.kind());
