Connections are told apart by incarnation and endpoint, the field's words

Need: code that is touched takes the standard terms: a node's successive starts are its incarnations, where it is reached is its endpoint.

Change: names only: Pool::incarnation, Endpoint, Exchanges::withdraw_except.

--- a/crates/exchange/src/pool.rs
+++ b/crates/exchange/src/pool.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     /// Which of the starts and addresses that the host has heard of, in all.
-    life: u64,
+    incarnation: u64,
     /// Those that stand idle and since when, the one used last behind.
     idle: Vec<(usize, Millis)>,
     waiting: VecDeque<RequestId>,
@@ -31,16 +31,16 @@
 }
 
 impl Pool {
-    /// The pool of this life, which no other has.
+    /// The pool of this incarnation, whose number no other has.
     #[must_use]
-    pub fn of(life: u64) -> Self {
-        Self { life, ..Self::default() }
+    pub fn of(incarnation: u64) -> Self {
+        Self { incarnation, ..Self::default() }
     }
 
-    /// Which life its connections are made for.
+    /// Which incarnation its connections are made for.
     #[must_use]
-    pub fn life(&self) -> u64 {
-        self.life
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
     }
 
     /// A connection for a request: the one used last, so that those not needed age and go. Such as stood idle for too
--- a/crates/gateway/src/exchanges.rs
+++ b/crates/gateway/src/exchanges.rs
@@ -164,8 +164,8 @@
         }
     }
 
-    /// These nodes, and no others, may still get what is not written yet; the rest is withdrawn.
-    pub fn only_to(&mut self, now: f64, nodes: &HashSet<Name>) {
+    /// Only these nodes may still get what is not written yet; other attempts that are not are withdrawn.
+    pub fn withdraw_except(&mut self, now: f64, nodes: &HashSet<Name>) {
         let out = |r: &Request| r.exchange.is_out() && !nodes.contains(&r.backend);
         let ids: Vec<_> = self.requests.iter().filter(|(_, r)| out(r)).map(|(id, _)| *id).collect();
         for id in ids {
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -12,7 +12,7 @@
 
 /// A node as its connections are made for it: another start of it, or another address, has none of them.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Place {
+struct Endpoint {
     address: SocketAddr,
     started: Option<f64>,
 }
@@ -20,7 +20,7 @@
 /// Connections to one node that carry no request, the one used last at the end.
 #[derive(Debug)]
 struct Pool {
-    place: Place,
+    endpoint: Endpoint,
     idle: Vec<usize>,
 }
 
@@ -29,7 +29,7 @@
     socket: Socket,
     generation: u32,
     node: Name,
-    place: Place,
+    endpoint: Endpoint,
     decoder: Decoder,
     request: Option<RequestId>,
     connecting: bool,
@@ -94,15 +94,15 @@
         let mut gone = Vec::new();
         for node in nodes {
             let name = node.entry.name.clone();
-            let place = Place { address: node.address, started: node.entry.started };
+            let endpoint = Endpoint { address: node.address, started: node.entry.started };
             let pool = match old.remove(&name) {
-                Some(pool) if pool.place == place => {
+                Some(pool) if pool.endpoint == endpoint => {
                     same.push(name.clone());
                     pool
                 }
                 moved => {
                     gone.extend(moved.into_iter().flat_map(|pool| pool.idle));
-                    Pool { place, idle: Vec::new() }
+                    Pool { endpoint, idle: Vec::new() }
                 }
             };
             self.pools.insert(name, pool);
@@ -117,13 +117,13 @@
         &mut self, io: &mut Io, limits: &Limits, id: RequestId, node: &Name, wire: &Wire,
     ) -> Option<(usize, u32)> {
         let pool = self.pools.get_mut(node)?;
-        let place = pool.place;
+        let endpoint = pool.endpoint;
         let slot = match pool.idle.pop() {
             Some(slot) => slot,
-            None => self.open(io, limits, node, place).ok()?,
+            None => self.open(io, limits, node, endpoint).ok()?,
         };
         let connection = self.connections.get_mut(slot)?;
-        let host = place.address.to_string();
+        let host = endpoint.address.to_string();
         let mut fields = vec![("host", host.as_str())];
         fields.extend_from_slice(&wire.fields);
         request(connection.socket.output(), "POST", wire.path, &fields, wire.body);
@@ -132,8 +132,10 @@
         Some((slot, connection.generation))
     }
 
-    fn open(&mut self, io: &mut Io, limits: &Limits, node: &Name, place: Place) -> std::io::Result<usize> {
-        let socket = connect(place.address)?;
+    fn open(
+        &mut self, io: &mut Io, limits: &Limits, node: &Name, endpoint: Endpoint,
+    ) -> std::io::Result<usize> {
+        let socket = connect(endpoint.address)?;
         let generation = io.generation();
         let entry = self.connections.vacant_entry();
         let slot = entry.key();
@@ -145,7 +147,7 @@
             socket,
             generation,
             node: node.clone(),
-            place,
+            endpoint,
             decoder: Decoder::new(Role::Responses, limits),
             request: None,
             connecting: true,
@@ -271,7 +273,7 @@
         connection.news = false;
         connection.idle_until = io.now() + limits.node_idle_time;
         match self.pools.get_mut(&connection.node) {
-            Some(pool) if keep && pool.place == connection.place => {
+            Some(pool) if keep && pool.endpoint == connection.endpoint => {
                 pool.idle.push(slot);
                 let alarm = Alarm::NodeIdle(slot, connection.generation);
                 io.timers.set(connection.idle_until, alarm);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -663,7 +663,7 @@
         let fit = list.iter().filter(|e| e.state == BackendState::Ready && same(&e.name));
         let fit = fit.map(|e| e.name.clone()).collect();
         self.io.events.push_back(Event::BackendList(list));
-        self.exchanges.only_to(self.io.now(), &fit);
+        self.exchanges.withdraw_except(self.io.now(), &fit);
     }
 
     /// A person's word about one node here; `false` where there is no such node.
--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -45,8 +45,8 @@
 struct Conn {
     watched: Watched,
     backend: Name,
-    /// The life of its backend that it was made for.
-    life: u64,
+    /// The incarnation of its backend that it was made for.
+    incarnation: u64,
     state: State,
     answers: Answers,
     dirty: bool,
@@ -103,7 +103,7 @@
     pub dialed: u64,
     probes: u64,
     /// Starts and addresses of backends heard of so far.
-    lives: u64,
+    incarnations: u64,
 }
 
 impl Backends {
@@ -133,13 +133,13 @@
                         self.withdraw(&entry.name, said);
                     }
                     if moved {
-                        self.begin_life(&entry.name);
+                        self.begin_incarnation(&entry.name);
                     }
                 }
                 (None, Some(address)) if listed => {
                     let (started, pool) = (entry.started, Pool::default());
                     self.peers.insert(entry.name.clone(), Peer { address, started, ready, listed, pool });
-                    self.begin_life(&entry.name);
+                    self.begin_incarnation(&entry.name);
                 }
                 (None, _) => {}
             }
@@ -175,16 +175,19 @@
 
     /// It is another start, or has another address: connections that are coming up to the one before are closed, and what
     /// is under way on others ends there.
-    fn begin_life(&mut self, name: &Name) {
+    fn begin_incarnation(&mut self, name: &Name) {
         let Some(peer) = self.peers.get_mut(name) else { return };
-        self.lives += 1;
-        peer.pool = Pool::of(self.lives);
+        self.incarnations += 1;
+        peer.pool = Pool::of(self.incarnations);
         self.conns.retain(|_, c| c.backend != *name || !matches!(c.state, State::Dialing { .. }));
     }
 
     /// The pool that a connection belongs to, where its backend is still the one that it was made for.
-    fn pool_of(&mut self, backend: &Name, life: u64) -> Option<&mut Pool> {
-        self.peers.get_mut(backend).map(|peer| &mut peer.pool).filter(|pool| pool.life() == life)
+    fn pool_of(&mut self, backend: &Name, incarnation: u64) -> Option<&mut Pool> {
+        self.peers
+            .get_mut(backend)
+            .map(|peer| &mut peer.pool)
+            .filter(|pool| pool.incarnation() == incarnation)
     }
 
     fn tidy(&mut self, name: &Name) {
@@ -281,13 +284,13 @@
             match made {
                 Ok(watched) => {
                     let (backend, state, dirty) = (name.clone(), State::Dialing { since: io.now }, false);
-                    let life = peer.pool.life();
+                    let incarnation = peer.pool.incarnation();
                     peer.pool.dials();
                     self.dialed += 1;
                     self.conns.insert(Conn {
                         watched,
                         backend,
-                        life,
+                        incarnation,
                         state,
                         answers: Answers::default(),
                         dirty,
@@ -318,7 +321,7 @@
     /// Closes a connection and forgets it at its backend.
     fn close(&mut self, at: usize) {
         let Some(conn) = self.conns.try_remove(at) else { return };
-        if let Some(pool) = self.pool_of(&conn.backend, conn.life) {
+        if let Some(pool) = self.pool_of(&conn.backend, conn.incarnation) {
             match conn.state {
                 State::Dialing { .. } => pool.dialed(),
                 State::Idle { .. } => pool.gone(at),
@@ -417,7 +420,7 @@
     /// A connection is free: for who waits, else it is kept.
     fn rest(&mut self, io: &Io, at: usize, said: &mut Vec<(RequestId, Heard)>) {
         let Some(conn) = self.conns.get_mut(at) else { return };
-        let fits = |p: &&mut Peer| p.ready && p.pool.life() == conn.life;
+        let fits = |p: &&mut Peer| p.ready && p.pool.incarnation() == conn.incarnation;
         let Some(peer) = self.peers.get_mut(&conn.backend).filter(fits) else { return self.close(at) };
         match std::mem::replace(&mut conn.state, State::Idle { since: io.now }) {
             State::Dialing { .. } => peer.pool.dialed(),
