--- a/crates/cli/tests/rare.rs
+++ b/crates/cli/tests/rare.rs
@@ -1,5 +1,5 @@
-//! Rare moments in a fleet of eight gateways as processes: discovery goes down and returns with a drain, gateways are
-//! killed and stand still, one backend hangs, all stop for a while, and clients go in all the ways there are. Judged from the records of
+//! Rare moments in a fleet of eight gateways as processes: discovery goes down and returns with a drain and a backend that
+//! has moved, gateways are killed and stand still, one backend hangs, all stop for a while, and clients go in all the ways there are. Judged from the records of
 //! clients and backends. `DOORCOURSE_SEEDS=20` plays so many seeds instead of one.
 //!
 //! The terms are counted in tenths of a second, and a busy machine is not that punctual: what is judged here is later, and
@@ -136,7 +136,8 @@
     let (hangs, at_hanging) = backend(|_| Answer::Silence);
     let mut served = Vec::new();
     let frozen = Shared::new(false);
-    for at in 0..4_u64 {
+    // The last is where the second is from discovery's return on.
+    for at in 0..5_u64 {
         let frozen = frozen.clone();
         served.push(backend(move |command| {
             frozen.wait("the thaw", |frozen| !frozen);
@@ -144,21 +145,24 @@
             Answer::Bytes(value("good"))
         }));
     }
-    let list = |health: &str| -> Vec<Json> {
-        let good = served
-            .iter()
-            .enumerate()
-            .map(|(n, (b, _))| host(&format!("b{n}"), b.address, if n == 0 { health } else { "active" }));
+    let list = |later: bool| -> Vec<Json> {
+        let good = (0..4).map(|n| {
+            let (drains, moves) = (later && n == 0, later && n == 1);
+            let at = served[if moves { 4 } else { n }].0.address;
+            let mut host = host(&format!("b{n}"), at, if drains { "leaving" } else { "active" });
+            host["born_ms"] = json!(u8::from(moves));
+            host
+        });
         good.chain([host("hangs", hangs.address, "active")]).collect()
     };
-    let (discovery, counter) = (Discovery::start(list("active")), Counter::start());
+    let (discovery, counter) = (Discovery::start(list(false)), Counter::start());
     let mut file = config(&discovery, &counter);
     file["settings"] = settings();
     file["settings"]["rules"]["drain-grace-ms"] = json!(GRACE.as_millis());
     file["settings"]["plans"][0]["refill"] = json!(1e6);
     file["settings"]["plans"][0]["burst"] = json!(1e6);
     longest(&mut file, LONGEST);
-    file["known"] = json!({"seq": 1, "whole": true, "hosts": list("active")});
+    file["known"] = json!({"seq": 1, "whole": true, "hosts": list(false)});
     let mut fleet: Vec<_> = (0..GATEWAYS).map(|at| start(&format!("rare-{seed}-{at}"), &file)).collect();
     let places = Shared::new(fleet.iter().map(|g| Some(g.address)).collect::<Vec<_>>());
     let over = Arc::new(AtomicBool::new(false));
@@ -187,7 +191,7 @@
     // An instant before the return each gateway has a call out that nobody will answer.
     std::thread::sleep(Duration::from_millis(random.random_range(700..1100)));
     fleet[halted].signal(Signal::STOP);
-    discovery.come_back(list("leaving"));
+    discovery.come_back(list(true));
     let back = Instant::now();
     std::thread::sleep(HALT);
     fleet[halted].signal(Signal::CONT);
@@ -233,15 +237,20 @@
     if begun_late > 2 {
         faults.append(&mut late);
     }
-    served[0].1.change(|arrivals| {
-        for (id, came) in arrivals.iter().filter(|(_, came)| *came > back + GRACE + SLACK) {
-            let after = came.duration_since(back);
-            // One that stood still hears of the drain when it goes on.
-            if *came > resumed + GRACE + SLACK || !seen.iter().any(|s| s.id == *id && s.at == halted) {
-                faults.push(format!("seed {seed}: {id} was sent to a backend {after:?} after it drained"));
+    // The first drains, the second is somewhere else: neither gets anything more.
+    for (what, (_, arrivals)) in ["drained", "moved"].iter().zip(served) {
+        arrivals.change(|arrivals| {
+            for (id, came) in arrivals.iter().filter(|(_, came)| *came > back + GRACE + SLACK) {
+                let after = came.duration_since(back);
+                // One that stood still hears of it when it goes on.
+                if *came > resumed + GRACE + SLACK || !seen.iter().any(|s| s.id == *id && s.at == halted) {
+                    faults.push(format!("seed {seed}: {id} was sent to a backend {after:?} after it {what}"));
+                }
             }
-        }
-    });
+        });
+    }
+    let moved_to = served[4].0.count();
+    assert!(moved_to > 0, "nothing was sent to where the second is now");
     eprintln!(
         "seed {seed}: {} requests, {answered} answered, {lost} lost with killed gateways, {} of clients that went, {begun_late} \
          begun late, {} faults",
--- a/crates/gateway/src/nodes.rs
+++ b/crates/gateway/src/nodes.rs
@@ -4,6 +4,7 @@
 use crate::io::{Alarm, Io, Token};
 use doorcourse::{Name, RequestId};
 use doorcourse_config::{Limits, Node};
+use doorcourse_exchange::mutant;
 use doorcourse_http::{Decoder, Head, Limits as HttpLimits, Part, Role, request};
 use doorcourse_net::{Flow, Interest, Ready, Socket, connect};
 use slab::Slab;
@@ -273,7 +274,7 @@
         connection.news = false;
         connection.idle_until = io.now() + limits.node_idle_time;
         match self.pools.get_mut(&connection.node) {
-            Some(pool) if keep && pool.endpoint == connection.endpoint => {
+            Some(pool) if keep && (pool.endpoint == connection.endpoint || mutant("old-endpoint")) => {
                 pool.idle.push(slot);
                 let alarm = Alarm::NodeIdle(slot, connection.generation);
                 io.timers.set(connection.idle_until, alarm);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,7 @@
 use doorcourse::{Action, BackendState, Event, Name, RequestId};
 use doorcourse_config::{Change, Config, Node};
 use doorcourse_counter::Call;
-use doorcourse_exchange::{HandDrains, Input as Tell, LastRounds, Round, looks_again};
+use doorcourse_exchange::{HandDrains, Input as Tell, LastRounds, Round, looks_again, mutant};
 use doorcourse_lifecycle::{Input, Life, Out, Output};
 use doorcourse_net::{Interest, Ready, listen};
 use serde_json::{Value, json};
@@ -663,7 +663,9 @@
         let fit = list.iter().filter(|e| e.state == BackendState::Ready && same(&e.name));
         let fit = fit.map(|e| e.name.clone()).collect();
         self.io.events.push_back(Event::BackendList(list));
-        self.exchanges.withdraw_except(self.io.now(), &fit);
+        if !mutant("writes-on") {
+            self.exchanges.withdraw_except(self.io.now(), &fit);
+        }
     }
 
     /// A person's word about one node here; `false` where there is no such node.
--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -6,7 +6,7 @@
 use crate::io::{Io, Kind, Token, Watched};
 use crate::members::Members;
 use doorcourse::{BackendState, LoadReport, Name, RequestId};
-use doorcourse_exchange::{Pool, Reply, kept};
+use doorcourse_exchange::{Pool, Reply, kept, mutant};
 use doorcourse_net::{Flow, Interest, Ready, connect};
 use doorcourse_resp::{Answer, Answers};
 use slab::Slab;
@@ -177,6 +177,9 @@
     /// is under way on others ends there.
     fn begin_incarnation(&mut self, name: &Name) {
         let Some(peer) = self.peers.get_mut(name) else { return };
+        if mutant("one-incarnation") {
+            return;
+        }
         self.incarnations += 1;
         peer.pool = Pool::of(self.incarnations);
         self.conns.retain(|_, c| c.backend != *name || !matches!(c.state, State::Dialing { .. }));
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -3,7 +3,7 @@
 
 use crate::io::{Io, Kind, Token, Watched};
 use crate::members::Members;
-use doorcourse_exchange::{Due, Follow};
+use doorcourse_exchange::{Due, Follow, mutant};
 use doorcourse_http::{Decoder, Limits, Part, Role};
 use doorcourse_net::{Flow, Interest, Ready, connect};
 use std::io::Write;
@@ -122,6 +122,10 @@
                 self.line.clear();
                 self.state = State::Open { link, decoder };
             }
+            Ok(_) if flow == Flow::Open && mutant("half-head") => {
+                self.watching = self.follow.aside_answers();
+                self.state = State::Open { link, decoder };
+            }
             Ok(_) if flow == Flow::Open => self.aside = Some((link, decoder)),
             _ => self.follow.aside_lost(),
         }
