serve looks for clients that have gone again where an iteration stood still

Cause, found by reading and confirmed by a test: serve looks at clients' ends once an iteration, and its timers go by a clock that runs on. Where the loop stands still in between (the state file is written and synced there), what came due meanwhile was begun ahead of closes that were there first: an attempt for a client that had gone 2 s before.

Change: Gateway::look_for_ends, by the same rule as at the wait (looks_again): who is over 5 ms past its last look asks the poller for ends of clients before the next alarm or event.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -67,6 +67,8 @@
     state_file: Option<(StateFile, f64)>,
     state_fails: bool,
     ended: bool,
+    /// When the poller was asked last.
+    looked: f64,
     /// The old process, until this one serves.
     old: Option<UnixStream>,
 }
@@ -167,6 +169,7 @@
             state_file,
             state_fails: false,
             ended: false,
+            looked: f64::NEG_INFINITY,
             old,
             config: Arc::new(config),
             io,
@@ -233,7 +236,7 @@
         let mut ready = Vec::new();
         loop {
             self.pump();
-            self.alarms();
+            self.alarms()?;
             let counter_due = self.counter.tick(&mut self.io);
             if let Some(fleet) = &mut self.fleet {
                 fleet.tick(&mut self.io);
@@ -261,28 +264,48 @@
             let wait = if first.is_finite() { self.io.clock.until(first) } else { Duration::from_secs(3600) };
             let wait = wait.min(Duration::from_secs_f64(fleet.min(3.6e6) / 1000.0));
             self.io.poller.wait(Some(wait), &mut ready)?;
-            if looks_again(self.io.now() - first) {
+            self.looked = self.io.now();
+            if looks_again(self.looked - first) {
                 // Readiness is by level: nothing that was told before is lost.
                 self.io.poller.wait(Some(Duration::ZERO), &mut ready)?;
             }
             // Clients that have gone come first, then what is due: no attempt begins for who has gone.
-            ready.sort_by_key(|r| !(r.ended && matches!(Token::unpack(r.token), Token::Client(..))));
-            let gone = ready.iter().take_while(|r| r.ended).count();
+            ready.sort_by_key(|r| !is_end_of_client(r));
+            let gone = ready.iter().take_while(|r| is_end_of_client(r)).count();
             for (at, ready) in ready.drain(..).enumerate() {
                 if at == gone {
-                    self.alarms();
+                    self.alarms()?;
                 }
+                self.look_for_ends()?;
                 self.ready(ready);
                 self.pump();
             }
         }
     }
 
-    fn alarms(&mut self) {
+    fn alarms(&mut self) -> anyhow::Result<()> {
         while let Some(alarm) = self.io.timers.due(self.io.now()) {
+            self.look_for_ends()?;
             self.alarm(alarm);
             self.pump();
         }
+        Ok(())
+    }
+
+    /// An iteration that stood still since its last look (on a disk, or with the whole process) looks again before it
+    /// goes on: clients that went meanwhile went before whatever it begins next.
+    fn look_for_ends(&mut self) -> anyhow::Result<()> {
+        if !looks_again(self.io.now() - self.looked) || mutant("looks-late") {
+            return Ok(());
+        }
+        self.looked = self.io.now();
+        let mut ready = Vec::new();
+        self.io.poller.wait(Some(Duration::ZERO), &mut ready)?;
+        for ready in ready.into_iter().filter(is_end_of_client) {
+            self.ready(ready);
+            self.pump();
+        }
+        Ok(())
     }
 
     fn ready(&mut self, ready: Ready) {
@@ -822,6 +845,10 @@
     }
 }
 
+fn is_end_of_client(ready: &Ready) -> bool {
+    ready.ended && matches!(Token::unpack(ready.token), Token::Client(..))
+}
+
 fn times(config: &Config) -> doorcourse_lifecycle::Settings {
     let doorcourse_config::Life { notice, drain, handover, give_back, quiet } = config.life;
     doorcourse_lifecycle::Settings { notice, drain, handover, give_back, quiet }
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -311,3 +311,59 @@
     assert_eq!(at(&door, "/next", "free", PREVIEW).status, 200);
     assert!(new.got.try_recv().is_ok(), "it went to where the node was");
 }
+
+/// Opens a pipe for who waits to write to it, and keeps it open.
+struct Opens(std::path::PathBuf);
+
+impl Opens {
+    fn open(&self) {
+        let pipe = std::fs::OpenOptions::new().read(true).write(true).open(&self.0);
+        std::mem::forget(pipe.expect("the pipe"));
+    }
+}
+
+impl Drop for Opens {
+    /// Also where the test has failed: its gateway could not be stopped else.
+    fn drop(&mut self) {
+        self.open();
+    }
+}
+
+/// The loop stands still, in the middle of an iteration, until its state file can be opened: meanwhile a request's next
+/// attempt comes due, and its client goes. The close was there first.
+#[test]
+fn nothing_begins_for_who_has_gone_while_the_loop_stood_still() {
+    let folder = std::env::temp_dir().join(format!("doorcourse-still-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (file, pipe) = (folder.join("state"), folder.join("state.new"));
+    let _ = std::fs::remove_file(&pipe);
+    rustix::fs::mkfifoat(rustix::fs::CWD, &pipe, 0o600.into()).expect("a pipe");
+    // Turned away unseen, on a connection that stays; the node is left alone for 2 s.
+    let full: Act = Box::new(|stream| {
+        stream.write_all(b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\n\r\n").is_ok()
+    });
+    let node = script(vec![full, good(), good()]);
+    let state =
+        format!("state {{ file: \"{}\" every_ms: 500 }} cold_nodes {{ warm_ms: 100000 }}", file.display());
+    let door = Door::new(&[node.address], &state);
+    let pipe = Opens(pipe);
+    let mut client = door.client();
+    client.send("free", LICENCE, "");
+    node.got.recv_timeout(LIMIT).expect("it is out");
+    let failed = Instant::now();
+    // Whoever has no answer shows that the loop stands still.
+    let answered = || {
+        let mut other = door.client();
+        other.stream.set_read_timeout(Some(Duration::from_millis(600))).expect("a limit");
+        other.write(&post("nobody", PREVIEW, ""));
+        matches!(other.stream.read(&mut [0; 64]), Ok(1..))
+    };
+    while answered() {}
+    drop(client);
+    // Whatever was to begin again is due by now.
+    std::thread::sleep(Duration::from_millis(2500).saturating_sub(failed.elapsed()));
+    pipe.open();
+    assert_eq!(door.ask("free", PREVIEW).status, 200);
+    let next = node.got.recv_timeout(LIMIT).expect("a request");
+    assert!(next.contains("preview"), "begun for a client that had gone: {next}");
+}
