--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -312,6 +312,36 @@
     assert!(new.got.try_recv().is_ok(), "it went to where the node was");
 }
 
+/// The same where the node was started anew at its address: the next request comes on a connection of its own.
+#[test]
+fn a_connection_to_the_start_before_is_not_used_again() {
+    let ((go, until), (told, ports)) = (mpsc::channel::<()>(), mpsc::channel());
+    let act = move |stream: &mut std::net::TcpStream| {
+        let _ = until.recv();
+        let _ = told.send(stream.peer_addr().expect("a peer").port());
+        stream.write_all(&answer(GOOD)).is_ok()
+    };
+    let act = Arc::new(std::sync::Mutex::new(act));
+    let acts =
+        (0..2).map(|_| act.clone()).map(|act| -> Act { Box::new(move |s| act.lock().expect("one")(s)) });
+    let node = script(acts.collect());
+    let lists = ["READY", "READY started_ms: 1"].map(|state| {
+        let path = if state == "READY" { "graphql" } else { "next" };
+        listing(path, node.address, state, "")
+    });
+    let door = Door::relisting(&lists);
+    let mut client = door.client();
+    client.send("free", PREVIEW, "");
+    node.got.recv_timeout(LIMIT).expect("it is out");
+    reloads(&door, "/next");
+    go.send(()).expect("the node waits");
+    assert_eq!(client.answer().map(|a| a.status), Some(200));
+    go.send(()).expect("the node waits");
+    assert_eq!(at(&door, "/next", "free", PREVIEW).status, 200);
+    let ports: Vec<u16> = ports.try_iter().collect();
+    assert!(ports.len() == 2 && ports[0] != ports[1], "the same connection again: {ports:?}");
+}
+
 /// Opens a pipe for who waits to write to it, and keeps it open.
 struct Opens(std::path::PathBuf);
 
