review: case 1, a keyed request runs twice at backends of two sites

The case starts two gateways by the deploy file's run command between new stand-ins, and resets connections under keyed requests that have run.

--- /dev/null
+++ b/review/standins/standins.py
@@ -0,0 +1,470 @@
+"""Stand-ins for the clients, the backends, discovery and the counter of the platform, written from PROTOCOL.md.
+
+One process holds them all, on loopback and the real clock; the gateways are processes of their own, started with the
+`run` command of the deploy file. Everything that is sent, answered and run goes into the record of the case.
+"""
+
+import asyncio
+import json
+import os
+import random
+import re
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+HOST = "127.0.0.1"
+
+
+class CannotRun(Exception):
+    """The case could not run: exit code 2."""
+
+
+class Record:
+    """The record of a case: one line for each event, with the milliseconds since the start."""
+
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
+        self.started = time.monotonic()
+
+    def now(self):
+        return (time.monotonic() - self.started) * 1000.0
+
+    def note(self, who, what, **fields):
+        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        self.file.write(f"{self.now():10.1f} {who} {what} {text}\n".rstrip() + "\n")
+
+    def close(self):
+        self.file.close()
+
+
+# RESP2
+
+
+def encode_command(arguments):
+    parts = [b"*%d\r\n" % len(arguments)]
+    for argument in arguments:
+        argument = argument if isinstance(argument, bytes) else argument.encode()
+        parts.append(b"$%d\r\n%s\r\n" % (len(argument), argument))
+    return b"".join(parts)
+
+
+async def read_line(reader):
+    line = await reader.readuntil(b"\r\n")
+    return line[:-2]
+
+
+async def read_command(reader):
+    """Reads one command, an array of bulk strings."""
+    head = await read_line(reader)
+    if head[:1] != b"*":
+        raise ValueError(f"not a command: {head!r}")
+    arguments = []
+    for _ in range(int(head[1:])):
+        length = int((await read_line(reader))[1:])
+        arguments.append((await reader.readexactly(length + 2))[:-2])
+    return arguments
+
+
+async def read_reply(reader):
+    """Reads one reply: bytes of a bulk string, a list, or the text of a line with its first character."""
+    line = await read_line(reader)
+    kind, rest = line[:1], line[1:]
+    if kind == b"$":
+        length = int(rest)
+        return None if length < 0 else (await reader.readexactly(length + 2))[:-2]
+    if kind == b"*":
+        return [await read_reply(reader) for _ in range(max(int(rest), 0))]
+    return line.decode("utf-8", "replace")
+
+
+def served(value):
+    """The answer of a backend: the value, no figures on use, no load report."""
+    value = value if isinstance(value, bytes) else value.encode()
+    return b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
+
+
+def parse_fields(text):
+    return dict(pair.split("=", 1) for pair in text.decode().split(","))
+
+
+class Attempt:
+    """A command that has arrived whole at a backend."""
+
+    def __init__(self, backend, connection, arguments):
+        self.backend = backend
+        self.connection = connection
+        self.command = arguments[0].decode()
+        self.customer = arguments[1].decode()
+        self.id = arguments[2].decode()
+        self.fields = parse_fields(arguments[3])
+
+
+class Connection:
+    def __init__(self, number, reader, writer):
+        self.number = number
+        self.reader = reader
+        self.writer = writer
+
+    def reset(self):
+        """Ends the connection with a reset, as a machine or a process that dies does."""
+        self.writer.transport.abort()
+
+
+def abort_with_reset(writer):
+    import socket
+    import struct
+
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class Backend:
+    """A backend. `serve` is called for each command that has arrived whole, and writes the answer.
+
+    Commands of one connection are served in order, one at a time: the gateway sends one at a time.
+    """
+
+    def __init__(self, record, name, site="a", block=1, serve=None, born_ms=0):
+        self.record = record
+        self.name = name
+        self.site = site
+        self.block = block
+        self.born_ms = born_ms
+        self.health = "active"
+        self.serve = serve or self.serve_plainly
+        self.connections = 0
+        self.attempts = []
+        self.server = None
+        self.port = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def entry(self):
+        return {
+            "host": self.name, "dial": f"{HOST}:{self.port}", "site": self.site, "class": "std-2core",
+            "block": self.block, "health": self.health, "share": 1.0, "born_ms": self.born_ms,
+        }
+
+    async def accept(self, reader, writer):
+        self.connections += 1
+        connection = Connection(self.connections, reader, writer)
+        try:
+            while True:
+                arguments = await read_command(reader)
+                if arguments[0].upper() == b"PING":
+                    writer.write(b"+PONG\r\n")
+                    continue
+                if arguments[0] not in (b"Q.ASK", b"Q.DO"):
+                    writer.write(b"-ERR no such command\r\n")
+                    continue
+                attempt = Attempt(self, connection, arguments)
+                self.attempts.append((self.record.now(), attempt))
+                self.record.note(self.name, "arrived", id=attempt.id, connection=connection.number,
+                                 fields=arguments[3].decode())
+                await self.serve(attempt)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        except ValueError as error:
+            self.record.note(self.name, "unreadable", error=error)
+        finally:
+            writer.close()
+
+    async def serve_plainly(self, attempt):
+        await asyncio.sleep(random.uniform(0.076, 0.130))
+        self.answer(attempt, f"{attempt.id} by {self.name}")
+
+    def answer(self, attempt, value):
+        self.record.note(self.name, "answered", id=attempt.id)
+        attempt.connection.writer.write(served(value))
+
+
+class Discovery:
+    """The agent on the gateway's machine: the whole list, and watches that tell changes and an empty line every 2 s."""
+
+    def __init__(self, record, backends, name="discovery"):
+        self.record = record
+        self.name = name
+        self.seq = 41
+        self.hosts = {backend.name: backend.entry() for backend in backends}
+        self.changed = {host: self.seq for host in self.hosts}
+        self.watches = set()
+        # Seconds from a call to its answer.
+        self.delay = 0.0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, HOST, 0)
+        self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    def known(self):
+        return {"seq": self.seq, "whole": True, "hosts": [dict(entry) for entry in self.hosts.values()]}
+
+    def change(self, backend):
+        """The backend's entry has changed."""
+        self.seq += 1
+        self.hosts[backend.name] = backend.entry()
+        self.changed[backend.name] = self.seq
+        self.record.note(self.name, "has", seq=self.seq, host=backend.name, health=backend.health)
+        for watch in list(self.watches):
+            watch.put_nowait(self.changes_since(self.seq - 1))
+
+    def whole(self):
+        hosts = [entry for entry in self.hosts.values() if entry["health"] != "left"]
+        return {"seq": self.seq, "whole": True, "hosts": hosts}
+
+    def changes_since(self, seq):
+        hosts = [self.hosts[host] for host, changed in self.changed.items() if changed > seq]
+        return {"seq": self.seq, "whole": False, "hosts": hosts}
+
+    async def accept(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                path = head.split(b" ", 2)[1].decode()
+                self.record.note(self.name, "asked", path=path)
+                watch = re.search(r"[?&]watch=1&from=(\d+)", path)
+                # A slow agent: what it answers is what it holds when it answers.
+                await asyncio.sleep(self.delay)
+                if watch:
+                    return await self.watch(writer, int(watch[1]))
+                body = json.dumps(self.whole()).encode() + b"\n"
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                await writer.drain()
+                self.record.note(self.name, "wrote_whole", seq=self.seq)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def watch(self, writer, seq):
+        changes = asyncio.Queue()
+        self.watches.add(changes)
+        try:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            first = self.changes_since(seq)
+            await self.write_line(writer, first if first["hosts"] else None)
+            while True:
+                try:
+                    change = await asyncio.wait_for(changes.get(), 2.0)
+                except asyncio.TimeoutError:
+                    change = None
+                await self.write_line(writer, change)
+        finally:
+            self.watches.discard(changes)
+
+    async def write_line(self, writer, change):
+        line = b"\n" if change is None else json.dumps(change).encode() + b"\n"
+        writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+        await writer.drain()
+        if change is not None:
+            self.record.note(self.name, "wrote_changes", seq=change["seq"])
+
+
+class Counter:
+    """The shared counter, over HTTP/1.1."""
+
+    def __init__(self):
+        self.totals = {}
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, HOST, 0)
+        self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def accept(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                call = re.match(r"POST /v1/count/([^?]+)\?add=([^&]+)&ttl_ms=(\d+) ", head)
+                now = time.monotonic()
+                name, amount, life = call[1], float(call[2]), min(int(call[3]), 60000) / 1000.0
+                total, ends = self.totals.get(name, (0.0, now + life))
+                if now >= ends:
+                    total, ends = 0.0, now + life
+                self.totals[name] = (total + amount, ends)
+                body = b"%.7g" % (total + amount)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+def run_command():
+    """The `run` command of the deploy file."""
+    with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as file:
+        found = re.search(r'^run = "(.*)"$', file.read(), re.MULTILINE)
+    if not found:
+        raise CannotRun("no run command in the deploy file")
+    return found[1]
+
+
+def free_port():
+    import socket
+
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+class Gateway:
+    """A process of the gateway, as the platform starts it."""
+
+    def __init__(self, record, folder, number, config):
+        self.record = record
+        self.name = f"n{number}"
+        self.folder = folder
+        self.config_path = os.path.join(folder, f"{self.name}.json")
+        self.log_path = os.path.join(folder, f"{self.name}.log")
+        self.port = free_port()
+        self.config = dict(config, name=self.name, listen=f"{HOST}:{self.port}")
+        self.process = None
+
+    async def start(self):
+        self.config["seed"] = "%016x" % random.getrandbits(64)
+        with open(self.config_path, "w", encoding="utf-8") as file:
+            json.dump(self.config, file)
+        environment = dict(
+            os.environ, RELAY_NAME=self.name, RELAY_LISTEN=f"{HOST}:{self.port}",
+            RELAY_DISCOVERY=self.config["discovery"], RELAY_CONFIG=self.config_path, TMPDIR=self.folder,
+        )
+        with open(self.log_path, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", run_command(), cwd=ROOT, env=environment, stdout=log, stderr=log,
+                stdin=asyncio.subprocess.DEVNULL,
+            )
+        self.record.note(self.name, "started", port=self.port, pid=self.process.pid)
+        return self
+
+    async def wait_until_ready(self, limit=30.0):
+        ends = time.monotonic() + limit
+        while time.monotonic() < ends:
+            if self.process.returncode is not None:
+                raise CannotRun(f"{self.name} ended with {self.process.returncode}")
+            try:
+                reader, writer = await asyncio.open_connection(HOST, self.port)
+                writer.write(encode_command(["PING"]))
+                reply = await asyncio.wait_for(read_reply(reader), 1.0)
+                writer.close()
+                if reply == "+PONG":
+                    return self.record.note(self.name, "ready")
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                pass
+            await asyncio.sleep(0.05)
+        raise CannotRun(f"{self.name} is not ready")
+
+    def is_running(self):
+        return self.process is not None and self.process.returncode is None
+
+    async def end(self):
+        if self.is_running():
+            self.process.send_signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+
+def new_id():
+    return "%016x" % random.getrandbits(64)
+
+
+def command(class_name, is_safe, plan, deadline_ms, customer, spread, first, key=None, request_id=None):
+    """The arguments of a request, in the form of PROTOCOL.md."""
+    fields = f"c={class_name},t={plan},d={deadline_ms}"
+    fields += f",k={key}" if key else ""
+    fields += f",units=1,spread={spread},first={first}"
+    return ["Q.ASK" if is_safe else "Q.DO", customer, request_id or new_id(), fields]
+
+
+class Front:
+    """The front: deals out requests to one gateway, on connections that it keeps and opens more of when all are busy."""
+
+    def __init__(self, record, gateway, name):
+        self.record = record
+        self.gateway = gateway
+        self.name = name
+        self.idle = []
+
+    async def ask(self, arguments, limit_s):
+        """Sends a request and returns its answer; `None` if the connection ended or the time ran out."""
+        request_id = arguments[2]
+        for _ in range(2):
+            fresh = not self.idle
+            try:
+                reader, writer = self.idle.pop() if self.idle else await asyncio.open_connection(HOST, self.gateway.port)
+            except OSError as error:
+                self.record.note(self.name, "no_connection", id=request_id, error=error)
+                return None
+            if reader.at_eof():
+                writer.close()
+                continue
+            self.record.note(self.name, "sent", to=self.gateway.name, id=request_id, fields=arguments[3])
+            writer.write(encode_command(arguments))
+            try:
+                reply = await asyncio.wait_for(read_reply(reader), limit_s)
+            except asyncio.TimeoutError:
+                self.record.note(self.name, "no_answer", id=request_id)
+                writer.close()
+                return None
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                self.record.note(self.name, "connection_ended", id=request_id, fresh=fresh)
+                if fresh:
+                    return None
+                # The end of a resting connection crossed the request: it is sent once more on a new connection.
+                self.close_idle()
+                continue
+            self.idle.append((reader, writer))
+            self.record.note(self.name, "got", id=request_id, answer=kind_of(reply))
+            return reply
+        return None
+
+    def close_idle(self):
+        for _, writer in self.idle:
+            writer.close()
+        self.idle.clear()
+
+
+def kind_of(reply):
+    if isinstance(reply, bytes):
+        return f"served:{reply[:80].decode('utf-8', 'replace')}"
+    return str(reply)
+
+
+def main(case_file, run):
+    """Runs a case: `run(record, folder, is_troubled)` returns a list of broken rules, empty if all held."""
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    seed = int(os.environ.get("SEED", "0")) or random.SystemRandom().getrandbits(32)
+    random.seed(seed)
+    folder = tempfile.mkdtemp(prefix="doorcourse-review-")
+    record = Record(os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt"))
+    record.note("case", "begins", trouble=int(is_troubled), seed=seed)
+    code = 2
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+    try:
+        broken = asyncio.run(asyncio.wait_for(run(record, folder, is_troubled), 110.0))
+        for line in broken:
+            record.note("case", "BROKEN", rule=line)
+            print("broken:", line)
+        code = 1 if broken else 0
+        if not broken:
+            print("held")
+    except Exception as error:  # noqa: BLE001: whatever keeps the case from its verdict, it could not run
+        record.note("case", "cannot_run", error=repr(error))
+        print("cannot run:", repr(error))
+    finally:
+        record.note("case", "ends", exit=code)
+        record.close()
+        if os.environ.get("KEEP"):
+            print("kept:", folder)
+        else:
+            shutil.rmtree(folder, ignore_errors=True)
+    sys.exit(code)
