--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -57,9 +57,9 @@
     return line[:-2]
 
 
-async def read_command(reader):
-    """Reads one command, an array of bulk strings."""
-    head = await read_line(reader)
+async def read_command(reader, first=b""):
+    """Reads one command, an array of bulk strings; `first` is what was read of it already."""
+    head = first + await read_line(reader)
     if head[:1] != b"*":
         raise ValueError(f"not a command: {head!r}")
     arguments = []
@@ -138,6 +138,8 @@
         self.born_ms = born_ms
         self.health = "active"
         self.serve = serve or self.serve_plainly
+        # How long a connection may stand idle, in s.
+        self.idle_s = 30.0
         self.connections = 0
         self.attempts = []
         self.server = None
@@ -159,7 +161,8 @@
         connection = Connection(self.connections, reader, writer)
         try:
             while True:
-                arguments = await read_command(reader)
+                first = await asyncio.wait_for(reader.readexactly(1), self.idle_s)
+                arguments = await read_command(reader, first)
                 if arguments[0].upper() == b"PING":
                     writer.write(b"+PONG\r\n")
                     continue
@@ -171,7 +174,7 @@
                 self.record.note(self.name, "arrived", id=attempt.id, connection=connection.number,
                                  fields=arguments[3].decode())
                 await self.serve(attempt)
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError, asyncio.CancelledError):
             pass
         except ValueError as error:
             self.record.note(self.name, "unreadable", error=error)
@@ -396,16 +399,15 @@
     async def ask(self, arguments, limit_s):
         """Sends a request and returns its answer; `None` if the connection ended or the time ran out."""
         request_id = arguments[2]
-        for _ in range(2):
+        self.idle = [(reader, writer) for reader, writer in self.idle if not reader.at_eof()]
+        is_sent_again = False
+        while True:
             fresh = not self.idle
             try:
                 reader, writer = self.idle.pop() if self.idle else await asyncio.open_connection(HOST, self.gateway.port)
             except OSError as error:
                 self.record.note(self.name, "no_connection", id=request_id, error=error)
                 return None
-            if reader.at_eof():
-                writer.close()
-                continue
             self.record.note(self.name, "sent", to=self.gateway.name, id=request_id, fields=arguments[3])
             writer.write(encode_command(arguments))
             try:
@@ -417,15 +419,15 @@
             except (asyncio.IncompleteReadError, ConnectionError):
                 writer.close()
                 self.record.note(self.name, "connection_ended", id=request_id, fresh=fresh)
-                if fresh:
+                if fresh or is_sent_again:
                     return None
                 # The end of a resting connection crossed the request: it is sent once more on a new connection.
                 self.close_idle()
+                is_sent_again = True
                 continue
             self.idle.append((reader, writer))
             self.record.note(self.name, "got", id=request_id, answer=kind_of(reply))
             return reply
-        return None
 
     def close_idle(self):
         for _, writer in self.idle:
