--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -522,7 +522,7 @@
             print("broken:", line)
         if not broken:
             print("held")
-    except Exception as error:  # noqa: BLE001: whatever keeps the case from its verdict, it could not run
+    except (Exception, KeyboardInterrupt) as error:  # noqa: BLE001: whatever keeps the case from its verdict
         record.note("case", "cannot_run", error=repr(error))
         print("cannot run:", repr(error))
     finally:
