--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -505,6 +505,12 @@
     return str(reply)
 
 
+async def bounded(running):
+    """Runs a case for 110 s at most. SIGTERM cancels it, so that it ends the processes that it started."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await asyncio.wait_for(running, 110.0)
+
+
 def main(case_file, run, is_troubled):
     """Runs a case: `run(record, folder, is_troubled)` returns a list of broken rules, empty if all held."""
     seed = int(os.environ.get("SEED", "0")) or random.SystemRandom().getrandbits(32)
@@ -513,16 +519,15 @@
     record = Record(os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt"))
     record.note("case", "begins", trouble=int(is_troubled), seed=seed)
     code = 2
-    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
-        broken = asyncio.run(asyncio.wait_for(run(record, folder, is_troubled), 110.0))
+        broken = asyncio.run(bounded(run(record, folder, is_troubled)))
         code = 1 if broken else 0
         for line in broken:
             record.note("case", "BROKEN", rule=line)
             print("broken:", line)
         if not broken:
             print("held")
-    except (Exception, KeyboardInterrupt) as error:  # noqa: BLE001: whatever keeps the case from its verdict
+    except (Exception, KeyboardInterrupt, asyncio.CancelledError) as error:  # noqa: BLE001: whatever keeps the case from its verdict
         record.note("case", "cannot_run", error=repr(error))
         print("cannot run:", repr(error))
     finally:
