resp-gateway: the zone of a backend is read from `site`, no field of a list has a default

Cause: renamed the local name `site` to `deployment` by the compiler's errors, and with it the field `site` of the list's reader. serde took the name on the wire from the Rust name, and `#[serde(default)]` made the missing field an empty zone. All backends then seemed to be in one zone and `Backend::is_in_same_scope` held for all of them.

Change: each field of the list states its name on the wire, so that a Rust name no longer decides it, and none has a default. PROTOCOL.md has site, block and born_ms in every entry; without them a zone or cell counted as one that all backends share, and a cold backend as warm. A list without one is an error that names the field, answered like any list that cannot be read: the whole list is asked for again. The lists of two tests of backends lacked `site` and `block`; they have the form of the protocol now.

--- a/crates/resp-gateway/src/backends/tests.rs
+++ b/crates/resp-gateway/src/backends/tests.rs
@@ -6,7 +6,8 @@
 
 fn endpoint_list(health: &str, address: SocketAddr, started_ms: u64) -> EndpointList {
     let text = format!(
-        r#"{{"seq":1,"whole":false,"hosts":[{{"host":"b0","dial":"{address}","health":"{health}","born_ms":{started_ms}}}]}}"#
+        r#"{{"seq":1,"whole":false,"hosts":[{{"host":"b0","dial":"{address}","site":"a","class":"m2","block":1,
+        "health":"{health}","share":1.0,"born_ms":{started_ms}}}]}}"#
     );
     EndpointList::read(text.as_bytes()).unwrap()
 }
--- a/crates/resp-gateway/src/endpoints.rs
+++ b/crates/resp-gateway/src/endpoints.rs
@@ -89,32 +89,41 @@
 /// A list in the JSON format of discovery.
 #[derive(Deserialize)]
 struct WireList {
-    seq: u64,
-    whole: bool,
-    hosts: Vec<WireHost>,
+    #[serde(rename = "seq")]
+    version: u64,
+    #[serde(rename = "whole")]
+    complete: bool,
+    #[serde(rename = "hosts")]
+    endpoints: Vec<WireHost>,
 }
 
 /// A backend in the JSON format of discovery.
+///
+/// Each field states its name on the wire, so that renaming it here cannot change the format. None has a default: the
+/// protocol has every one of them in every entry, and what a missing zone, cell or start would be taken for is unsafe.
 #[derive(Deserialize)]
 struct WireHost {
-    host: String,
-    dial: String,
-    #[serde(default)]
-    deployment: String,
-    #[serde(default)]
-    block: u64,
-    health: String,
-    /// When the backend was started, in ms since the Unix epoch; 0 if unknown.
-    #[serde(default)]
-    born_ms: Millis,
+    #[serde(rename = "host")]
+    name: String,
+    #[serde(rename = "dial")]
+    address: String,
+    #[serde(rename = "site")]
+    zone: String,
+    #[serde(rename = "block")]
+    cell: u64,
+    #[serde(rename = "health")]
+    state: String,
+    /// When the backend was started, in ms since the Unix epoch; 0 for long ago.
+    #[serde(rename = "born_ms")]
+    started: Millis,
 }
 
 impl TryFrom<WireList> for EndpointList {
     type Error = EndpointListError;
 
     fn try_from(list: WireList) -> Result<Self, EndpointListError> {
-        let endpoints = list.hosts.into_iter().map(Endpoint::try_from).collect::<Result<_, _>>()?;
-        Ok(Self { version: list.seq, complete: list.whole, endpoints })
+        let endpoints = list.endpoints.into_iter().map(Endpoint::try_from).collect::<Result<_, _>>()?;
+        Ok(Self { version: list.version, complete: list.complete, endpoints })
     }
 }
 
@@ -122,27 +131,27 @@
     type Error = EndpointListError;
 
     fn try_from(host: WireHost) -> Result<Self, EndpointListError> {
-        let state = match host.health.as_str() {
+        let state = match host.state.as_str() {
             "active" => BackendState::Ready,
             "leaving" => BackendState::Draining,
             "left" => BackendState::Removed,
             _ => {
-                return Err(EndpointListError::UnknownHealth { host: host.host, health: host.health });
+                return Err(EndpointListError::UnknownHealth { host: host.name, health: host.state });
             }
         };
-        let address = match host.dial.parse() {
+        let address = match host.address.parse() {
             Ok(address) => Some(address),
             Err(_) if state == BackendState::Removed => None,
             Err(_) => {
-                return Err(EndpointListError::InvalidAddress { host: host.host, dial: host.dial });
+                return Err(EndpointListError::InvalidAddress { host: host.name, dial: host.address });
             }
         };
         let entry = BackendEntry {
-            name: Name::from(host.host),
-            zone: Name::from(host.deployment),
-            cell: host.block,
+            name: Name::from(host.name),
+            zone: Name::from(host.zone),
+            cell: host.cell,
             state,
-            started: Some(host.born_ms).filter(|started| started.is_finite() && *started > 0.0),
+            started: Some(host.started).filter(|started| started.is_finite() && *started > 0.0),
             placement: Placement::default(),
         };
         Ok(Self { entry, address })
--- a/crates/resp-gateway/src/endpoints/tests.rs
+++ b/crates/resp-gateway/src/endpoints/tests.rs
@@ -19,6 +19,41 @@
     assert!(EndpointList::read(b"{\"seq\":4").is_err());
 }
 
+/// An entry in the form of the protocol, with a value of its own in each field.
+fn entry() -> serde_json::Value {
+    serde_json::json!({"host": "s-5be2a07c", "dial": "10.1.0.18:6379", "site": "floor-2", "class": "m2", "block": 3,
+        "health": "active", "share": 1.0, "born_ms": 1_790_000_000_000_u64})
+}
+
+fn read_entry(entry: &serde_json::Value) -> Result<BackendEntry, EndpointListError> {
+    let list = serde_json::json!({"seq": 41, "whole": true, "hosts": [entry]});
+    Ok(EndpointList::read(list.to_string().as_bytes())?.endpoints.remove(0).entry)
+}
+
+/// Guards against a field that is looked for under another name than the protocol's, and so keeps its default: the zone
+/// was read from a field that no list has.
+#[test]
+fn every_field_of_an_entry_is_read_under_the_name_of_the_protocol() {
+    let read = read_entry(&entry()).unwrap();
+    assert_eq!(&*read.name, "s-5be2a07c");
+    assert_eq!(&*read.zone, "floor-2");
+    assert_eq!(read.cell, 3);
+    assert_eq!(read.state, BackendState::Ready);
+    assert_eq!(read.started, Some(1_790_000_000_000.0));
+}
+
+/// Guards against a missing field that is taken for a value: a zone or cell that is not known would count as one that
+/// all backends share, and a backend without a start as warm.
+#[test]
+fn entry_without_a_field_of_the_protocol_is_an_error_that_names_the_field() {
+    for field in ["host", "dial", "site", "block", "health", "born_ms"] {
+        let mut entry = entry();
+        entry.as_object_mut().unwrap().remove(field);
+        let error = read_entry(&entry).expect_err(field).to_string();
+        assert!(error.contains(&format!("`{field}`")), "{field}: {error}");
+    }
+}
+
 /// Returns the JSON text of a list with this many endpoints, on one line or indented.
 fn list_text(count: usize, indented: bool) -> String {
     let host = |n: usize| {
