deployment: a class with idempotency keys and no dedup-scope is refused

For most the zero value is what WIRE says for "none" (`cap-rate`, `refill`, `parallel`) or the strict side (`drain-grace-ms`, `second-copies`, `window-ms`); a missing `dedup-scope` was taken for `all`, by which a request that was executed may be sent to any backend. WIRE lists the key for every such class. No deployment without it was seen: found by reading.

Change: for a `deduplicated` class the key is required, the error names class and key; the other classes do not use it and may leave it out, as before.

--- a/crates/deployment/src/settings.rs
+++ b/crates/deployment/src/settings.rs
@@ -1,5 +1,6 @@
-//! Reads the settings object of a deployment document. A missing key has the zero value of its type, an unknown key is
-//! ignored, and a value of the wrong type is an error that names the key.
+//! Reads the settings object of a deployment document. A missing key has the zero value of its type, except where that
+//! would allow more retries than the deployment does: then it is an error, as is a value of the wrong type. Errors name
+//! the key. An unknown key is ignored.
 
 use doorcourse::{
     DeduplicationScope, Idempotency, LoadReportSource, Millis, Name, Plan, RequestClass, Routing, Settings,
@@ -151,27 +152,35 @@
 
 fn class(value: &Value) -> Result<RequestClass, String> {
     let class = Object(value);
+    let idempotency = match class.string("effect")? {
+        "idempotent" => Idempotency::Idempotent,
+        "deduplicated" => Idempotency::WithKey,
+        "at_most_once" => Idempotency::NonIdempotent,
+        other => return Err(format!("settings: unknown effect {other}")),
+    };
     Ok(RequestClass {
         name: Name::from(class.string("name")?),
         latency_objective: class.number("goal-time-ms")?,
-        idempotency: match class.string("effect")? {
-            "idempotent" => Idempotency::Idempotent,
-            "deduplicated" => Idempotency::WithKey,
-            "at_most_once" => Idempotency::NonIdempotent,
-            other => return Err(format!("settings: unknown effect {other}")),
-        },
-        deduplication_scope: match class.string("dedup-scope")? {
-            "all" | "" => DeduplicationScope::All,
-            "zone" => DeduplicationScope::Zone,
-            "cell" => DeduplicationScope::Cell,
-            other => return Err(format!("settings: unknown dedup-scope {other}")),
-        },
+        idempotency,
+        deduplication_scope: deduplication_scope(&class, idempotency)?,
         deduplication_window: class.number("window-ms")?,
         priority_weight: class.number("worth")?,
         late_response_value: class.number("late-value")?,
     })
 }
 
+/// The scope is required of a class whose requests have idempotency keys. Other classes do not use it.
+fn deduplication_scope(class: &Object<'_>, idempotency: Idempotency) -> Result<DeduplicationScope, String> {
+    match class.string("dedup-scope")? {
+        "all" => Ok(DeduplicationScope::All),
+        "zone" => Ok(DeduplicationScope::Zone),
+        "cell" => Ok(DeduplicationScope::Cell),
+        "" if idempotency != Idempotency::WithKey => Ok(DeduplicationScope::All),
+        "" => Err(format!("settings: class {}: dedup-scope is missing", class.string("name")?)),
+        other => Err(format!("settings: unknown dedup-scope {other}")),
+    }
+}
+
 fn plan(value: &Value) -> Result<Plan, String> {
     let plan = Object(value);
     Ok(Plan {
