deployment: errors are types instead of strings, texts as before

Change: `DeploymentError` for the settings object and `LoadReportError` for load reports; the simulator adapter keeps them apart (`LineError::Deployment`, `LineError::LoadReport`). Every text stays word for word.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -6,8 +6,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod error;
 mod load;
 mod settings;
 
+pub use error::{DeploymentError, LoadReportError};
 pub use load::report;
 pub use settings::{Deployment, HostSettings, parse, read};
--- a/crates/deployment/src/load.rs
+++ b/crates/deployment/src/load.rs
@@ -1,6 +1,7 @@
 //! Load reports of backends, in the formats that the simulator and the platform send. The two use different separators
 //! and names.
 
+use crate::LoadReportError;
 use doorcourse::LoadReport;
 
 /// Parses a load report: pairs `name=value` or `name:value`, as `separator` says, joined by commas. Unknown names are
@@ -8,14 +9,14 @@
 ///
 /// # Errors
 /// If a pair has no separator or a value is not a finite number.
-pub fn report(text: &str, separator: char) -> Result<LoadReport, String> {
+pub fn report(text: &str, separator: char) -> Result<LoadReport, LoadReportError> {
     let mut report = LoadReport::default();
     for pair in text.split(',') {
         let (key, value) = pair
             .split_once(separator)
-            .ok_or_else(|| format!("load value without a {separator:?}: {pair}"))?;
+            .ok_or_else(|| LoadReportError::SeparatorMissing { separator, pair: pair.into() })?;
         let value = value.parse().ok().filter(|v: &f64| v.is_finite());
-        let value = value.ok_or_else(|| format!("load value is not a number: {pair}"))?;
+        let value = value.ok_or_else(|| LoadReportError::NotANumber(pair.into()))?;
         match key {
             "outstanding" | "inflight" => report.in_flight = Some(value),
             "backlog" | "queue" => report.queued = Some(value),
--- a/crates/deployment/src/settings.rs
+++ b/crates/deployment/src/settings.rs
@@ -2,6 +2,7 @@
 //! would allow more retries than the deployment does: then it is an error, as is a value of the wrong type. Errors name
 //! the key. An unknown key is ignored.
 
+use crate::DeploymentError;
 use doorcourse::{
     DeduplicationScope, Idempotency, LoadReportSource, Millis, Name, Plan, RequestClass, Routing, Settings,
 };
@@ -12,41 +13,41 @@
 
 impl<'a> Object<'a> {
     /// The nested object under `key`, or an empty one if the key is missing.
-    fn nested(value: &'a Value, key: &str) -> Result<Self, String> {
+    fn nested(value: &'a Value, key: &str) -> Result<Self, DeploymentError> {
         match value.get(key) {
             None => Ok(Self(&Value::Null)),
             Some(v) if v.is_object() => Ok(Self(v)),
-            Some(_) => Err(format!("settings: {key} is not an object")),
+            Some(_) => Err(DeploymentError::WrongType { key: key.into(), expected: "an object" }),
         }
     }
 
     /// The value under `key` as `convert` returns it; `expected` names the type in the error.
     fn typed<T>(
-        &self, key: &str, expected: &str, zero: T, convert: impl Fn(&'a Value) -> Option<T>,
-    ) -> Result<T, String> {
+        &self, key: &str, expected: &'static str, zero: T, convert: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<T, DeploymentError> {
         match self.0.get(key) {
             None | Some(Value::Null) => Ok(zero),
-            Some(v) => convert(v).ok_or_else(|| format!("settings: {key} is not {expected}")),
+            Some(v) => convert(v).ok_or_else(|| DeploymentError::WrongType { key: key.into(), expected }),
         }
     }
 
-    fn number(&self, key: &str) -> Result<f64, String> {
+    fn number(&self, key: &str) -> Result<f64, DeploymentError> {
         self.typed(key, "a number", 0.0, Value::as_f64)
     }
 
-    fn integer(&self, key: &str) -> Result<u32, String> {
+    fn integer(&self, key: &str) -> Result<u32, DeploymentError> {
         self.typed(key, "a small whole number", 0, |v| v.as_u64().and_then(|n| u32::try_from(n).ok()))
     }
 
-    fn boolean(&self, key: &str) -> Result<bool, String> {
+    fn boolean(&self, key: &str) -> Result<bool, DeploymentError> {
         self.typed(key, "true or false", false, Value::as_bool)
     }
 
-    fn string(&self, key: &str) -> Result<&'a str, String> {
+    fn string(&self, key: &str) -> Result<&'a str, DeploymentError> {
         self.typed(key, "a text", "", Value::as_str)
     }
 
-    fn list(&self, key: &str) -> Result<&'a [Value], String> {
+    fn list(&self, key: &str) -> Result<&'a [Value], DeploymentError> {
         self.typed(key, "a list", &[][..], |v| v.as_array().map(Vec::as_slice))
     }
 }
@@ -85,17 +86,17 @@
 ///
 /// # Errors
 /// One line that names the key with the fault.
-pub fn parse(text: &str) -> Result<Deployment, String> {
-    read(&serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
+pub fn parse(text: &str) -> Result<Deployment, DeploymentError> {
+    read(&serde_json::from_str(text)?)
 }
 
 /// Reads the settings object; unknown keys are ignored.
 ///
 /// # Errors
 /// One line that names the key with the fault.
-pub fn read(root: &Value) -> Result<Deployment, String> {
+pub fn read(root: &Value) -> Result<Deployment, DeploymentError> {
     if !root.is_object() {
-        return Err("settings: not an object".into());
+        return Err(DeploymentError::NotAnObject);
     }
     let top = Object(root);
     let extra = Object::nested(root, "extra")?;
@@ -106,7 +107,7 @@
         "inline" => LoadReportSource::Responses,
         "on_probe" => LoadReportSource::HealthChecks,
         "off" | "" => LoadReportSource::None,
-        other => return Err(format!("settings: unknown load source {other}")),
+        other => return Err(unknown("load source", other)),
     };
     let classes = top.list("classes")?;
     let settings = Settings {
@@ -150,13 +151,17 @@
     Ok(Deployment { settings, host })
 }
 
-fn class(value: &Value) -> Result<RequestClass, String> {
+fn unknown(key: &'static str, value: &str) -> DeploymentError {
+    DeploymentError::UnknownValue { key, value: value.into() }
+}
+
+fn class(value: &Value) -> Result<RequestClass, DeploymentError> {
     let class = Object(value);
     let idempotency = match class.string("effect")? {
         "idempotent" => Idempotency::Idempotent,
         "deduplicated" => Idempotency::WithKey,
         "at_most_once" => Idempotency::NonIdempotent,
-        other => return Err(format!("settings: unknown effect {other}")),
+        other => return Err(unknown("effect", other)),
     };
     Ok(RequestClass {
         name: Name::from(class.string("name")?),
@@ -170,18 +175,20 @@
 }
 
 /// The scope is required of a class whose requests have idempotency keys. Other classes do not use it.
-fn deduplication_scope(class: &Object<'_>, idempotency: Idempotency) -> Result<DeduplicationScope, String> {
+fn deduplication_scope(
+    class: &Object<'_>, idempotency: Idempotency,
+) -> Result<DeduplicationScope, DeploymentError> {
     match class.string("dedup-scope")? {
         "all" => Ok(DeduplicationScope::All),
         "zone" => Ok(DeduplicationScope::Zone),
         "cell" => Ok(DeduplicationScope::Cell),
         "" if idempotency != Idempotency::WithKey => Ok(DeduplicationScope::All),
-        "" => Err(format!("settings: class {}: dedup-scope is missing", class.string("name")?)),
-        other => Err(format!("settings: unknown dedup-scope {other}")),
+        "" => Err(DeploymentError::DeduplicationScopeMissing { class: class.string("name")?.into() }),
+        other => Err(unknown("dedup-scope", other)),
     }
 }
 
-fn plan(value: &Value) -> Result<Plan, String> {
+fn plan(value: &Value) -> Result<Plan, DeploymentError> {
     let plan = Object(value);
     Ok(Plan {
         name: Name::from(plan.string("name")?),
--- a/crates/deployment/tests/settings.rs
+++ b/crates/deployment/tests/settings.rs
@@ -1,7 +1,7 @@
 //! The settings object as the simulator and the platform send it: each key has a value that no other key has.
 
 use doorcourse::{DeduplicationScope, Idempotency, LoadReportSource, Name, Plan, RequestClass};
-use doorcourse_deployment::{Deployment, HostSettings, parse};
+use doorcourse_deployment::{Deployment, DeploymentError, HostSettings, parse};
 use serde_json::{Value, json};
 
 fn settings() -> Value {
@@ -40,7 +40,7 @@
     })
 }
 
-fn read(settings: &Value) -> Result<Deployment, String> {
+fn read(settings: &Value) -> Result<Deployment, DeploymentError> {
     parse(&settings.to_string())
 }
 
@@ -122,10 +122,16 @@
     for class in settings["classes"].as_array_mut().unwrap() {
         class.as_object_mut().unwrap().remove("dedup-scope");
     }
-    assert_eq!(read(&settings).unwrap_err(), "settings: class playlist-save: dedup-scope is missing");
+    assert_eq!(
+        read(&settings).unwrap_err().to_string(),
+        "settings: class playlist-save: dedup-scope is missing"
+    );
     settings["classes"][1]["dedup-scope"] = Value::Null;
     settings["classes"][2]["dedup-scope"] = "zone".into();
-    assert_eq!(read(&settings).unwrap_err(), "settings: class playlist-save: dedup-scope is missing");
+    assert_eq!(
+        read(&settings).unwrap_err().to_string(),
+        "settings: class playlist-save: dedup-scope is missing"
+    );
     settings["classes"][1]["dedup-scope"] = "cell".into();
     assert_eq!(read(&settings).unwrap().settings.classes[0].deduplication_scope, DeduplicationScope::All);
 }
--- a/crates/resp-gateway/src/config.rs
+++ b/crates/resp-gateway/src/config.rs
@@ -70,7 +70,8 @@
             None | Some(Value::Null) => None,
             Some(known) => Some(EndpointList::from_value(known.clone()).map_err(|e| format!("known: {e}"))?),
         };
-        let deployment = doorcourse_deployment::read(root.get("settings").ok_or("settings: missing")?)?;
+        let settings = root.get("settings").ok_or("settings: missing")?;
+        let deployment = doorcourse_deployment::read(settings).map_err(|error| error.to_string())?;
         let counter = if deployment.settings.has_counter { Some(address(&root, "counter")?) } else { None };
         Ok(Self {
             name: string(&root, "name")?.to_owned(),
--- a/simulator-adapter/src/error.rs
+++ b/simulator-adapter/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors in the input and of the streams.
 
 use doorcourse::SettingsError;
+use doorcourse_deployment::{DeploymentError, LoadReportError};
 use std::fmt;
 
 /// A line that cannot be read, or an error of the streams.
@@ -81,8 +82,10 @@
     ExpectedEntry(String),
     /// No gateway of this number is running: it was not started, or it has been stopped.
     UnknownGateway(u64),
-    /// The settings object or a load report cannot be read; the text names the field.
-    Deployment(String),
+    /// The settings object cannot be read.
+    Deployment(DeploymentError),
+    /// A load report cannot be read.
+    LoadReport(LoadReportError),
     /// The settings cannot be used.
     Settings(SettingsError),
     /// An action cannot be written.
@@ -106,7 +109,8 @@
             Self::ExpectedBatch(line) => write!(f, "expected a BATCH line: {line}"),
             Self::ExpectedEntry(line) => write!(f, "expected an ENTRY line: {line}"),
             Self::UnknownGateway(instance) => write!(f, "gateway {instance} was never started"),
-            Self::Deployment(text) => write!(f, "{text}"),
+            Self::Deployment(error) => write!(f, "{error}"),
+            Self::LoadReport(error) => write!(f, "{error}"),
             Self::Settings(error) => write!(f, "{error}"),
             Self::Output(error) => write!(f, "{error}"),
         }
--- a/simulator-adapter/src/input.rs
+++ b/simulator-adapter/src/input.rs
@@ -137,7 +137,7 @@
     if text == ABSENT || text.is_empty() {
         return Ok(None);
     }
-    doorcourse_deployment::report(text, ':').map(Some).map_err(LineError::Deployment)
+    doorcourse_deployment::report(text, ':').map(Some).map_err(LineError::LoadReport)
 }
 
 fn health_check_ended(fields: &mut Fields<'_>) -> Result<Event, LineError> {
