resp-gateway: errors of the configuration file are types, the reader is in short functions

Need: `Config::read` reported strings and was one function of 35 lines; since what it says of the list of known backends matters more.

Change: `ConfigError`; seed, limits and the known list are functions of their own, read in the same order. Every text stays word for word.

Tests: configuration.rs checks the text of eight faults and that each field of a known backend is required.

--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -23,5 +23,5 @@
 pub mod request;
 mod requests;
 
-pub use config::{Config, MachineLimits};
+pub use config::{Config, ConfigError, MachineLimits};
 pub use gateway::{GatewayHandle, RespGateway, SignalHandlers};
