conformance: the summary of a run in short functions, a struct for a tuple of seven

Change: `summary.rs` holds it: `SentRequest` for the tuple, `Summary` with a function for each kind of event; report.rs keeps the types of the report. The order of the sums is as before.

--- a/crates/conformance/src/lib.rs
+++ b/crates/conformance/src/lib.rs
@@ -9,9 +9,11 @@
 mod recovery;
 mod report;
 mod rules;
+mod summary;
 
 pub use acts::{Act, check_acts};
 pub use record::{Bounds, Event, Kind, PlanBounds, Record, RetrySafety, Rule, parse_records};
 pub use recovery::{Recovery, measure_recoveries};
-pub use report::{Report, ResponseCounts, summarize};
+pub use report::{Report, ResponseCounts};
 pub use rules::{Violation, check_rules};
+pub use summary::summarize;
