conformance, import: the workspace's lints

Change: two of them do; the findings (a missing semicolon, hidden lifetimes) are mended, nothing else.

Measured: clippy clean with -D warnings, all targets; tests of both packages pass.

--- a/crates/conformance/src/rules.rs
+++ b/crates/conformance/src/rules.rs
@@ -114,7 +114,7 @@
     for record in records {
         match &record.event {
             Event::GatewayDown { gateway } => {
-                down.entry(*gateway).or_default().push((record.t, f64::INFINITY))
+                down.entry(*gateway).or_default().push((record.t, f64::INFINITY));
             }
             Event::GatewayUp { gateway } => {
                 if let Some(last) = down.entry(*gateway).or_default().last_mut() {
@@ -344,7 +344,7 @@
                 );
             }
             Event::NodeUp { node, cold: false, .. } | Event::NodeDown { node } => {
-                drop(nodes.remove(node.as_str()))
+                drop(nodes.remove(node.as_str()));
             }
             Event::NodeCrashed { node } => {
                 let what = format!(
--- a/crates/import/benches/import.rs
+++ b/crates/import/benches/import.rs
@@ -35,12 +35,12 @@
         let files = InMemory([("f".to_owned(), httpd(lines).into_bytes())].into());
         let request = ImportRequest { apache_files: vec!["f".into()], ..ImportRequest::default() };
         group.bench_function(format!("httpd, {lines} lines"), |b| {
-            b.iter(|| black_box(import(&files, &request)))
+            b.iter(|| black_box(import(&files, &request)));
         });
         let files = InMemory([("f".to_owned(), workers(lines).into_bytes())].into());
         let request = ImportRequest { worker_files: vec!["f".into()], ..ImportRequest::default() };
         group.bench_function(format!("mod_jk, {lines} lines"), |b| {
-            b.iter(|| black_box(import(&files, &request)))
+            b.iter(|| black_box(import(&files, &request)));
         });
     }
     group.finish();
--- a/crates/import/src/apache/proxy.rs
+++ b/crates/import/src/apache/proxy.rs
@@ -151,7 +151,7 @@
                     findings.add("B003", location, format!("{key} on a balancer: {note}"));
                 }
                 None => {
-                    findings.add("B002", location, format!("{key}: not a known parameter of the balancer"))
+                    findings.add("B002", location, format!("{key}: not a known parameter of the balancer"));
                 }
             }
         }
--- a/crates/import/src/jk/properties.rs
+++ b/crates/import/src/jk/properties.rs
@@ -121,7 +121,11 @@
             match self.get(name) {
                 Some(property) => expanded.push_str(&property.text),
                 None => {
-                    findings.add("J007", location, format!("$({name}) is not defined: it expands to nothing"))
+                    findings.add(
+                        "J007",
+                        location,
+                        format!("$({name}) is not defined: it expands to nothing"),
+                    );
                 }
             }
             rest = &rest[end + 1..];
--- a/crates/import/src/jk/uris.rs
+++ b/crates/import/src/jk/uris.rs
@@ -45,7 +45,7 @@
             let name = extension.split('=').next().unwrap_or("").trim().to_ascii_lowercase();
             match find_parameter(Source::ModJk, Scope::Rule, &name) {
                 Some(row) if row.conversion == Conversion::LeftOut => {
-                    findings.add("B003", &location, format!("{name}: {}", row.note))
+                    findings.add("B003", &location, format!("{name}: {}", row.note));
                 }
                 Some(row) => findings.add("B004", &location, format!("{name}: {}", row.note)),
                 None => findings.add(
--- a/crates/import/src/jk/workers.rs
+++ b/crates/import/src/jk/workers.rs
@@ -71,7 +71,7 @@
             listed_names.insert(name);
         }
     }
-    let mut attributes: HashMap<&str, Attributes> = HashMap::new();
+    let mut attributes: HashMap<&str, Attributes<'_>> = HashMap::new();
     for name in &workers.order {
         match workers.resolve_references(name, findings) {
             Some(resolved) => drop(attributes.insert(name, resolved)),
@@ -128,7 +128,11 @@
                 findings.add("J003", &location, text);
             }
             other => {
-                findings.add("J003", &location, format!("worker {name} is of type {}: left out", clip(other)))
+                findings.add(
+                    "J003",
+                    &location,
+                    format!("worker {name} is of type {}: left out", clip(other)),
+                );
             }
         }
     }
@@ -239,7 +243,7 @@
 }
 
 fn build_member(
-    name: &str, resolved: &Attributes, location: SourceLocation, findings: &mut Findings,
+    name: &str, resolved: &Attributes<'_>, location: SourceLocation, findings: &mut Findings,
 ) -> Option<Member> {
     let of = |attribute: &str| resolved.get(attribute).map(|p| p.text.as_str());
     let worker_type = of("type").unwrap_or("ajp13").to_ascii_lowercase();
