config: the workspace's lints

Change: hidden lifetimes are written, a struct is built in the order of its fields, a `map` with `unwrap_or` is `map_or`; the code generated from the .proto file is exempt.

Measured: clippy clean with -D warnings, all targets; the package's tests pass.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -99,7 +99,7 @@
     let parsed = DynamicMessage::parse_text_format(descriptor, text).map_err(|error| {
         use miette::Diagnostic;
         let offset = error.labels().and_then(|mut l| l.next()).map(|l| l.offset());
-        let before = offset.map(|o| &text[..o.min(text.len())]).unwrap_or(text);
+        let before = offset.map_or(text, |o| &text[..o.min(text.len())]);
         let line = before.matches('\n').count() + 1;
         let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
         let help = error.help().map_or(String::new(), |h| format!(" ({h})"));
@@ -142,7 +142,7 @@
     parse::<raw::Nodes>("Nodes", file, text).is_ok_and(|n| !n.nodes.is_empty())
 }
 
-fn routing(raw: &raw::Routing, checker: &mut Checker) -> Routing {
+fn routing(raw: &raw::Routing, checker: &mut Checker<'_>) -> Routing {
     let sticky = raw.sticky.clone().unwrap_or_default();
     let is_name_char = |c: char| c.is_ascii_graphic() && !"()<>@,;:\\\"/[]?={}&%+".contains(c);
     for (field, name) in [("cookie", &sticky.cookie), ("parameter", &sticky.parameter)] {
@@ -169,7 +169,7 @@
     }
 }
 
-fn placement(raw: &raw::Node, index: usize, checker: &mut Checker) -> Placement {
+fn placement(raw: &raw::Node, index: usize, checker: &mut Checker<'_>) -> Placement {
     let path = |field: &str| format!("nodes[{index}].{field}");
     for (field, text) in [("route", &raw.route), ("redirect", &raw.redirect), ("group", &raw.group)] {
         if text.chars().any(|c| c.is_whitespace() || c.is_control()) {
@@ -192,7 +192,7 @@
     }
 }
 
-fn nodes(raw: &[raw::Node], checker: &mut Checker) -> Vec<Node> {
+fn nodes(raw: &[raw::Node], checker: &mut Checker<'_>) -> Vec<Node> {
     let mut seen = HashSet::new();
     let node = |(index, raw): (usize, &raw::Node)| {
         let path = |field: &str| format!("nodes[{index}].{field}");
@@ -211,7 +211,7 @@
 }
 
 fn settings(
-    raw: &raw::Settings, checker: &mut Checker, open: &dyn Fn(&str) -> Result<String, String>,
+    raw: &raw::Settings, checker: &mut Checker<'_>, open: &dyn Fn(&str) -> Result<String, String>,
 ) -> Option<Config> {
     let fleet = raw.fleet.clone().unwrap_or_default();
     let gateways = checker.integer("fleet.gateways", fleet.gateways.unwrap_or(1).into(), 1..=10_000) as u32;
@@ -355,12 +355,6 @@
     let leases = raw.leases.as_ref().map(|leases| fleet::leases(leases, link.as_ref(), number, checker));
     let schema = schema?;
     Some(Config {
-        link,
-        leases,
-        health_listen,
-        admin_socket,
-        state_file,
-        life,
         decisions,
         listen,
         endpoint_path,
@@ -377,10 +371,16 @@
         max_response_depth,
         introspection,
         limits,
+        health_listen,
+        admin_socket,
+        state_file,
+        life,
+        link,
+        leases,
     })
 }
 
-fn counter(raw: &raw::Counter, checker: &mut Checker) -> CounterConfig {
+fn counter(raw: &raw::Counter, checker: &mut Checker<'_>) -> CounterConfig {
     CounterConfig {
         address: checker.address("counter.address", &raw.address),
         password: raw.password.clone(),
@@ -399,7 +399,7 @@
 }
 
 fn schema(
-    raw: &raw::GraphQl, checker: &mut Checker, open: &dyn Fn(&str) -> Result<String, String>,
+    raw: &raw::GraphQl, checker: &mut Checker<'_>, open: &dyn Fn(&str) -> Result<String, String>,
 ) -> Option<Arc<Schema>> {
     if raw.schema_file.is_empty() {
         checker.fault("graphql.schema_file", "the name of the file with the schema's SDL is required");
@@ -425,7 +425,7 @@
     }
 }
 
-fn classes(raw: &[raw::Class], checker: &mut Checker) -> (Vec<RequestClass>, Vec<f64>) {
+fn classes(raw: &[raw::Class], checker: &mut Checker<'_>) -> (Vec<RequestClass>, Vec<f64>) {
     if raw.is_empty() {
         checker.fault("classes", "at least one class is required");
     }
@@ -473,7 +473,7 @@
     (classes, client_timeouts)
 }
 
-fn plans(raw: &[raw::Plan], checker: &mut Checker) -> Vec<Plan> {
+fn plans(raw: &[raw::Plan], checker: &mut Checker<'_>) -> Vec<Plan> {
     if raw.is_empty() {
         checker.fault("plans", "at least one plan is required");
     }
@@ -524,7 +524,7 @@
 }
 
 fn customers_by_key(
-    raw: &raw::Settings, gateways: u32, plans: &[Plan], checker: &mut Checker,
+    raw: &raw::Settings, gateways: u32, plans: &[Plan], checker: &mut Checker<'_>,
 ) -> HashMap<[u8; 32], Arc<Customer>> {
     let (mut seen, mut keys) = (HashSet::new(), HashMap::new());
     for (index, raw) in raw.customers.iter().enumerate() {
@@ -561,7 +561,8 @@
                     }
                 }
                 None => {
-                    checker.fault(&path, "64 hex digits of a SHA-256 are expected: printf %s KEY | sha256sum")
+                    checker
+                        .fault(&path, "64 hex digits of a SHA-256 are expected: printf %s KEY | sha256sum");
                 }
             }
         }
@@ -581,7 +582,7 @@
 }
 
 fn root_classes(
-    schema: &Schema, kind: OperationKind, raw: &[raw::Class], checker: &mut Checker,
+    schema: &Schema, kind: OperationKind, raw: &[raw::Class], checker: &mut Checker<'_>,
 ) -> BTreeMap<String, usize> {
     let field_list = if kind == OperationKind::Query { "query_fields" } else { "mutation_fields" };
     let root_fields: HashSet<&str> = schema.root_fields(kind).collect();
@@ -608,7 +609,7 @@
     classes
 }
 
-fn query_limits(raw: &raw::GraphQl, checker: &mut Checker) -> QueryLimits {
+fn query_limits(raw: &raw::GraphQl, checker: &mut Checker<'_>) -> QueryLimits {
     let defaults = QueryLimits::default();
     let mut integer = |name: &str, value: Option<u32>, default: u64, range| {
         checker.integer(&format!("graphql.{name}"), value.map_or(default, u64::from), range)
@@ -627,7 +628,7 @@
     }
 }
 
-fn limits(raw: &raw::Limits, checker: &mut Checker) -> Limits {
+fn limits(raw: &raw::Limits, checker: &mut Checker<'_>) -> Limits {
     let mut integer = |name: &str, value: Option<u64>, default: u64, range| {
         checker.integer(&format!("limits.{name}"), value.unwrap_or(default), range)
     };
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,7 +1,7 @@
 //! Parses settings in protobuf text format (`proto/settings.proto`), checks them as a whole, and converts them to the
 //! settings of the decision library and of the gateway. This crate opens no files: the caller passes in their texts.
 
-#[allow(missing_docs)]
+#[allow(missing_docs, unreachable_pub, reason = "generated from `proto/settings.proto`")]
 mod raw {
     include!(concat!(env!("OUT_DIR"), "/doorcourse.settings.rs"));
 }
--- a/crates/config/src/locate.rs
+++ b/crates/config/src/locate.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 
 /// A line and a column, both counted from 1.
-pub type Position = (usize, usize);
+pub(crate) type Position = (usize, usize);
 
 /// The position of each field by its path: `plans[1].rate`, `listen[0]`, `fleet.number`.
 #[derive(Debug, Default)]
