--- a/crates/conformance/tests/record_format.rs
+++ b/crates/conformance/tests/record_format.rs
@@ -2,7 +2,7 @@
 
 use doorcourse_conformance::parse_records;
 
-/// A record with every kind of event, as written since before the names in the code changed.
+/// A traffic record with every kind of event.
 const RECORDED: &str = include_str!("recorded/traffic.jsonl");
 
 /// Guards against a renamed field or variant that changes the written name: an optional field would be lost without an
