Lease test: a gateway that votes again may also hold the lease

The test waited for an act of a gateway other than the new process, as if that process could never hold the lease. It may: it votes and requests again.

The lease is now handed over by 'ctl hand-over' where the new process holds it, then the holder is killed as before: a majority still needs the vote of the new process.

--- a/crates/cli/tests/leases.rs
+++ b/crates/cli/tests/leases.rs
@@ -1,9 +1,10 @@
 //! Leases with real processes: a task has one holder at a time through handovers, drains, takeovers and changes of secrets.
 
-use doorcourse_conformance::check_acts;
+use doorcourse_conformance::{Act, check_acts};
 use doorcourse_emulators::{Relay, TaskEndpoint};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
+use std::fmt::Write;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -105,11 +106,49 @@
             if let Some(act) = new {
                 return act.gateway as usize;
             }
-            assert!(started_at.elapsed() < WAIT_LIMIT, "no gateway other than {except:?} acts");
+            assert!(
+                started_at.elapsed() < WAIT_LIMIT,
+                "no gateway other than {except:?} acts: {}",
+                self.describe_leases(before)
+            );
             std::thread::sleep(Duration::from_millis(5));
         }
     }
 
+    /// Waits until a gateway other than this one has acted, and returns its number. A lease that this gateway holds is
+    /// handed over: every gateway that votes may also hold it.
+    fn move_lease_from(&self, gateway: usize) -> usize {
+        let started_at = Instant::now();
+        loop {
+            let holder = self.wait_for_act(&[]);
+            if holder != gateway {
+                return holder;
+            }
+            assert!(started_at.elapsed() < WAIT_LIMIT, "gateway {gateway} keeps the lease");
+            // Fails where the lease was lost in the meantime; then the next act tells who holds it.
+            let to = ((gateway + 1) % GATEWAYS).to_string();
+            let _ = self.ctl(gateway, &["hand-over", "bill", &to]);
+        }
+    }
+
+    /// The acts of each gateway since the act number `first`, and the state of the lease at each, for a failed wait.
+    fn describe_leases(&self, first: usize) -> String {
+        let acts = self.task_endpoint.acts();
+        let mut description = String::new();
+        for gateway in 0..GATEWAYS {
+            let is_own = |act: &&Act| act.gateway as usize == gateway;
+            let (accepted, refused): (Vec<_>, Vec<_>) =
+                acts[first..].iter().filter(is_own).partition(|act| act.accepted);
+            let (_, leases) = self.ctl(gateway, &["leases"]);
+            let (accepted, refused) = (accepted.len(), refused.len());
+            let _ = writeln!(
+                description,
+                "gateway {gateway}: {accepted} acts accepted, {refused} refused, {leases}"
+            );
+        }
+        description
+    }
+
     fn assert_no_violations(&self) {
         let violations = check_acts(&self.task_endpoint.acts(), true);
         assert!(violations.is_empty(), "{violations:#?}");
@@ -190,7 +229,7 @@
     }
     drop(log);
     // With another gateway killed, a majority needs the vote of the new process.
-    let killed = fleet.wait_for_act(&[0]);
+    let killed = fleet.move_lease_from(0);
     let _ = fleet.gateways[killed].kill();
     fleet.wait_for_act(&[killed]);
     fleet.assert_no_violations();
