leases: a lease is released once the acts under it are over

What receivers saw: after a hand-over, a drain or a takeover, one that checks deadlines and knows no tokens accepted a call of the former holder after one of the next holder; docs/leases.md rules that out. Cause: the release was sent at once, while a call that was written could still be acted on until its deadline. Change: Leases records each act that begins (begin_act) and how it ends (end_act). A lease that is released permits no act; its grants are released when its acts are answered or past their deadline. At a drain the link stays open and the exit waits for it, both within life.give_back_ms. ctl leases shows 'releasing'. Why it works: an act's deadline lies before the end of the grants, so nobody else can act before it is over.

--- a/crates/cli/tests/leases.rs
+++ b/crates/cli/tests/leases.rs
@@ -214,6 +214,28 @@
     fleet.assert_no_violations();
 }
 
+/// Guards against a lease that is released while a call under it is on its way to a receiver that does not check tokens.
+#[test]
+fn an_act_is_over_before_its_lease_is_handed_over() {
+    const HAND_OVERS: usize = 5;
+    /// Calls that arrive in this time after a hand-over begins to be prepared are delayed, in ms.
+    const DELAYED_ARRIVALS_MS: f64 = 60.0;
+    /// Longer than a transfer takes, and short enough that the call's deadline still permits the act, in ms.
+    const CALL_DELAY_MS: f64 = 110.0;
+    /// Longer than the time between two calls of the holder.
+    const UNTIL_A_CALL_IS_IN_FLIGHT: Duration = Duration::from_millis(45);
+    let fleet = Fleet::start("late");
+    for _ in 0..HAND_OVERS {
+        let holder = fleet.wait_for_act(&[]);
+        fleet.task_endpoint.delay_calls(DELAYED_ARRIVALS_MS, CALL_DELAY_MS);
+        std::thread::sleep(UNTIL_A_CALL_IS_IN_FLIGHT);
+        let to = ((holder + 1) % GATEWAYS).to_string();
+        assert!(fleet.ctl(holder, &["hand-over", "bill", &to]).0);
+        fleet.wait_for_act(&[holder]);
+    }
+    fleet.assert_no_violations();
+}
+
 #[test]
 fn who_takes_over_votes_again_once_the_old_process_lets_go() {
     let mut fleet = Fleet::start("over");
--- a/crates/http-gateway/src/fleet.rs
+++ b/crates/http-gateway/src/fleet.rs
@@ -55,7 +55,18 @@
     next_observation_at: Millis,
     /// Verdicts that are not yet applied to the decisions.
     pub(crate) verdicts: VecDeque<Verdict>,
-    shut_down: bool,
+    shutdown: ShutdownStage,
+}
+
+/// How far this gateway has left the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShutdownStage {
+    /// Not at all.
+    Running,
+    /// It acquires no lease, and waits for the answers of calls before it releases theirs.
+    ReleasingLeases,
+    /// All leases are released and the link is closed.
+    Finished,
 }
 
 impl Fleet {
@@ -80,7 +91,7 @@
             outliers: None,
             next_observation_at: now,
             verdicts: VecDeque::new(),
-            shut_down: false,
+            shutdown: ShutdownStage::Running,
         };
         if let Err(error) = fleet.link.bind(io)
             && !takes_over
@@ -119,19 +130,33 @@
             config.outlier_gossip.map(|config| OutlierMonitor::configured(monitor, self.gateway, config));
     }
 
-    /// Releases all leases, closes the connections, and releases the address for a process that takes over.
+    /// Releases all leases, each once the acts under it are over; then closes the connections and releases the address
+    /// for a process that takes over.
     pub(crate) fn shut_down(&mut self, io: &mut Io) {
-        if !self.shut_down {
-            self.shut_down = true;
+        if self.shutdown == ShutdownStage::Running {
+            self.shutdown = ShutdownStage::ReleasingLeases;
             self.handle_lease_input(io, boot_time_ms(), Input::ShutdownStarted);
+            self.finish_shutdown();
+        }
+    }
+
+    /// Closes the connections and the link once no lease waits for its release.
+    fn finish_shutdown(&mut self) {
+        if self.shutdown == ShutdownStage::ReleasingLeases && !self.is_releasing() {
+            self.shutdown = ShutdownStage::Finished;
             self.connections.clear();
             self.link.close();
         }
     }
 
+    /// Whether a lease waits for the end of a call before it is released.
+    pub(crate) fn is_releasing(&self) -> bool {
+        self.leases.as_ref().is_some_and(Leases::is_releasing)
+    }
+
     /// The time left until [`Fleet::tick`] or an observation is due, in ms; infinity if nothing is.
     pub(crate) fn next_timeout_in(&self) -> f64 {
-        if self.shut_down {
+        if self.shutdown == ShutdownStage::Finished {
             return f64::INFINITY;
         }
         let now = boot_time_ms();
@@ -145,7 +170,7 @@
 
     /// Handles due timeouts and starts due calls.
     pub(crate) fn tick(&mut self, io: &mut Io) {
-        if self.shut_down {
+        if self.shutdown == ShutdownStage::Finished {
             return;
         }
         let now = boot_time_ms();
@@ -156,5 +181,6 @@
         self.end_overdue_calls(now);
         self.end_overdue_probes(now);
         self.start_due_calls(io, now);
+        self.finish_shutdown();
     }
 }
--- a/crates/http-gateway/src/fleet/calls.rs
+++ b/crates/http-gateway/src/fleet/calls.rs
@@ -4,7 +4,7 @@
 use super::connections::Purpose;
 use crate::io::Io;
 use doorcourse_config::{OUTLIER_PROBE_TASK, TaskConfig};
-use doorcourse_lease::{AuthorizedCall, CallSchedule, CallSettings, Millis, TaskId, task_of};
+use doorcourse_lease::{ActEnd, AuthorizedCall, CallSchedule, CallSettings, Millis, TaskId, task_of};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -127,7 +127,7 @@
 
     /// Writes a call once its connection is established, unless its lease has become too short.
     pub(super) fn write_call(&mut self, io: &Io, now: Millis, slot: usize, task: TaskId) {
-        let leases = self.leases.as_ref();
+        let leases = self.leases.as_mut();
         let authorized = leases.and_then(|leases| self.calls.schedule.authorize_write(now, leases, task));
         let Some(call) = authorized else {
             self.calls.counts.entry(task).or_default().withheld += 1;
@@ -145,6 +145,9 @@
 
     /// Ends the call of a task, if one is in flight.
     pub(super) fn end_call(&mut self, now: Millis, task: TaskId, result: Result<(), CallFailure>) {
+        if let Some(leases) = &mut self.leases {
+            leases.end_act(task, act_end(result));
+        }
         if let Some(slot) = self.find_connection(|purpose| *purpose == Purpose::Call(task)) {
             self.connections.remove(slot);
             self.calls.finish(now, task, result);
@@ -159,6 +162,14 @@
     }
 }
 
+/// Whether the receiver of a call may still act.
+fn act_end(result: Result<(), CallFailure>) -> ActEnd {
+    match result {
+        Ok(()) | Err(CallFailure::UnexpectedStatus) => ActEnd::Answered,
+        Err(_) => ActEnd::Unanswered,
+    }
+}
+
 /// The request of a call. It contains the deadline in wall-clock time, for a receiver that does not check fencing
 /// tokens.
 fn call_request(config: &TaskConfig, gateway: u32, call: AuthorizedCall, now: Millis) -> String {
--- a/crates/http-gateway/src/fleet/leases.rs
+++ b/crates/http-gateway/src/fleet/leases.rs
@@ -45,7 +45,15 @@
         let task = self.calls.task_name(lease.task);
         let given_back = lease.released;
         tracing::info!(target: "doorcourse::fleet", task, token = lease.token, given_back, "lease lost");
-        self.end_call(now, lease.task, Err(CallFailure::LeaseLost));
+        if !(lease.released && self.awaits_answer(lease.task)) {
+            self.end_call(now, lease.task, Err(CallFailure::LeaseLost));
+        }
+    }
+
+    /// Whether a call of a task is written and not answered. A lease that is released waits for the answer.
+    fn awaits_answer(&self, task: TaskId) -> bool {
+        let is_acting = self.leases.as_ref().is_some_and(|leases| leases.is_acting(task));
+        is_acting && self.calls.schedule.has_task(task)
     }
 
     /// Logs a failed acquisition. That another gateway holds the lease is the normal case and logged at debug level
--- a/crates/http-gateway/src/fleet/probes.rs
+++ b/crates/http-gateway/src/fleet/probes.rs
@@ -1,10 +1,10 @@
 //! Outlier gossip: probes of suspected nodes under a lease, and verdicts for the decisions.
 
-use super::Fleet;
 use super::calls::CallFailure;
 use super::connections::Purpose;
 use super::link::Channel;
 use super::settings::outlier_settings;
+use super::{Fleet, ShutdownStage};
 use crate::io::Io;
 use doorcourse_config::{Node, OUTLIER_PROBE_TASK, OutlierGossipConfig};
 use doorcourse_event_loop::boot_time_ms;
@@ -44,7 +44,9 @@
 impl Fleet {
     /// Whether an observation of the nodes is due, for which [`Fleet::observe_nodes`] is to be called.
     pub(crate) fn wants_observation(&self) -> bool {
-        !self.shut_down && self.outliers.is_some() && boot_time_ms() >= self.next_observation_at
+        self.shutdown == ShutdownStage::Running
+            && self.outliers.is_some()
+            && boot_time_ms() >= self.next_observation_at
     }
 
     /// Reports the decisions' status of the nodes to the outlier gossip, and executes its outputs. `nodes` contains the
--- a/crates/http-gateway/src/fleet/status.rs
+++ b/crates/http-gateway/src/fleet/status.rs
@@ -143,6 +143,7 @@
             LeaseStage::Waiting(ms) => ("waiting", ms),
             LeaseStage::Acquiring(_) => ("asking", 0),
             LeaseStage::Held(ms) => ("held", ms),
+            LeaseStage::Releasing(ms) => ("releasing", ms),
         };
         let CallCounts { succeeded, failed, withheld } = self.calls.counts_of(status.task);
         json!({
--- a/crates/http-gateway/src/gateway.rs
+++ b/crates/http-gateway/src/gateway.rs
@@ -154,6 +154,7 @@
             // Counted only during a drain, because the count visits every connection.
             busy_connections: if self.lifecycle.is_ready() { 0 } else { self.clients.busy_count() },
             counter_calls: self.counter.calls_in_flight(),
+            releasing_task_leases: self.fleet.as_ref().is_some_and(Fleet::is_releasing),
             idle_for: self.io.now() - self.clients.last_input_at,
         };
         self.handle_process_event(ProcessEvent::Tick(pending));
--- a/crates/lease/src/calls.rs
+++ b/crates/lease/src/calls.rs
@@ -61,13 +61,16 @@
         started
     }
 
-    /// Checks the lease again when the connection is established and the call is about to be written. Returns `None`
-    /// where the call must not be made any more.
-    pub fn authorize_write(&mut self, now: Millis, leases: &Leases, task: TaskId) -> Option<AuthorizedCall> {
+    /// Checks the lease again when the connection is established and the call is about to be written, and records the
+    /// act at the leases, which learn of its end by [`Leases::end_act`]. Returns `None` where the call must not be made
+    /// any more.
+    pub fn authorize_write(
+        &mut self, now: Millis, leases: &mut Leases, task: TaskId,
+    ) -> Option<AuthorizedCall> {
         let calls = self.tasks.get_mut(&task)?;
         let started = calls.in_flight?;
         let duration = calls.settings.duration;
-        let permit = leases.revalidate(now, &started.permit, duration).ok()?;
+        let permit = leases.begin_act(now, &started.permit, duration).ok()?;
         let call = AuthorizedCall { permit, deadline: now + duration };
         calls.in_flight = Some(call);
         Some(call)
@@ -81,6 +84,12 @@
         }
     }
 
+    /// Whether the settings have this task.
+    #[must_use]
+    pub fn has_task(&self, task: TaskId) -> bool {
+        self.tasks.contains_key(&task)
+    }
+
     /// The tasks whose call in flight has passed its deadline.
     #[must_use]
     pub fn overdue(&self, now: Millis) -> Vec<TaskId> {
--- a/crates/lease/src/calls/tests.rs
+++ b/crates/lease/src/calls/tests.rs
@@ -19,12 +19,12 @@
 
 #[test]
 fn one_call_is_in_flight_and_none_starts_that_outlasts_the_lease() {
-    let leases = single_voter(0);
+    let mut leases = single_voter(0);
     let mut calls = CallSchedule::default();
     calls.configure(200, &BTreeMap::from([(7, CallSettings { interval: 10, duration: 30 })]));
     assert_eq!(calls.start_due(200, &leases).len(), 1);
     assert!(calls.start_due(205, &leases).is_empty(), "one is in flight");
-    let call = calls.authorize_write(210, &leases, 7).expect("the write is authorized");
+    let call = calls.authorize_write(210, &mut leases, 7).expect("the write is authorized");
     assert!(call.deadline == 240 && call.deadline <= call.permit.expires_at);
     assert_eq!(calls.next_timeout(211, &leases), 240);
     calls.finish(220, 7);
@@ -36,12 +36,12 @@
 
 #[test]
 fn a_delayed_call_is_not_written_and_is_overdue() {
-    let leases = single_voter(0);
+    let mut leases = single_voter(0);
     let mut calls = CallSchedule::default();
     calls.configure(200, &BTreeMap::from([(7, CallSettings { interval: 10, duration: 30 })]));
     calls.start_due(200, &leases);
     // The process was paused between the check and the write.
-    assert_eq!(calls.authorize_write(500, &leases, 7), None);
+    assert_eq!(calls.authorize_write(500, &mut leases, 7), None);
     assert_eq!(calls.overdue(500), [7]);
     calls.finish(500, 7);
     assert!(calls.overdue(500).is_empty());
--- a/crates/lease/src/leases.rs
+++ b/crates/lease/src/leases.rs
@@ -9,11 +9,13 @@
 //! | `release` | releases and transfers leases; changes of the tasks |
 //! | `reconfiguration` | when a new voter configuration comes into force |
 //! | `guard` | whether the holder may act |
+//! | `acts` | acts whose effect may not be over |
 //! | `outbox` | batches requests and releases to the voters, and sends heartbeats |
 //! | `timing` | intervals and jitter |
 //! | `state` | the state of one lease |
 
 mod acquisition;
+mod acts;
 mod guard;
 mod outbox;
 mod quorum;
@@ -27,6 +29,8 @@
     DisabledRule, FencingToken, GatewayNumber, Input, LastRefusal, LeaseStage, LeaseStatus, Millis, Output,
     Settings, SettingsError, TaskId, Voter,
 };
+pub use acts::ActEnd;
+use acts::PendingActs;
 use outbox::Outbox;
 use reconfiguration::Reconfiguration;
 use state::LeaseState;
@@ -41,6 +45,8 @@
     /// The state of each task that this gateway is a candidate for.
     states: BTreeMap<TaskId, LeaseState>,
     last_refusals: BTreeMap<TaskId, LastRefusal>,
+    /// Acts of this gateway whose effect may not be over.
+    pending_acts: BTreeMap<TaskId, PendingActs>,
     /// This gateway neither votes nor requests leases before this time: leases that an earlier start of it granted may
     /// still be in force.
     voting_from: Millis,
@@ -92,6 +98,7 @@
             voter: Voter::default(),
             states: BTreeMap::new(),
             last_refusals: BTreeMap::new(),
+            pending_acts: BTreeMap::new(),
             voting_from: now + startup_wait,
             reconfiguration: if in_force { Reconfiguration::InForce } else { Reconfiguration::unconfirmed() },
             reported_versions: BTreeMap::new(),
@@ -130,6 +137,7 @@
                 self.release_all_tasks(now, outputs);
             }
         }
+        self.release_due_tasks(now, outputs);
         self.advance_reconfiguration(now, outputs);
         self.advance_leases(now, wall_clock, outputs);
         self.flush(now, outputs);
@@ -145,6 +153,7 @@
             LeaseState::Idle { next_attempt_at } => *next_attempt_at,
             LeaseState::Acquiring { deadline, .. } => *deadline,
             LeaseState::Held { expires_at, renew_at, .. } => (*expires_at).min(*renew_at),
+            LeaseState::Releasing { acts_over_at, .. } => *acts_over_at,
         };
         self.states.values().map(timeout).fold(self.next_heartbeat_at, Millis::min)
     }
@@ -176,6 +185,9 @@
                 }
                 LeaseState::Acquiring { round, .. } => LeaseStage::Acquiring(round.grants.len()),
                 LeaseState::Held { expires_at, .. } => LeaseStage::Held(expires_at.saturating_sub(now)),
+                LeaseState::Releasing { acts_over_at, .. } => {
+                    LeaseStage::Releasing(acts_over_at.saturating_sub(now))
+                }
             };
             LeaseStatus {
                 task: *task,
--- a/crates/lease/src/leases/guard.rs
+++ b/crates/lease/src/leases/guard.rs
@@ -6,8 +6,7 @@
 use crate::{GuardError, Millis, Permit, TaskId};
 
 /// Added to the duration of an act, because `now` was rounded down to ms.
-#[cfg(not(feature = "disable-lease-check"))]
-const ROUNDING_MS: Millis = 1;
+pub(super) const ROUNDING_MS: Millis = 1;
 
 impl Leases {
     /// Permits an act for a task where the lease outlasts the act, which takes `duration` ms from this check to the end
--- a/crates/lease/src/leases/outbox.rs
+++ b/crates/lease/src/leases/outbox.rs
@@ -55,6 +55,7 @@
         if heartbeat_due {
             self.next_heartbeat_at = now + (self.settings.lease_duration / HEARTBEATS_PER_LEASE).max(1);
             self.voter.remove_expired(now);
+            self.remove_ended_acts(now);
         }
         if items.is_empty() && !heartbeat_due {
             return;
--- a/crates/lease/src/leases/state.rs
+++ b/crates/lease/src/leases/state.rs
@@ -1,7 +1,7 @@
 //! The state of one task's lease at this gateway.
 
 use super::quorum::QuorumRound;
-use crate::{FencingToken, Millis};
+use crate::{FencingToken, GatewayNumber, Millis};
 
 /// The state of one lease. All times are on this gateway's clock.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -12,6 +12,9 @@
     Acquiring { token: FencingToken, round: QuorumRound, deadline: Millis },
     /// The lease is held until `expires_at`; `round` counts the votes on the newest request.
     Held { token: FencingToken, round: QuorumRound, expires_at: Millis, renew_at: Millis },
+    /// This gateway no longer acts under the lease and renews it no more. The grants are released at `acts_over_at`:
+    /// until then an act that began under it may still have an effect.
+    Releasing { token: FencingToken, transfer_to: Option<GatewayNumber>, acts_over_at: Millis },
 }
 
 /// The step that is due for a lease.
@@ -28,18 +31,20 @@
 }
 
 impl LeaseState {
-    /// The token that was requested or is held.
+    /// The token that was requested, is held, or is being released.
     pub(super) fn token(&self) -> Option<FencingToken> {
         match self {
             Self::Idle { .. } => None,
-            Self::Acquiring { token, .. } | Self::Held { token, .. } => Some(*token),
+            Self::Acquiring { token, .. } | Self::Held { token, .. } | Self::Releasing { token, .. } => {
+                Some(*token)
+            }
         }
     }
 
     /// The newest round of requests.
     pub(super) fn round(&self) -> Option<&QuorumRound> {
         match self {
-            Self::Idle { .. } => None,
+            Self::Idle { .. } | Self::Releasing { .. } => None,
             Self::Acquiring { round, .. } | Self::Held { round, .. } => Some(round),
         }
     }
@@ -75,7 +80,7 @@
     /// once, and a renewal is due to be requested again at once.
     pub(super) fn invalidate_round(&mut self, now: Millis) {
         match self {
-            Self::Idle { .. } => {}
+            Self::Idle { .. } | Self::Releasing { .. } => {}
             Self::Acquiring { round, deadline, .. } => {
                 round.invalidate();
                 *deadline = now;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -30,7 +30,7 @@
 pub use codec::{DecodeError, MAX_MESSAGE_ITEMS, decode, encode};
 pub use events::{AcquiredLease, Input, LostLease, Output};
 pub use fault_injection::DisabledRule;
-pub use leases::Leases;
+pub use leases::{ActEnd, Leases};
 pub use message::{Item, LeaseRequest, Message, Refusal};
 pub use permit::{GuardError, Permit};
 pub use settings::{Settings, SettingsError};
--- a/crates/lease/src/status.rs
+++ b/crates/lease/src/status.rs
@@ -11,6 +11,8 @@
     Acquiring(usize),
     /// Held for this many ms unless it is renewed.
     Held(Millis),
+    /// Released once the acts that began under the lease are over, in this many ms at the latest.
+    Releasing(Millis),
 }
 
 /// The last refusal that was received for a task.
--- a/crates/lifecycle/src/event.rs
+++ b/crates/lifecycle/src/event.rs
@@ -13,6 +13,8 @@
     pub busy_connections: usize,
     /// Counter calls in flight.
     pub counter_calls: usize,
+    /// Whether leases of tasks wait for the end of a call before they are released.
+    pub releasing_task_leases: bool,
     /// Time since any client last sent a byte.
     pub idle_for: Millis,
 }
--- a/crates/lifecycle/src/lifecycle.rs
+++ b/crates/lifecycle/src/lifecycle.rs
@@ -231,7 +231,7 @@
     pending.requests == 0 && pending.busy_connections == 0 && idle
 }
 
-/// Whether the process may stop before its deadline: the quota leases are returned and the final responses are read.
+/// Whether the process may stop before its deadline: all leases are returned and the final responses are read.
 fn is_released(pending: PendingWork) -> bool {
-    pending.counter_calls == 0 && pending.busy_connections == 0
+    pending.counter_calls == 0 && pending.busy_connections == 0 && !pending.releasing_task_leases
 }
--- a/crates/lifecycle/tests/process_lifecycle.rs
+++ b/crates/lifecycle/tests/process_lifecycle.rs
@@ -29,7 +29,8 @@
 }
 
 fn tick(requests: usize, connections: usize, counter_calls: usize) -> ProcessEvent {
-    let pending = PendingWork { requests, connections, counter_calls, busy_connections: 0, idle_for: 0.0 };
+    let pending =
+        PendingWork { requests, connections, counter_calls, idle_for: 0.0, ..PendingWork::default() };
     ProcessEvent::Tick(pending)
 }
 
@@ -115,6 +116,24 @@
     );
 }
 
+#[test]
+fn the_exit_waits_for_task_leases_whose_call_is_in_flight_but_not_beyond_the_release_timeout() {
+    let releasing = |releasing_task_leases| {
+        ProcessEvent::Tick(PendingWork { releasing_task_leases, ..PendingWork::default() })
+    };
+    let drain = [
+        (10.0, ProcessEvent::DrainRequested),
+        (110.0, releasing(true)),
+        (120.0, releasing(true)),
+        (130.0, releasing(true)),
+    ];
+    assert!(matches!(run(&drain).0.state(), ProcessState::Releasing { .. }));
+    let answered = [&drain[..], &[(140.0, releasing(false))]].concat();
+    assert_eq!(run(&answered).0.state(), ProcessState::Stopped);
+    let never = [&drain[..], &[(320.0, releasing(true))]].concat();
+    assert_eq!(run(&never).0.state(), ProcessState::Stopped);
+}
+
 #[test]
 fn a_reload_outside_serving_is_refused_with_the_reason() {
     assert_eq!(run(&[(1.0, ProcessEvent::ReloadRequested)]).1, [ProcessAction::ReadSettings]);
