leases: a process that takes over votes a lease after the old process stopped voting

Found by reading, while the failed lease test was traced: the wait of a voter after its start began when the new process was constructed, but the old process of the same gateway votes until the takeover is confirmed. The new one could vote against a grant of the old one that had not expired: two holders, where the third voter hears neither. docs/leases.md said that the wait begins once the new process has the link's address.

Now it does: a process that takes over binds the link after the old one has confirmed, reports Input::PredecessorStopped, and neither votes nor requests leases until the wait that begins then is over. A process that shuts down votes no more: its link may stay open for the answer of a call.

The new test of Fleet holds the address for two leases; before, the new process said that it votes.

--- a/crates/http-gateway/src/fleet.rs
+++ b/crates/http-gateway/src/fleet.rs
@@ -70,8 +70,8 @@
 }
 
 impl Fleet {
-    /// Binds the link's socket. Returns `None` if the settings have no `fleet.link`. With `takes_over`, a failure to
-    /// bind is no error, because another process of this gateway may still have the address and will release it.
+    /// Returns `None` if the settings have no `fleet.link`. Binds the link's socket; with `takes_over` [`Fleet::tick`]
+    /// binds it, after the old process of this gateway has confirmed that it leaves the fleet.
     ///
     /// # Errors
     /// When the address cannot be bound, or the settings cannot be used.
@@ -93,20 +93,26 @@
             verdicts: VecDeque::new(),
             shutdown: ShutdownStage::Running,
         };
-        if let Err(error) = fleet.link.bind(io)
-            && !takes_over
-        {
-            let address = fleet.link.listen_address();
-            anyhow::bail!("fleet.link.listen: cannot listen on {address}: {error}");
+        if !takes_over {
+            fleet.bind_link(io)?;
         }
         if let Some(config) = &config.leases {
             let settings = settings::lease_settings(config, fleet.link.config(), gateway, incarnation);
-            fleet.leases = Some(Leases::new(now, settings)?);
+            let leases =
+                if takes_over { Leases::taking_over(now, settings) } else { Leases::new(now, settings) };
+            fleet.leases = Some(leases?);
             fleet.configure_tasks(now, config);
         }
         Ok(Some(fleet))
     }
 
+    fn bind_link(&mut self, io: &Io) -> anyhow::Result<()> {
+        let address = self.link.listen_address();
+        self.link
+            .bind(io)
+            .map_err(|error| anyhow::anyhow!("fleet.link.listen: cannot listen on {address}: {error}"))
+    }
+
     /// Applies changed settings: peers, secrets, voters, tasks and outlier gossip.
     pub(crate) fn configure(&mut self, io: &mut Io, config: &Config) {
         let now = boot_time_ms();
@@ -174,7 +180,10 @@
             return;
         }
         let now = boot_time_ms();
-        self.link.tick(io, now);
+        if self.link.bind_if_due(io, now) {
+            self.handle_lease_input(io, boot_time_ms(), Input::PredecessorStopped);
+        }
+        self.link.tick(now);
         if self.leases.as_ref().is_some_and(|leases| leases.next_timeout() <= now) {
             self.handle_lease_input(io, now, Input::Tick);
         }
@@ -184,3 +193,6 @@
         self.finish_shutdown();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http-gateway/src/fleet/link.rs
+++ b/crates/http-gateway/src/fleet/link.rs
@@ -122,19 +122,24 @@
         self.socket = None;
     }
 
-    /// The time at which [`PeerLink::tick`] is due.
+    /// The time at which [`PeerLink::tick`] or [`PeerLink::bind_if_due`] is due.
     pub(super) fn next_timeout(&self) -> Millis {
         let bind = if self.socket.is_none() { self.next_bind_at } else { Millis::MAX };
         self.link.next_timeout().min(bind)
     }
 
-    /// Binds the address if it is not bound yet, and detects peers that have become unreachable.
-    pub(super) fn tick(&mut self, io: &Io, now: Millis) {
-        if self.socket.is_none() && now >= self.next_bind_at {
-            self.next_bind_at = now + BIND_RETRY_MS;
-            // A failure means that the old process still has the address; the next attempt is scheduled above.
-            let _ = self.bind(io);
+    /// Binds the address if it is not bound yet. Returns whether it was bound now: a failure means that the old process
+    /// still has the address, and another attempt follows.
+    pub(super) fn bind_if_due(&mut self, io: &Io, now: Millis) -> bool {
+        if self.socket.is_some() || now < self.next_bind_at {
+            return false;
         }
+        self.next_bind_at = now + BIND_RETRY_MS;
+        self.bind(io).is_ok()
+    }
+
+    /// Detects peers that have become unreachable.
+    pub(super) fn tick(&mut self, now: Millis) {
         let mut events = Vec::new();
         self.link.tick(now, &mut events);
         events.into_iter().for_each(log_peer_event);
--- a/crates/lease/src/events.rs
+++ b/crates/lease/src/events.rs
@@ -35,6 +35,9 @@
         /// The gateway that is to acquire it.
         to: GatewayNumber,
     },
+    /// The old process of this gateway has ended its part in the fleet, and until now it may have granted leases as a
+    /// voter.
+    PredecessorStopped,
     /// The gateway shuts down: it releases all leases and acquires no more.
     ShutdownStarted,
 }
--- a/crates/lease/src/leases.rs
+++ b/crates/lease/src/leases.rs
@@ -60,6 +60,8 @@
     jitter_draws: u64,
     next_heartbeat_at: Millis,
     shutting_down: bool,
+    /// Whether an old process of this gateway may still vote and hold leases.
+    has_predecessor: bool,
     #[cfg(feature = "fault-injection")]
     disabled_rule: DisabledRule,
     /// The last token of each task that was ever held. In a build without the lease check this is the only condition
@@ -77,6 +79,16 @@
         Self::build(now, settings, DisabledRule::None)
     }
 
+    /// The leases of a gateway that takes over from an old process. It neither votes nor requests leases before
+    /// [`Input::PredecessorStopped`] and the wait that follows.
+    ///
+    /// # Errors
+    /// Settings that are out of range.
+    pub fn taking_over(now: Millis, settings: Settings) -> Result<Self, SettingsError> {
+        let leases = Self::new(now, settings)?;
+        Ok(Self { has_predecessor: true, ..leases })
+    }
+
     /// Like [`Leases::new`] with one rule disabled, for tests that must detect the missing rule.
     ///
     /// # Errors
@@ -107,16 +119,14 @@
             jitter_draws: 0,
             next_heartbeat_at: now,
             shutting_down: false,
+            has_predecessor: false,
             #[cfg(feature = "fault-injection")]
             disabled_rule,
             #[cfg(feature = "disable-lease-check")]
             ever_held: BTreeMap::new(),
             settings,
         };
-        for task in leases.settings.tasks.clone() {
-            let next_attempt_at = leases.jittered(leases.voting_from);
-            leases.states.insert(task, LeaseState::Idle { next_attempt_at });
-        }
+        leases.plan_first_attempts();
         Ok(leases)
     }
 
@@ -132,6 +142,7 @@
             Input::VotersChanged(voters) => self.change_voters(now, voters, outputs),
             Input::TasksChanged { tasks, gateways } => self.change_tasks(now, tasks, gateways, outputs),
             Input::TransferRequested { task, to } => self.transfer(now, task, to, outputs),
+            Input::PredecessorStopped => self.restart_wait(now),
             Input::ShutdownStarted => {
                 self.shutting_down = true;
                 self.release_all_tasks(now, outputs);
@@ -170,10 +181,11 @@
         self.settings.voters.version
     }
 
-    /// Whether this gateway votes: the wait after its start is over, and its voter configuration is in force.
+    /// Whether this gateway votes: the wait after its start is over, its voter configuration is in force, and no other
+    /// process of this gateway may vote: none from which it takes over, and none that takes over from it.
     #[must_use]
     pub fn is_voting(&self, now: Millis) -> bool {
-        now >= self.voting_from && self.reconfiguration.is_in_force()
+        now >= self.voting_from && self.may_acquire()
     }
 
     /// The status of each task, for operators.
@@ -199,9 +211,23 @@
         })
     }
 
+    /// Begins the wait after a start again: all grants of the old process have expired when it ends.
+    fn restart_wait(&mut self, now: Millis) {
+        self.has_predecessor = false;
+        self.voting_from = now + self.settings.startup_wait();
+        self.plan_first_attempts();
+    }
+
+    fn plan_first_attempts(&mut self) {
+        for task in self.settings.tasks.clone() {
+            let next_attempt_at = self.jittered(self.voting_from);
+            self.states.insert(task, LeaseState::Idle { next_attempt_at });
+        }
+    }
+
     /// Whether this gateway requests leases that it does not hold.
     fn may_acquire(&self) -> bool {
-        !self.shutting_down && self.reconfiguration.is_in_force()
+        !self.shutting_down && !self.has_predecessor && self.reconfiguration.is_in_force()
     }
 
     /// Whether a test disabled this rule.
