An attempt that the host cannot start gives its place at the backend back

Cause: the end of one attempt made the decisions send another for a queued request of the same connection, whose own end was still queued; RespGateway::start_attempt found no request and returned without a word, and the place that the decisions had taken was lost. serve had the same silent return.

Change: such an attempt is ActionOutcome::AttemptNotStarted, a must-use value; its end is reported before any other event. A place is a value that is taken and given back (src/balancer/attempts.rs), tied to its attempt by request and to its customer by the request. Debug builds compare the attempts of host and decisions after each iteration, others each second: a difference is logged, counted and put right. The request's unit, which was kept, is refunded.

The new test of serve passed without the change too: its loop handles one client's disconnect at a time.

--- a/crates/http-gateway/src/gateway.rs
+++ b/crates/http-gateway/src/gateway.rs
@@ -42,7 +42,7 @@
 use crate::monitoring::Monitoring;
 use crate::requests::Requests;
 use crate::settings_reload::SettingsReload;
-use doorcourse::{Action, Millis};
+use doorcourse::{AccountingCheck, Action, Event, Millis};
 use doorcourse_config::Config;
 use doorcourse_event_loop::{Ready, SystemCalls};
 use doorcourse_graceful_shutdown::needs_repoll;
@@ -81,6 +81,7 @@
     state: Option<StatePersistence>,
     /// Whether the process's life cycle has requested the exit.
     exit_requested: bool,
+    accounting: AccountingCheck,
     /// When the poller was last asked for readiness. An iteration that is still busy long after this has stalled.
     last_poll_at: Millis,
     /// The connection to the process from which this one takes over, until this one serves.
@@ -118,6 +119,7 @@
             self.process_pending();
             self.tick_lifecycle();
             self.process_pending();
+            self.recover_lost_attempts();
             if self.exit_requested {
                 self.finish();
                 return Ok(());
@@ -147,6 +149,22 @@
         }
     }
 
+    /// Frees the places of attempts that the decisions count and no request has. There is none unless this gateway is at
+    /// fault.
+    fn recover_lost_attempts(&mut self) {
+        let has_attempt = |request| self.requests.has_attempt(request);
+        let lost = self.accounting.check(self.io.now(), &self.decisions, has_attempt);
+        debug_assert!(lost.is_empty(), "attempts were lost: {lost:?}");
+        debug_assert_eq!(self.decisions.count_mismatches(), []);
+        if lost.is_empty() {
+            return;
+        }
+        let total = self.accounting.lost_attempts;
+        tracing::error!(target: "doorcourse::decisions", attempts = lost.len(), total, "attempts were lost");
+        self.io.events.extend(lost.into_iter().map(Event::AttemptEnded));
+        self.process_pending();
+    }
+
     fn tick_lifecycle(&mut self) {
         let pending = PendingWork {
             requests: self.requests.count(),
--- a/crates/http-gateway/src/gateway/construction.rs
+++ b/crates/http-gateway/src/gateway/construction.rs
@@ -15,7 +15,7 @@
 use crate::requests::Requests;
 use crate::settings_reload::{ReadSettings, SettingsReload};
 use anyhow::Context;
-use doorcourse::Millis;
+use doorcourse::{AccountingCheck, Millis};
 use doorcourse_config::Config;
 use doorcourse_event_loop::listen;
 use doorcourse_lifecycle::ProcessLifecycle;
@@ -120,6 +120,7 @@
             state: config.state_file.as_ref().map(|s| StatePersistence::new(s, directory, gateway_index)),
             exit_requested: false,
             last_poll_at: Millis::NEG_INFINITY,
+            accounting: AccountingCheck::default(),
             predecessor: sockets.predecessor,
             config: Arc::new(config),
             io,
--- a/crates/http-gateway/src/gateway/pending.rs
+++ b/crates/http-gateway/src/gateway/pending.rs
@@ -7,7 +7,7 @@
 use crate::graphql_front as front;
 use crate::io::Timer;
 use crate::requests::RequestCommand;
-use doorcourse::{Action, Event, Millis, Name, RequestId};
+use doorcourse::{Action, ActionOutcome, AttemptEnd, Event, Millis, Name, RequestId};
 use doorcourse_counter::CounterCall;
 use doorcourse_request_lifecycle::LifecycleEvent;
 
@@ -44,17 +44,25 @@
     fn decide(&mut self, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.decisions.handle(self.io.now(), event, &mut actions);
+        let mut not_started = Vec::new();
         for action in actions.drain(..) {
-            self.execute_action(action);
+            if let ActionOutcome::AttemptNotStarted(end) = self.execute_action(action) {
+                not_started.push(end);
+            }
+        }
+        // Before all other events: the place at the backend is free, and the request is known until its own end is
+        // reported.
+        for end in not_started.into_iter().rev() {
+            self.io.events.push_front(Event::AttemptEnded(end));
         }
         self.actions = actions;
     }
 
-    fn execute_action(&mut self, action: Action) {
+    fn execute_action(&mut self, action: Action) -> ActionOutcome {
         let now = self.io.now();
         match action {
             Action::SendAttempt { id, backend, timeout: _, must_be_written_within } => {
-                self.send_attempt(id, &backend, must_be_written_within);
+                return self.send_attempt(id, &backend, must_be_written_within);
             }
             Action::Reject { id, retry_after, reason } => {
                 self.requests.handle_event(now, id, LifecycleEvent::Rejected { retry_after, reason });
@@ -72,16 +80,22 @@
             | Action::Gossip { .. }
             | Action::WatchBackends => {}
         }
+        ActionOutcome::Done
     }
 
     /// Starts an attempt. With a `write_window` (`must_be_written_within` of the action), it is withdrawn unless its
     /// first bytes are written within this time.
-    fn send_attempt(&mut self, id: RequestId, backend: &Name, write_window: Option<Millis>) {
-        let attempt = self.requests.attempt_started(self.io.now(), id, backend.clone());
+    fn send_attempt(&mut self, id: RequestId, backend: &Name, write_window: Option<Millis>) -> ActionOutcome {
+        let attempt = match self.requests.attempt_started(self.io.now(), id, backend.clone()) {
+            Ok(attempt) => attempt,
+            Err(end) => return ActionOutcome::AttemptNotStarted(end),
+        };
         if let Some(window) = write_window {
             self.io.timers.schedule(self.io.now() + window, Timer::RetryDeadline(id, attempt));
         }
-        let Some(request) = self.requests.backend_request(id, &self.config.endpoint_path) else { return };
+        let Some(request) = self.requests.backend_request(id, &self.config.endpoint_path) else {
+            return ActionOutcome::AttemptNotStarted(AttemptEnd::not_started(id, backend.clone()));
+        };
         match self.backends.send_request(&mut self.io, &self.config.limits, id, backend, &request) {
             Some(connection) => {
                 self.requests.set_connection(id, connection);
@@ -92,6 +106,7 @@
                 self.requests.handle_attempt_event(self.io.now(), false, id, AttemptEvent::ConnectionLost);
             }
         }
+        ActionOutcome::Done
     }
 
     /// Processes the events of a backend connection. The commands that result from an event are executed before the
--- a/crates/http-gateway/src/gateway/status.rs
+++ b/crates/http-gateway/src/gateway/status.rs
@@ -21,6 +21,7 @@
             client_connections: self.clients.count(),
             buffered_bytes: self.clients.budget.bytes(),
             counter_unavailable: self.decisions.is_counter_silent(),
+            lost_attempts: self.accounting.lost_attempts,
             leased_units: leased_units.into_iter().collect(),
             backends: self.decisions.backends().map(|backend| backend_gauges(&backend, now)).collect(),
             fleet: self.fleet.as_ref().map(Fleet::metrics).unwrap_or_default(),
--- a/crates/http-gateway/src/monitoring/metrics.rs
+++ b/crates/http-gateway/src/monitoring/metrics.rs
@@ -74,6 +74,8 @@
     pub client_connections: usize,
     pub buffered_bytes: u64,
     pub counter_unavailable: bool,
+    /// Attempts that the decisions counted and no request had, so far.
+    pub lost_attempts: u64,
     /// Units of the quota leases held, by plan.
     pub leased_units: Vec<(String, f64)>,
     pub backends: Vec<BackendGauges>,
@@ -97,6 +99,7 @@
     client_connections: Gauge,
     buffered_bytes: Gauge,
     counter_unavailable: Gauge,
+    lost_attempts: Gauge,
     ready: Gauge,
     leased_units: Family<PlanLabels, FloatGauge>,
 }
@@ -173,6 +176,11 @@
             client_connections: register(r, "client_connections", "Client connections"),
             buffered_bytes: register(r, "held_bytes", "Bytes held for clients"),
             counter_unavailable: register(r, "counter_silent", "1 while the shared counter is silent"),
+            lost_attempts: register(
+                r,
+                "lost_attempts",
+                "Attempts that were counted and in no request, so far",
+            ),
             ready: register(r, "ready", "1 while new clients are wanted"),
             leased_units: register(r, "lease_units", "Units of blocks in hand, by plan"),
         }
@@ -183,6 +191,7 @@
         self.client_connections.set(saturating(snapshot.client_connections));
         self.buffered_bytes.set(saturating(snapshot.buffered_bytes));
         self.counter_unavailable.set(snapshot.counter_unavailable.into());
+        self.lost_attempts.set(saturating(snapshot.lost_attempts));
         self.ready.set(snapshot.ready.into());
         // Plans that have been removed are no longer reported.
         self.leased_units.clear();
--- a/crates/http-gateway/src/requests.rs
+++ b/crates/http-gateway/src/requests.rs
@@ -9,7 +9,7 @@
 
 use crate::backends::{AttemptEvent, BackendRequest, ConnectionId};
 use crate::graphql_front::{REQUEST_ID_FIELD, Request, response_code};
-use doorcourse::{Event, Idempotency, IncomingRequest, Millis, Name, RequestId};
+use doorcourse::{AttemptEnd, Event, Idempotency, IncomingRequest, Millis, Name, RequestId};
 use doorcourse_config::Config;
 use doorcourse_request_lifecycle::{LifecycleAction, LifecycleEvent, RequestLifecycle};
 use in_flight::{Attempt, BufferedResponse, InFlightRequest};
@@ -36,6 +36,11 @@
         self.requests.len()
     }
 
+    /// Whether an attempt of this request is in flight.
+    pub(crate) fn has_attempt(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| request.lifecycle.has_attempt())
+    }
+
     /// The ids of the requests in flight.
     pub(crate) fn open_ids(&self) -> Vec<RequestId> {
         self.requests.keys().copied().collect()
@@ -75,13 +80,20 @@
     }
 
     /// Records that the decisions start an attempt at a backend. Returns the number of the attempt, from 1.
-    pub(crate) fn attempt_started(&mut self, now: Millis, id: RequestId, backend: Name) -> u32 {
-        let Some(request) = self.requests.get_mut(&id) else { return 0 };
+    ///
+    /// # Errors
+    /// The end of the attempt, if the request has ended.
+    pub(crate) fn attempt_started(
+        &mut self, now: Millis, id: RequestId, backend: Name,
+    ) -> Result<u32, AttemptEnd> {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return Err(AttemptEnd::not_started(id, backend));
+        };
         request.attempt.backend = backend;
         request.attempt.started_at = now;
         request.response.reset();
         request.lifecycle.handle(LifecycleEvent::AttemptStarted, &mut Vec::new());
-        request.lifecycle.attempts()
+        Ok(request.lifecycle.attempts())
     }
 
     /// Handles the retry deadline of an attempt: the attempt is withdrawn, which its life cycle ignores if bytes of it
--- a/crates/http-gateway/tests/life.rs
+++ b/crates/http-gateway/tests/life.rs
@@ -424,3 +424,34 @@
     let next = node.requests.recv_timeout(TEST_TIMEOUT).expect("a request");
     assert!(next.contains("preview"), "started for a client that had disconnected: {next}");
 }
+
+/// Some of the requests have an attempt that waits for its connection, the others are queued.
+#[test]
+fn clients_that_disconnect_at_once_leave_no_place_taken() {
+    /// More than the initial concurrency limit of a backend, so that some requests wait in the queue.
+    const CLIENTS: usize = 24;
+    const ROUNDS: usize = 10;
+    let backend = PendingBackend::start();
+    let gateway = TestGateway::new(&[backend.address], "health { listen: \"127.0.0.1:0\" }");
+    let metric = |name: &str| {
+        let metrics = get_monitoring(&gateway, "/metrics").body;
+        let line = metrics.lines().find(|line| line.starts_with(name)).map(str::to_owned);
+        line.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+    };
+    let wait_for = |name: &str, wanted: f64| {
+        let started_at = Instant::now();
+        while metric(name) != Some(wanted) {
+            assert!(started_at.elapsed() < TEST_TIMEOUT, "{name} is {:?}, not {wanted}", metric(name));
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    for _ in 0..ROUNDS {
+        let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.client()).collect();
+        clients.iter_mut().for_each(|client| client.send("free", PREVIEW, ""));
+        wait_for("doorcourse_node_attempts{node=\"n0\"}", 4.0);
+        drop(clients);
+        wait_for("doorcourse_requests_open", 0.0);
+        wait_for("doorcourse_node_attempts{node=\"n0\"}", 0.0);
+    }
+    assert_eq!(metric("doorcourse_lost_attempts"), Some(0.0));
+}
--- a/crates/http-gateway/tests/sockets.rs
+++ b/crates/http-gateway/tests/sockets.rs
@@ -568,6 +568,7 @@
         "doorcourse_served_seconds_count{class=\"preview\"} 2",
         "doorcourse_node_usable{node=\"n0\"} 1",
         "doorcourse_counter_silent 0",
+        "doorcourse_lost_attempts 0",
         "doorcourse_requests_open 0",
         "# EOF",
     ] {
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -30,7 +30,7 @@
 use crate::reactor::{Reactor, Token, TokenKind};
 use crate::requests::{RequestCommand, RequestTable};
 use configuration::ReservedDescriptor;
-use doorcourse::{Action, Event, Gateway, Millis, RequestId};
+use doorcourse::{AccountingCheck, Action, ActionOutcome, Event, Gateway, Millis, RequestId};
 use doorcourse_connection_limits::DescriptorBudget;
 use doorcourse_deployment::Deployment;
 use doorcourse_discovery::Readiness;
@@ -56,6 +56,7 @@
     deployment: Deployment,
     /// The decision library.
     decisions: Gateway,
+    accounting: AccountingCheck,
     clients: ClientTable,
     backends: Backends,
     requests: RequestTable,
@@ -128,6 +129,7 @@
             reserved_descriptor: ReservedDescriptor::default(),
             deployment,
             decisions,
+            accounting: AccountingCheck::default(),
             clients,
             requests: RequestTable::default(),
             health_checks: HealthChecks::default(),
@@ -240,9 +242,26 @@
             self.respond_to_all();
         }
         self.flush();
+        self.recover_lost_attempts();
         self.log_diagnostics();
     }
 
+    /// Frees the places of attempts that the decisions count and no request has. There is none unless this gateway is at
+    /// fault.
+    fn recover_lost_attempts(&mut self) {
+        let has_attempt = |request| self.requests.has_attempt(request);
+        let lost = self.accounting.check(self.reactor.now, &self.decisions, has_attempt);
+        debug_assert!(lost.is_empty(), "attempts were lost: {lost:?}");
+        debug_assert_eq!(self.decisions.count_mismatches(), []);
+        if lost.is_empty() {
+            return;
+        }
+        let total = self.accounting.lost_attempts;
+        tracing::error!(target: "doorcourse::decisions", attempts = lost.len(), total, "attempts were lost");
+        self.pending.decisions.extend(lost.into_iter().map(Event::AttemptEnded));
+        self.process_pending_events();
+    }
+
     fn handle_readiness(&mut self, ready: Ready) {
         let Some(token) = Token::unpack(ready.token) else { return };
         let reactor = &mut self.reactor;
@@ -307,11 +326,19 @@
 
     fn notify_decisions(&mut self, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
+        let mut not_started = Vec::new();
         self.diagnostics.record_event(self.reactor.now, &event);
         self.decisions.handle(self.reactor.now, event, &mut actions);
         for action in actions.drain(..) {
             self.diagnostics.record_action(self.reactor.now, &action, &self.decisions);
-            self.execute_action(action);
+            if let ActionOutcome::AttemptNotStarted(end) = self.execute_action(action) {
+                not_started.push(end);
+            }
+        }
+        // Before all other events: the place at the backend is free, and the request is known until its own end is
+        // reported.
+        for end in not_started.into_iter().rev() {
+            self.pending.decisions.push_front(Event::AttemptEnded(end));
         }
         self.actions = actions;
     }
--- a/crates/resp-gateway/src/gateway/actions.rs
+++ b/crates/resp-gateway/src/gateway/actions.rs
@@ -6,15 +6,15 @@
 use crate::reactor::Timer;
 use crate::request::{Request, RequestError};
 use crate::requests::{RequestCommand, StartOutcome};
-use doorcourse::{Action, Event, Millis, Name, RequestId};
+use doorcourse::{Action, ActionOutcome, Event, Millis, Name, RequestId};
 use doorcourse_counter::CounterCall;
 use doorcourse_request_lifecycle::{LifecycleEvent, connect_timeout};
 
 impl RespGateway {
-    pub(super) fn execute_action(&mut self, action: Action) {
+    pub(super) fn execute_action(&mut self, action: Action) -> ActionOutcome {
         match action {
             Action::SendAttempt { id, backend, timeout, must_be_written_within } => {
-                self.start_attempt(id, &backend, timeout, must_be_written_within);
+                return self.start_attempt(id, &backend, timeout, must_be_written_within);
             }
             Action::Reject { id, retry_after, reason } => {
                 self.handle_request_event(id, LifecycleEvent::Rejected { retry_after, reason });
@@ -33,14 +33,18 @@
             Action::Gossip { .. } | Action::WatchBackends => {}
             Action::Log(line) => tracing::info!(target: "doorcourse::decisions", "{line}"),
         }
+        ActionOutcome::Done
     }
 
     fn start_attempt(
         &mut self, request: RequestId, backend: &Name, timeout: Option<Millis>,
         must_be_written_within: Option<Millis>,
-    ) {
+    ) -> ActionOutcome {
         let now = self.reactor.now;
-        let Some(outgoing) = self.requests.start_attempt(now, request, backend) else { return };
+        let outgoing = match self.requests.start_attempt(now, request, backend) {
+            Ok(outgoing) => outgoing,
+            Err(end) => return ActionOutcome::AttemptNotStarted(end),
+        };
         if let Some(timeout) = timeout {
             self.reactor.timers.schedule(now + timeout, Timer::RequestDeadline { request });
         }
@@ -59,6 +63,7 @@
         if let Some(window) = must_be_written_within {
             self.reactor.timers.schedule(now + window, Timer::WriteDeadline { request, attempt });
         }
+        ActionOutcome::Done
     }
 
     pub(super) fn handle_timer(&mut self, timer: Timer) {
--- a/crates/resp-gateway/src/requests.rs
+++ b/crates/resp-gateway/src/requests.rs
@@ -124,11 +124,17 @@
         StartOutcome::Started { request: id, deadline, event: Event::RequestReceived(incoming) }
     }
 
-    /// Starts an attempt that the decision library sends to a backend; `None` if the request has finished.
+    /// Starts an attempt that the decision library sends to a backend.
+    ///
+    /// # Errors
+    /// The end of the attempt, if the request has finished.
     pub(crate) fn start_attempt(
         &mut self, now: Millis, id: RequestId, backend: &Name,
-    ) -> Option<OutgoingAttempt> {
-        let open = self.open.get_mut(&id)?;
+    ) -> Result<OutgoingAttempt, AttemptEnd> {
+        let Some(open) = self.open.get_mut(&id) else {
+            tracing::trace!(target: LOG_TARGET, number = id, backend = &**backend, "attempt of a finished request");
+            return Err(AttemptEnd::not_started(id, backend.clone()));
+        };
         open.lifecycle.handle(LifecycleEvent::AttemptStarted, &mut self.actions);
         self.actions.clear();
         open.backend = backend.clone();
@@ -136,7 +142,7 @@
         open.load_report = None;
         let elapsed_ms = now - open.started_at;
         tracing::trace!(target: LOG_TARGET, number = id, backend = &**backend, elapsed_ms, "attempt started");
-        Some(OutgoingAttempt {
+        Ok(OutgoingAttempt {
             command: open.forwarded.clone(),
             request_started_at: open.started_at,
             deadline: open.deadline,
@@ -144,6 +150,11 @@
         })
     }
 
+    /// Whether an attempt of this request is in flight.
+    pub(crate) fn has_attempt(&self, id: RequestId) -> bool {
+        self.open.get(&id).is_some_and(|open| open.lifecycle.has_attempt())
+    }
+
     /// Whether this attempt is in flight.
     pub(crate) fn is_in_flight(&self, id: RequestId, attempt: u32) -> bool {
         self.open
--- a/crates/resp-gateway/tests/gone.rs
+++ b/crates/resp-gateway/tests/gone.rs
@@ -5,7 +5,7 @@
 
 use doorcourse_resp::Value;
 use rig::{Backend, Client, Reply, StalledBackend, TestGateway, WAIT_LIMIT, endpoint, is_served, value};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -149,3 +149,25 @@
         [id]
     );
 }
+
+/// Guards against places at a backend that stay taken: attempts that the decisions start for requests whose client has
+/// disconnected, while the disconnect is queued behind the ends of other attempts of the same connection.
+#[test]
+fn client_that_sends_much_at_once_and_disconnects_leaves_no_place_taken() {
+    /// More than the initial concurrency limit of a backend, so that some requests wait in the queue.
+    const COMMANDS: usize = 20;
+    let stalled = StalledBackend::start(|_| Reply::Bytes(value("good")));
+    let rig =
+        TestGateway::new(vec![endpoint("b0", stalled.address(), "active")], settings_without_counter(), 1024);
+    for _ in 0..3 {
+        let mut client = rig.client();
+        let commands: Vec<u8> = (0..COMMANDS).flat_map(|_| client.encode_request("lookup", 15_000)).collect();
+        client.stream.write_all(&commands).unwrap();
+        wait_until_input_is_read(&rig);
+        disconnect(client);
+    }
+    let stalled = stalled.start_accepting();
+    let mut other = rig.client();
+    assert!(is_served(&other.request("order", 15_000), "good"));
+    assert_eq!(stalled.command_count(), 1, "attempts after their client had disconnected");
+}
--- a/src/action.rs
+++ b/src/action.rs
@@ -1,5 +1,6 @@
 //! What a gateway asks its host to do.
 
+use crate::event::AttemptEnd;
 use crate::types::{Millis, Name, RequestId};
 
 /// Why a request is rejected.
@@ -12,10 +13,22 @@
     Overloaded,
 }
 
+/// What became of an action at the host.
+#[must_use = "an attempt that was not started must be reported to the decisions, which count it as in flight"]
+#[derive(Debug)]
+pub enum ActionOutcome {
+    /// The action is carried out, or has no effect because its request has ended. The end of an attempt that was started
+    /// is reported later.
+    Done,
+    /// The attempt was not started. This end is to be reported as [`crate::Event::AttemptEnded`], before other events.
+    AttemptNotStarted(AttemptEnd),
+}
+
 /// An action that the host executes at once.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send an attempt of a request to a backend.
+    /// Send an attempt of a request to a backend. If the host cannot start it, for example since the request has ended in
+    /// the meantime, the outcome is [`ActionOutcome::AttemptNotStarted`].
     SendAttempt {
         /// The request.
         id: RequestId,
--- a/src/admission/in_flight_limit.rs
+++ b/src/admission/in_flight_limit.rs
@@ -21,6 +21,6 @@
             return true;
         }
         let customer_gateways = customer.customer_gateways as u32;
-        customer.in_flight < in_flight_limit(max_in_flight, customer.gateway_rank, customer_gateways)
+        customer.occupancy.count() < in_flight_limit(max_in_flight, customer.gateway_rank, customer_gateways)
     }
 }
--- a/src/balancer/backend.rs
+++ b/src/balancer/backend.rs
@@ -1,5 +1,6 @@
 //! The state that a gateway keeps of one backend.
 
+use crate::balancer::attempts::Occupancy;
 use crate::health::concurrency_limit::ConcurrencyLimit;
 use crate::health::outlier::OutlierState;
 use crate::health::slow_start::StartTime;
@@ -16,8 +17,8 @@
     /// Its slot in the endpoint table.
     pub slot: usize,
     pub start_time: StartTime,
-    /// Requests of this gateway in flight there.
-    pub in_flight: u32,
+    /// The places of attempts of this gateway that are in flight there.
+    pub occupancy: Occupancy,
     pub concurrency_limit: ConcurrencyLimit,
     pub outlier: OutlierState,
 }
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -238,16 +238,17 @@
 
     /// Applies one entry. A backend that has restarted keeps only its requests in flight.
     fn change_endpoint(&mut self, entry: BackendEntry) {
-        let known = self.backends.get_mut(&entry.name);
-        let in_flight = known.as_ref().map_or(0, |backend| backend.in_flight);
+        let mut known = self.backends.get_mut(&entry.name);
         let slot = self.endpoints.upsert(known.as_ref().map(|backend| backend.slot), &entry);
         let ready = entry.state == BackendState::Ready;
         let removed_at: Option<Millis> = (entry.state == BackendState::Removed).then_some(self.now);
-        if let Some(known) = known.filter(|backend| backend.start_time.reported == entry.started) {
+        let same_start = |backend: &&mut &mut Backend| backend.start_time.reported == entry.started;
+        if let Some(known) = known.as_mut().filter(same_start) {
             known.ready = ready;
             known.removed_at = removed_at;
             return;
         }
+        let occupancy = known.map(|backend| std::mem::take(&mut backend.occupancy)).unwrap_or_default();
         let backend = Backend {
             zone: entry.zone,
             cell: entry.cell,
@@ -255,7 +256,7 @@
             removed_at,
             slot,
             start_time: StartTime { reported: entry.started, assumed: None },
-            in_flight,
+            occupancy,
             concurrency_limit: ConcurrencyLimit::new(self.settings.gateway_count),
             outlier: OutlierState::default(),
         };
--- a/src/balancer/forward.rs
+++ b/src/balancer/forward.rs
@@ -14,12 +14,12 @@
             return false;
         }
         let Some(name) = self.select_backend(id) else { return false };
-        let Some(request) = self.requests.get_mut(&id) else { return false };
-        let Some(backend) = self.backends.get_mut(&name) else { return false };
-        backend.in_flight += 1;
-        if let Some(customer) = self.customers.get_mut(&request.customer) {
-            customer.in_flight += 1;
+        if !self.begin_attempt(id, &name) {
+            return false;
         }
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        let customer = self.customers.get_mut(&request.customer);
+        request.customer_place = customer.map(|customer| customer.occupancy.take());
         request.stage = RequestStage::InFlight;
         request.sent_at = self.now;
         request.attempts += 1;
--- a/src/balancer/select.rs
+++ b/src/balancer/select.rs
@@ -123,7 +123,7 @@
             is_warm: is_warm(weight),
             distance_penalty: self.distance_penalty(&backend.zone, slot.in_subset),
             random_factor: random_factor(draw, self.is_large_fleet),
-            in_flight: f64::from(backend.in_flight),
+            in_flight: f64::from(backend.occupancy.count()),
             concurrency_limit: backend.concurrency_limit.get(),
         }
     }
@@ -135,7 +135,7 @@
             Eligibility::Unavailable
         } else if self.executed_on.is_some_and(|executed_on| !backend.is_in_same_scope(executed_on, scope)) {
             Eligibility::OutOfScope
-        } else if backend.concurrency_limit.is_reached(backend.in_flight) {
+        } else if backend.concurrency_limit.is_reached(backend.occupancy.count()) {
             Eligibility::AtLimit
         } else if exceeds_slow_start_budget {
             Eligibility::SlowStart
@@ -230,7 +230,7 @@
     /// Selects the backend for a request's next attempt; `None` where the request has to wait.
     pub(crate) fn select_backend(&mut self, id: RequestId) -> Option<Name> {
         let request = self.requests.get(&id)?;
-        let in_flight: f64 = self.backends.values().map(|backend| f64::from(backend.in_flight)).sum();
+        let in_flight: f64 = self.backends.values().map(|backend| f64::from(backend.occupancy.count())).sum();
         if in_flight >= self.total_concurrency_limit().max(1.0) {
             return None;
         }
--- a/src/event.rs
+++ b/src/event.rs
@@ -174,6 +174,23 @@
     pub load_report: Option<LoadReport>,
 }
 
+impl AttemptEnd {
+    /// The end of an attempt that was not started, because its request had ended.
+    #[must_use]
+    pub fn not_started(id: RequestId, backend: Name) -> Self {
+        Self {
+            id,
+            attempt: 0,
+            backend,
+            outcome: AttemptOutcome::NeverSent,
+            latency: 0.0,
+            true_units: None,
+            final_response_sent: true,
+            load_report: None,
+        }
+    }
+}
+
 /// Something that happened, as the host reports it.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use crate::admission::queue::request_of_token;
 use crate::admission::shedding::LoadShedder;
+use crate::balancer::attempts::AttemptsInFlight;
 use crate::balancer::backend::Backend;
 use crate::balancer::endpoints::EndpointTable;
 use crate::counter::availability::CounterAvailability;
@@ -37,6 +38,7 @@
 
     pub(crate) backends: BTreeMap<Name, Backend>,
     pub(crate) endpoints: EndpointTable,
+    pub(crate) attempts: AttemptsInFlight,
     pub(crate) load_shedder: LoadShedder,
     /// One for each class of the settings, in their order.
     pub(crate) smoothed_latencies: Vec<SmoothedLatency>,
@@ -125,7 +127,7 @@
             available_units: customer.bucket.available_units,
             unreported_units: customer.unreported_units,
             waiting: customer.waiting.len(),
-            in_flight: customer.in_flight,
+            in_flight: customer.occupancy.count(),
         })
     }
 
@@ -135,7 +137,7 @@
         self.backends.iter().map(|(name, backend)| BackendStatus {
             name: name.clone(),
             ready: backend.ready,
-            in_flight: backend.in_flight,
+            in_flight: backend.occupancy.count(),
             concurrency_limit: backend.concurrency_limit.get(),
             started: backend.start_time.reported,
             consecutive_failures: backend.outlier.consecutive_failures,
--- a/src/health/outcome.rs
+++ b/src/health/outcome.rs
@@ -48,11 +48,11 @@
 }
 
 impl Gateway {
-    /// Records the outcome of an attempt in its backend's concurrency limit and outlier state and in load shedding.
+    /// Gives back the place of an attempt that ended, and records its outcome in its backend's concurrency limit and outlier state and in load shedding.
     pub(crate) fn record_backend_outcome(&mut self, end: &AttemptEnd, out: &mut Vec<Action>) {
+        self.end_attempt(end.id);
         let name = &end.backend;
         let Some(backend) = self.backends.get_mut(name) else { return };
-        backend.in_flight = backend.in_flight.saturating_sub(1);
         let class_index = self.requests.get(&end.id).map_or(0, |request| request.class_index);
         let smoothed_latency = &mut self.smoothed_latencies[class_index];
         match end.outcome {
@@ -68,7 +68,7 @@
         }
         let objective = self.settings.classes[class_index].latency_objective;
         let is_late = is_late(end.outcome, end.latency, objective, *smoothed_latency);
-        backend.concurrency_limit.record_response(is_late, backend.in_flight);
+        backend.concurrency_limit.record_response(is_late, backend.occupancy.count());
         self.load_shedder.record_response(is_late);
         if end.outcome != AttemptOutcome::Served {
             let connection_lost = end.outcome == AttemptOutcome::ConnectionLost;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,10 +81,15 @@
 //!   [`CounterOutcome::Late`].
 //! - Timers: every timer that is set expires once, at or after its time.
 //! - For every [`Action::SendAttempt`] exactly one [`Event::AttemptEnded`], by the client's timeout at the latest.
+//! - Actions for requests that have ended. Between the end of a request (disconnect of its client, deadline, shutdown) and
+//!   the event that reports it, other events may be queued, and the actions that follow from them may name the request. A
+//!   [`Action::Reject`] or [`Action::Fail`] of it has no effect. A [`Action::SendAttempt`] of it, like any that cannot be
+//!   started, is [`ActionOutcome::AttemptNotStarted`]; the host reports its end before any other event.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod accounting;
 mod action;
 mod admission;
 mod balancer;
@@ -105,7 +110,8 @@
 mod types;
 mod validation;
 
-pub use action::{Action, RejectReason};
+pub use accounting::{AccountingCheck, CountMismatch, Counted};
+pub use action::{Action, ActionOutcome, RejectReason};
 pub use event::{
     AttemptEnd, AttemptOutcome, BackendEntry, BackendRole, BackendState, CounterOutcome, Event,
     IncomingRequest, LoadReport, Placement,
--- a/src/maintenance.rs
+++ b/src/maintenance.rs
@@ -31,7 +31,8 @@
     /// Whether the backend has been off the endpoint list for so long that no open request may have been executed on
     /// it. Until then it is kept, since it identifies the zone and cell in which such a request may be retried.
     fn is_forgettable(&self, now: Millis) -> bool {
-        self.in_flight == 0 && self.removed_at.is_some_and(|removed_at| now - removed_at > MAX_RETENTION)
+        self.occupancy.count() == 0
+            && self.removed_at.is_some_and(|removed_at| now - removed_at > MAX_RETENTION)
     }
 }
 
@@ -55,7 +56,7 @@
 
     /// Whether the customer's state has to be kept.
     fn is_in_use(&self, now: Millis, plan: &Plan) -> bool {
-        let is_busy = self.pending_call.is_some() || self.in_flight > 0 || !self.waiting.is_empty();
+        let is_busy = self.pending_call.is_some() || self.occupancy.count() > 0 || !self.waiting.is_empty();
         is_busy || now - self.demand.updated_at < idle_retention(plan)
     }
 }
--- a/src/quota/customer.rs
+++ b/src/quota/customer.rs
@@ -1,5 +1,6 @@
 //! The state that a gateway keeps of one customer.
 
+use crate::balancer::attempts::Occupancy;
 use crate::counter::calls::CounterCall;
 use crate::quota::bucket::{TokenBucket, initial_units, refill_period, window_at};
 use crate::quota::fallback::FallbackBudget;
@@ -38,8 +39,8 @@
     pub waiting: VecDeque<RequestId>,
     /// Set from the first request that is decided without the counter until the customer's next total.
     pub fallback_budget: Option<FallbackBudget>,
-    /// Requests in flight at backends.
-    pub in_flight: u32,
+    /// The places of the customer's requests that are in flight at backends.
+    pub occupancy: Occupancy,
 }
 
 impl Customer {
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,5 +1,6 @@
 //! The state of one request, its arrival and its final response.
 
+use crate::balancer::attempts::Place;
 use crate::quota::admit::QuotaAdmission;
 use crate::quota::bucket::refill_period;
 use crate::quota::customer::{Customer, gateway_rank};
@@ -49,6 +50,8 @@
     /// When its wait in the present stage ends.
     pub waits_until: Millis,
     pub stage: RequestStage,
+    /// Its place among its customer's requests in flight, while an attempt is in flight.
+    pub customer_place: Option<Place>,
     /// Attempts sent.
     pub attempts: u32,
     /// The first attempt that may have been executed.
@@ -141,11 +144,13 @@
     pub(crate) fn remove_request(&mut self, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else { return };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        if let Some(place) = request.customer_place {
+            customer.occupancy.release(place);
+        }
         match request.stage {
             RequestStage::AwaitingCounter => customer.stop_waiting(id),
-            RequestStage::InFlight => customer.in_flight = customer.in_flight.saturating_sub(1),
             RequestStage::Queued if request.attempts == 0 => customer.refund(request.units),
-            RequestStage::Queued => {}
+            RequestStage::Queued | RequestStage::InFlight => {}
         }
     }
 }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -76,7 +76,9 @@
         if let Some(true_units) = end.true_units.filter(|_| is_served) {
             customer.settle(true_units, request.units, &self.settings.plans[request.plan_index]);
         }
-        customer.in_flight = customer.in_flight.saturating_sub(1);
+        if let Some(place) = request.customer_place.take() {
+            customer.occupancy.release(place);
+        }
         request.stage = RequestStage::Queued;
         if end.final_response_sent || is_served {
             let is_unsent = end.outcome == AttemptOutcome::NeverSent && request.attempts == 1;
