--- a/crates/cli/tests/running_gateway/mod.rs
+++ b/crates/cli/tests/running_gateway/mod.rs
@@ -33,11 +33,15 @@
         gateway
     }
 
+    /// The lines of the log that are not yet read. Ends if there is none in time or the process exits.
+    pub fn log_lines(&self) -> impl Iterator<Item = Json> {
+        let lines = std::iter::from_fn(|| self.log.recv_timeout(WAIT_LIMIT).ok());
+        lines.map(|line| serde_json::from_str::<Json>(&line).expect("the log is JSON"))
+    }
+
     /// Waits for the log line with this message; panics if there is none in time or the process exits without it.
     pub fn wait_for_log(&mut self, message: &str) -> Json {
-        let lines = std::iter::from_fn(|| self.log.recv_timeout(WAIT_LIMIT).ok());
-        let mut lines = lines.map(|l| serde_json::from_str::<Json>(&l).expect("the log is JSON"));
-        lines.find(|l| l["message"] == message).unwrap_or_else(|| panic!("no line {message:?}"))
+        self.log_lines().find(|l| l["message"] == message).unwrap_or_else(|| panic!("no line {message:?}"))
     }
 
     pub fn signal(&self, signal: Signal) {
