--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -17,6 +17,8 @@
 mod actions;
 mod configuration;
 mod health_checks;
+mod lost_attempts;
+mod ready_order;
 mod signals;
 
 pub use signals::{GatewayHandle, SignalHandlers};
@@ -38,6 +40,7 @@
 use doorcourse_graceful_shutdown::{FinalRound, FinalRounds, GracefulShutdown, ShutdownPhase, needs_repoll};
 use doorcourse_request_lifecycle::LifecycleEvent;
 use health_checks::HealthChecks;
+use ready_order::ReadyOrder;
 use signals::SignalPipes;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -246,22 +249,6 @@
         self.log_diagnostics();
     }
 
-    /// Frees the places of attempts that the decisions count and no request has. There is none unless this gateway is at
-    /// fault.
-    fn recover_lost_attempts(&mut self) {
-        let has_attempt = |request| self.requests.has_attempt(request);
-        let lost = self.accounting.check(self.reactor.now, &self.decisions, has_attempt);
-        debug_assert!(lost.is_empty(), "attempts were lost: {lost:?}");
-        debug_assert_eq!(self.decisions.count_mismatches(), []);
-        if lost.is_empty() {
-            return;
-        }
-        let total = self.accounting.lost_attempts;
-        tracing::error!(target: "doorcourse::decisions", attempts = lost.len(), total, "attempts were lost");
-        self.pending.decisions.extend(lost.into_iter().map(Event::AttemptEnded));
-        self.process_pending_events();
-    }
-
     fn handle_readiness(&mut self, ready: Ready) {
         let Some(token) = Token::unpack(ready.token) else { return };
         let reactor = &mut self.reactor;
@@ -401,25 +388,3 @@
         self.diagnostics.handle_timeout(&self.reactor, &components);
     }
 }
-
-/// The ready descriptors of an iteration, in the order in which they are handled.
-struct ReadyOrder<'a> {
-    /// Disconnected clients, then signals, discovery, the counter and backends.
-    before_timers: &'a [Ready],
-    /// The listener and the other clients.
-    after_timers: &'a [Ready],
-}
-
-impl<'a> ReadyOrder<'a> {
-    fn sort(ready: &'a mut [Ready]) -> Self {
-        let is_disconnect =
-            |ready: &Ready| ready.peer_closed && Token::kind_of(ready.token) == Some(TokenKind::Client);
-        let is_before_timers = |ready: &Ready| {
-            is_disconnect(ready) || Token::kind_of(ready.token).is_some_and(|kind| kind < TokenKind::Listener)
-        };
-        ready.sort_unstable_by_key(|ready| (!is_disconnect(ready), ready.token));
-        let split = ready.partition_point(is_before_timers);
-        let (before_timers, after_timers) = ready.split_at(split);
-        Self { before_timers, after_timers }
-    }
-}
