Places are taken and released: one pair of words in comments

'Given back' stood beside 'released' for the same thing, and some comments used words that the glossary has retired. Comments and one assertion's text change, nothing else.

--- a/crates/cli/tests/leases.rs
+++ b/crates/cli/tests/leases.rs
@@ -125,7 +125,7 @@
                 return holder;
             }
             assert!(started_at.elapsed() < WAIT_LIMIT, "gateway {gateway} keeps the lease");
-            // Fails where the lease was lost in the meantime; then the next act tells who holds it.
+            // Fails where the lease was lost in the meantime; then the next act shows the holder.
             let to = ((gateway + 1) % GATEWAYS).to_string();
             let _ = self.ctl(gateway, &["hand-over", "bill", &to]);
         }
--- a/crates/http-gateway/tests/bursts.rs
+++ b/crates/http-gateway/tests/bursts.rs
@@ -1,4 +1,4 @@
-//! Bursts of clients that send requests or parts of them and disconnect, at a gateway with a backend that comes up late and
+//! Bursts of clients that send complete or partial requests and disconnect, at a gateway with a backend that comes up late and
 //! one that fails in several ways: when all is over, nothing is taken any more, and no descriptor is left.
 //!
 //! The only test of its process, whose descriptors it counts.
@@ -41,7 +41,7 @@
     scripted_backend((0..STEPS).map(|_| step(random.random_range(0..8))).collect())
 }
 
-/// Some clients send a request, or a part of one, and disconnect by a close, a half-close or a reset.
+/// Some clients send a complete or partial request, and disconnect by a close, a half-close or a reset.
 fn burst(random: &mut ChaCha8Rng, gateway: &TestGateway) {
     let request = post("free", [PREVIEW, LICENCE, PLAYLIST][random.random_range(0..3)], "");
     let mut clients: Vec<_> = (0..random.random_range(1..=MAX_CLIENTS)).map(|_| gateway.client()).collect();
--- a/crates/request-lifecycle/tests/accounting.rs
+++ b/crates/request-lifecycle/tests/accounting.rs
@@ -1,4 +1,4 @@
-//! The counts of the decisions against the requests of a host, on random orders of events: whole connections that close
+//! The counts of the decisions against the requests of a host, on random orders of events: connections that close
 //! with many requests in different states, ends of attempts, endpoint lists and restarts, counter results and timers, all
 //! queued behind each other as in the event loops of both gateways.
 
@@ -360,7 +360,7 @@
     host.finish()
 }
 
-/// Guards against places at backends and of customers that are taken and never given back.
+/// Guards against places at backends and of customers that are taken and never released.
 #[test]
 fn every_count_equals_its_recount_whatever_the_order_of_events() {
     for seed in 0..SEEDS {
--- a/src/accounting.rs
+++ b/src/accounting.rs
@@ -1,5 +1,5 @@
 //! Counts anew what the gateway counts as it goes: places at backends and of customers, waits for the counter, and
-//! counter calls. Between two events each count equals the number of requests and attempts that it stands for.
+//! counter calls. Between two events each count equals the number of requests and attempts that it represents.
 
 use crate::request::RequestStage;
 use crate::{AttemptEnd, Gateway, Millis, Name, RequestId};
@@ -7,7 +7,7 @@
 /// How often a host compares its attempts with the counts, in ms. A debug build compares them each time.
 const CHECK_INTERVAL: Millis = 1000.0;
 
-/// What a count stands for.
+/// What is counted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Counted {
     /// The attempts in flight at a backend.
--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -1,13 +1,13 @@
 //! The attempts in flight, and the places that they take at backends.
 //!
-//! A place is a value: it is taken at an [`Occupancy`] and given back there, and cannot be copied or given back twice.
+//! A place is a value: it is taken at an [`Occupancy`] and released there, and cannot be copied or released twice.
 //! An attempt holds its place from [`Gateway::begin_attempt`] until [`Gateway::end_attempt`], whatever becomes of its
 //! request in the meantime.
 
 use crate::{Gateway, Name, RequestId};
 use std::collections::BTreeMap;
 
-/// A place that is taken. It has to be given back with [`Occupancy::release`]; one that is dropped stays taken.
+/// A place that is taken until [`Occupancy::release`]; one that is dropped stays taken.
 #[must_use = "a place that is not released stays taken"]
 #[derive(Debug)]
 pub(crate) struct Place(());
@@ -30,10 +30,10 @@
         Place(())
     }
 
-    /// Gives a place back.
+    /// Releases a place.
     pub(crate) fn release(&mut self, place: Place) {
         let Place(()) = place;
-        debug_assert!(self.taken > 0, "a place was given back where none was taken");
+        debug_assert!(self.taken > 0, "a place is released where none was taken");
         self.taken = self.taken.saturating_sub(1);
     }
 }
@@ -67,7 +67,7 @@
         true
     }
 
-    /// Gives back the place of an attempt; an attempt that is not in flight has none.
+    /// Releases the place of an attempt; an attempt that is not in flight has none.
     pub(crate) fn end_attempt(&mut self, id: RequestId) {
         let Some(attempt) = self.attempts.0.remove(&id) else { return };
         if let Some(backend) = self.backends.get_mut(&attempt.backend) {
--- a/src/health/outcome.rs
+++ b/src/health/outcome.rs
@@ -48,7 +48,7 @@
 }
 
 impl Gateway {
-    /// Gives back the place of an attempt that ended, and records its outcome in its backend's concurrency limit and outlier state and in load shedding.
+    /// Releases the place of an attempt that ended, and records its outcome in its backend's concurrency limit and outlier state and in load shedding.
     pub(crate) fn record_backend_outcome(&mut self, end: &AttemptEnd, out: &mut Vec<Action>) {
         self.end_attempt(end.id);
         let name = &end.backend;
--- a/tests/accounting.rs
+++ b/tests/accounting.rs
@@ -1,4 +1,4 @@
-//! The places that attempts take: given back by the end of the attempt alone, and recovered if the host lost it.
+//! The places that attempts take: released by the end of the attempt alone, and recovered if the host lost it.
 
 mod common;
 use common::*;
@@ -42,7 +42,7 @@
     assert_eq!(places(&gateway.decisions), (1, 0));
     gateway.handle(Event::AttemptEnded(AttemptEnd::not_started(id, BACKEND.into())));
     assert_eq!(places(&gateway.decisions), (0, 0));
-    // An end that is reported twice gives nothing back a second time.
+    // An end that is reported twice releases nothing a second time.
     gateway.handle(Event::AttemptEnded(AttemptEnd::not_started(id, BACKEND.into())));
     assert_eq!((places(&gateway.decisions), gateway.decisions.count_mismatches()), ((0, 0), Vec::new()));
 }
