--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -21,13 +21,13 @@
 mod fleet;
 mod import;
 mod load;
+mod log;
 mod platform;
 mod query;
 mod serve;
 mod standin;
 
 use clap::{Parser, Subcommand};
-use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -99,12 +99,7 @@
             return ExitCode::from(2);
         }
     };
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    if std::io::stderr().is_terminal() {
-        log.init();
-    } else {
-        log.json().flatten_event(true).init();
-    }
+    log::init(filter);
     let result = match arguments.command {
         Command::Serve { config, seed, take_over } => serve::serve(&config, seed, take_over),
         Command::Platform(platform) => platform::run(&platform),
--- a/crates/http-gateway/src/gateway/status.rs
+++ b/crates/http-gateway/src/gateway/status.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Fleet;
 use crate::monitoring::{BackendGauges, Snapshot};
 use doorcourse::{BackendStatus, CustomerStatus, Millis};
+use doorcourse_event_loop::process_memory;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
@@ -20,6 +21,7 @@
             requests: self.requests.count(),
             client_connections: self.clients.count(),
             buffered_bytes: self.clients.budget.bytes(),
+            resident_bytes: process_memory().unwrap_or_default().resident,
             counter_unavailable: self.decisions.is_counter_silent(),
             lost_attempts: self.accounting.lost_attempts,
             leased_units: leased_units.into_iter().collect(),
@@ -44,6 +46,7 @@
             "counter_silent": self.decisions.is_counter_silent(),
             "requests_so_far": self.requests.total,
             "buffered_bytes": self.clients.budget.bytes(),
+            "resident_bytes": process_memory().unwrap_or_default().resident,
         })
     }
 
--- a/crates/http-gateway/src/monitoring/metrics.rs
+++ b/crates/http-gateway/src/monitoring/metrics.rs
@@ -73,6 +73,7 @@
     pub requests: usize,
     pub client_connections: usize,
     pub buffered_bytes: u64,
+    pub resident_bytes: u64,
     pub counter_unavailable: bool,
     /// Attempts that the decisions counted and no request had, so far.
     pub lost_attempts: u64,
@@ -98,6 +99,7 @@
     requests: Gauge,
     client_connections: Gauge,
     buffered_bytes: Gauge,
+    resident_bytes: Gauge,
     counter_unavailable: Gauge,
     lost_attempts: Gauge,
     ready: Gauge,
@@ -175,6 +177,7 @@
             requests: register(r, "requests_open", "Requests not answered yet"),
             client_connections: register(r, "client_connections", "Client connections"),
             buffered_bytes: register(r, "held_bytes", "Bytes held for clients"),
+            resident_bytes: register(r, "resident_bytes", "Resident memory of the process"),
             counter_unavailable: register(r, "counter_silent", "1 while the shared counter is silent"),
             lost_attempts: register(
                 r,
@@ -190,6 +193,7 @@
         self.requests.set(saturating(snapshot.requests));
         self.client_connections.set(saturating(snapshot.client_connections));
         self.buffered_bytes.set(saturating(snapshot.buffered_bytes));
+        self.resident_bytes.set(saturating(snapshot.resident_bytes));
         self.counter_unavailable.set(snapshot.counter_unavailable.into());
         self.lost_attempts.set(saturating(snapshot.lost_attempts));
         self.ready.set(snapshot.ready.into());
--- a/crates/resp-gateway/src/clients.rs
+++ b/crates/resp-gateway/src/clients.rs
@@ -4,15 +4,18 @@
 //! expires and which one is evicted; `doorcourse_graceful_shutdown` decides when one may close after SIGTERM.
 
 mod accept;
+mod close_reason;
 mod connection;
 mod response;
 
+pub(crate) use close_reason::CloseCounts;
 pub(crate) use connection::CommandId;
 pub(crate) use response::{RequestFailure, Response};
 
 use crate::reactor::{Reactor, Token};
 use crate::request::Request;
 use accept::LISTENER_TOKEN;
+use close_reason::CloseReason;
 use connection::{ClientConnection, ResponseSlot};
 use doorcourse::{Millis, RequestId};
 use doorcourse_connection_limits::{ConnectionActivity, ConnectionTimeouts};
@@ -54,6 +57,8 @@
     /// Connections that the next flush handles.
     to_flush: Vec<usize>,
     timeouts_checked_at: Millis,
+    /// Connections closed so far, by reason.
+    closed: CloseCounts,
 }
 
 impl ClientTable {
@@ -68,6 +73,7 @@
             max_connections,
             to_flush: Vec::new(),
             timeouts_checked_at: reactor.now,
+            closed: CloseCounts::default(),
         })
     }
 
@@ -82,7 +88,7 @@
         };
         if ready.peer_closed {
             // By the protocol, a client that closes its side has disconnected, even if commands of it are unread.
-            return self.remove(token.index, events);
+            return self.remove(token.index, CloseReason::ClientDisconnected, events);
         }
         if ready.write {
             schedule_flush(&mut self.to_flush, connection);
@@ -104,7 +110,7 @@
             self.process_commands(reactor, deployment, index, events);
         }
         if flow != Flow::Open {
-            self.remove(index, events);
+            self.remove(index, CloseReason::ClientDisconnected, events);
         }
     }
 
@@ -122,7 +128,7 @@
     /// and sends its request to another gateway. Returns false if the connection stays in use, and true if it was removed
     /// or lingers.
     fn close_after_last_read(
-        &mut self, reactor: &mut Reactor, deployment: &Deployment, index: usize,
+        &mut self, reactor: &mut Reactor, deployment: &Deployment, index: usize, reason: CloseReason,
         may_close: impl Fn(&ConnectionActivity) -> bool, events: &mut Vec<ClientEvent>,
     ) -> bool {
         if !rule_disabled("last-read-before-close") {
@@ -132,13 +138,13 @@
         if !may_close(&connection.activity) {
             return false;
         }
-        tracing::trace!(target: "doorcourse::requests", connection = index, "client connection closed");
         let activity = &connection.activity;
         // Lingering lets the client receive the last response: not needed once it is over, or without any response.
         if activity.lingering_close_until.is_some() || activity.last_response_at.is_none() {
-            self.remove(index, events);
+            self.remove(index, reason, events);
         } else {
             connection.begin_lingering_close(reactor.now);
+            connection.close_reason.get_or_insert(reason);
             connection.update_interest(reactor);
         }
         true
@@ -177,8 +183,13 @@
         connection.slot_mut(command.sequence)
     }
 
-    fn remove(&mut self, index: usize, events: &mut Vec<ClientEvent>) {
+    /// Closes a connection. `reason` is counted unless its lingering close has begun for another one.
+    fn remove(&mut self, index: usize, reason: CloseReason, events: &mut Vec<ClientEvent>) {
         let Some(connection) = self.connections.try_remove(index) else { return };
+        let reason = connection.close_reason.unwrap_or(reason);
+        self.closed.record(reason);
+        let open_requests = connection.activity.open_requests;
+        tracing::trace!(target: "doorcourse::requests", connection = index, ?reason, open_requests, "client connection closed");
         let requests = connection.into_open_requests();
         events.extend(requests.map(|request| ClientEvent::Disconnected { request }));
     }
@@ -200,14 +211,21 @@
             };
             connection.flush_scheduled = false;
             if connection.flush(now) == Flow::Broken {
-                self.remove(index, events);
+                self.remove(index, CloseReason::ClientDisconnected, events);
                 continue;
             }
             if !connection.registered.socket.input.is_empty() {
                 self.process_commands(reactor, deployment, index, events);
             }
             if self.connections.get(index).is_some_and(|connection| may_close(&connection.activity)) {
-                self.close_after_last_read(reactor, deployment, index, may_close, events);
+                self.close_after_last_read(
+                    reactor,
+                    deployment,
+                    index,
+                    CloseReason::Draining,
+                    may_close,
+                    events,
+                );
             }
             self.update_interest(reactor, index);
         }
@@ -244,7 +262,14 @@
         for index in 0..self.connections.capacity() {
             let Some(connection) = self.connections.get(index) else { continue };
             if is_expired(&connection.activity) {
-                self.close_after_last_read(reactor, deployment, index, is_expired, events);
+                self.close_after_last_read(
+                    reactor,
+                    deployment,
+                    index,
+                    CloseReason::Expired,
+                    is_expired,
+                    events,
+                );
             } else if connection.has_invalid_commands() && connection.reads_input(now) {
                 self.process_commands(reactor, deployment, index, events);
                 self.update_interest(reactor, index);
@@ -262,6 +287,11 @@
     pub(crate) fn connection_count(&self) -> usize {
         self.connections.len()
     }
+
+    /// Connections closed so far, by reason.
+    pub(crate) fn closed(&self) -> CloseCounts {
+        self.closed
+    }
 }
 
 fn schedule_flush(to_flush: &mut Vec<usize>, connection: &mut ClientConnection) {
--- a/crates/resp-gateway/src/clients/accept.rs
+++ b/crates/resp-gateway/src/clients/accept.rs
@@ -1,5 +1,6 @@
 //! Accepts client connections, and evicts others when the table is full or no descriptor is left.
 
+use super::close_reason::CloseReason;
 use super::connection::{ClientConnection, reject_connection};
 use super::{ClientEvent, ClientTable};
 use crate::reactor::{Reactor, RegisteredSocket, Token, TokenKind};
@@ -93,6 +94,7 @@
             if self.connections.len() >= self.max_connections
                 && !self.evict_connection(reactor, deployment, events)
             {
+                self.closed.record(CloseReason::TableFull);
                 reject_connection(socket);
                 continue;
             }
@@ -129,10 +131,11 @@
                 ranked.filter_map(|(index, connection)| Some((connection.activity.eviction_rank()?, index)));
             let lowest = ranked.min_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
             let Some((_, index)) = lowest else { return false };
-            if self.close_after_last_read(reactor, deployment, index, may_evict, events) {
+            if self.close_after_last_read(reactor, deployment, index, CloseReason::Evicted, may_evict, events)
+            {
                 // Removed without waiting for the lingering close, since its descriptor is needed now. A connection
                 // with an unwritten response has no eviction rank unless its unread timeout has passed.
-                self.remove(index, events);
+                self.remove(index, CloseReason::Evicted, events);
                 return true;
             }
         }
--- a/crates/resp-gateway/src/clients/connection.rs
+++ b/crates/resp-gateway/src/clients/connection.rs
@@ -1,6 +1,7 @@
 //! A client connection: its commands, and its responses in the order of the commands.
 
 use super::ClientEvent;
+use super::close_reason::CloseReason;
 use super::response::Response;
 use crate::reactor::{Reactor, RegisteredSocket};
 use crate::request::{self, ClientCommand, RequestError};
@@ -51,6 +52,8 @@
     /// Sequence number of the first slot.
     first_sequence: u64,
     pub activity: ConnectionActivity,
+    /// Why the lingering close began.
+    pub close_reason: Option<CloseReason>,
     /// Commands so far that were invalid.
     invalid_commands: u32,
     /// When reading resumes after an invalid command.
@@ -71,6 +74,7 @@
             slots: VecDeque::new(),
             first_sequence: 0,
             activity: ConnectionActivity::new(now),
+            close_reason: None,
             invalid_commands: 0,
             read_resumes_at: f64::NEG_INFINITY,
             input_closed: false,
@@ -224,6 +228,7 @@
         }
         let is_lingering = self.activity.lingering_close_until.is_some();
         if self.input_closed && pending == 0 && self.slots.is_empty() && !is_lingering {
+            self.close_reason = Some(CloseReason::InvalidFraming);
             self.begin_lingering_close(now);
         }
         Flow::Open
--- a/crates/resp-gateway/src/diagnostics.rs
+++ b/crates/resp-gateway/src/diagnostics.rs
@@ -1,6 +1,10 @@
 //! Logs the state of the decision library next to that of the sockets, at most once a second, at level `debug` of the
 //! target `doorcourse::watch`; at level `trace`, also the first attempt and the rejection of each request. No decision
 //! depends on it, and it does not wake the event loop: an idle gateway logs less often.
+//!
+//! Memory that comes close to its limit is logged at any level.
+
+mod memory;
 
 use crate::backends::Backends;
 use crate::clients::ClientTable;
@@ -11,6 +15,8 @@
     Action, AttemptEnd, AttemptOutcome, BackendStatus, CounterOutcome, Event, Gateway, Millis, Name,
     RejectReason, RequestId,
 };
+use doorcourse_event_loop::process_memory;
+use memory::MemoryWatch;
 use std::collections::{BTreeMap, HashMap};
 
 const LOG_TARGET: &str = "doorcourse::watch";
@@ -68,10 +74,11 @@
     /// Rejections by reason and plan.
     rejections: BTreeMap<(&'static str, Name), u32>,
     open_requests: HashMap<RequestId, OpenRequest>,
+    memory: MemoryWatch,
 }
 
 impl Diagnostics {
-    pub(crate) fn new(now: Millis) -> Self {
+    pub(crate) fn new(now: Millis, memory_limit_bytes: u64) -> Self {
         Self {
             logged_at: now,
             is_enabled: tracing::enabled!(target: LOG_TARGET, tracing::Level::DEBUG),
@@ -80,6 +87,7 @@
             counter_calls: CounterCallCounts::default(),
             rejections: BTreeMap::new(),
             open_requests: HashMap::new(),
+            memory: MemoryWatch::new(now, memory_limit_bytes),
         }
     }
 
@@ -149,6 +157,8 @@
 
     /// Logs the counts if the interval is over.
     pub(crate) fn handle_timeout(&mut self, reactor: &Reactor, components: &Components<'_>) {
+        let client_connections = components.clients.connection_count();
+        self.memory.check(reactor.now, client_connections, components.requests.len());
         if !self.is_enabled || reactor.now < self.logged_at + INTERVAL_MS {
             return;
         }
@@ -220,6 +230,8 @@
         counter_connections = components.counter.connection_count(),
         counter_unavailable = gateway.is_counter_silent(),
         customers = gateway.customers().count(),
+        resident_bytes = process_memory().unwrap_or_default().resident,
+        closed = ?components.clients.closed(),
         system_calls = doorcourse_event_loop::system_calls().total(),
         "connections"
     );
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 
 use crate::backends::{AttemptUpdate, Backends, is_health_check};
 use crate::clients::{ClientEvent, ClientTable};
-use crate::config::Config;
+use crate::config::{Config, MachineLimits};
 use crate::counter::CounterPool;
 use crate::diagnostics::{Components, Diagnostics};
 use crate::discovery::DiscoveryClient;
@@ -125,7 +125,7 @@
             counter: CounterPool::new(config.counter, deployment.settings.counter_timeout),
             discovery: DiscoveryClient::new(config.discovery, known_version, host.drain_grace),
             signals: SignalPipes::new(&mut reactor)?,
-            diagnostics: Diagnostics::new(reactor.now),
+            diagnostics: Diagnostics::new(reactor.now, config.limits.memory_bytes),
             readiness: Readiness::new(reactor.now),
             reactor,
             config_path,
@@ -143,7 +143,7 @@
             actions: Vec::new(),
             commands: Vec::new(),
         };
-        gateway.log_started(&config.name, budget, known_backends);
+        gateway.log_started(&config.name, config.limits, budget, known_backends);
         if let Some(mut list) = known {
             // No other list is in use yet, so this one is complete whatever the file states.
             list.complete = true;
@@ -153,13 +153,16 @@
         Ok(gateway)
     }
 
-    fn log_started(&self, name: &str, budget: DescriptorBudget, known_backends: Option<usize>) {
+    fn log_started(
+        &self, name: &str, limits: MachineLimits, budget: DescriptorBudget, known_backends: Option<usize>,
+    ) {
         tracing::info!(
             name,
             address = %self.address,
             client_connections = budget.clients,
             backend_connections = budget.backends,
             known_backends,
+            memory_mib = limits.memory_bytes >> 20,
             keepalive_ms = self.deployment.host.backend_idle_timeout,
             connect_timeout_ms = self.deployment.host.connect_timeout,
             "started"
