event-loop: a socket keeps no large buffer once it is written or holds few bytes

Cause: a send buffer of up to 64 KiB was kept by each connection after its response, and each read grew the receive buffer by 16 KiB whatever arrived, so that a thousand connections, idle or with a few bytes of a request, could keep tens of MiB. Change: a written send buffer above 2 KiB is freed; a read goes through the stack and appends, so that capacity at most doubles and never exceeds the bytes by more than 16 KiB. It is the same system call as before (recvfrom), without clearing 16 KiB first. Evidence: the two new unit tests; before, 30,000 bytes written left a buffer of that size, and one byte received one of 16 KiB.

--- a/crates/event-loop/src/socket.rs
+++ b/crates/event-loop/src/socket.rs
@@ -1,8 +1,10 @@
 //! Non-blocking TCP sockets with buffers on both sides.
 
 use crate::system_calls::count;
-use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
-use std::io::{self, Read, Write};
+use rustix::io::Errno;
+use rustix::net::{AddressFamily, RecvFlags, SocketFlags, SocketType, sockopt};
+use std::io::{self, Write};
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, BorrowedFd};
 
@@ -29,11 +31,15 @@
     written: usize,
 }
 
-/// The most bytes that one read receives. An empty receive buffer with a larger capacity is freed.
+/// The most bytes that one read receives.
 const READ_BYTES: usize = 16 << 10;
-/// A send buffer with a larger capacity is freed once all of it is written. Until then, written bytes are removed from
-/// its front once they exceed this size.
-const MAX_KEPT_OUTPUT_BYTES: usize = 4 * READ_BYTES;
+/// A send buffer with a larger capacity is freed once all of it is written: a process may hold a thousand connections
+/// that are idle.
+const MAX_KEPT_OUTPUT_BYTES: usize = 2 << 10;
+/// Bytes at the front of the send buffer that are written are removed once they exceed this size.
+const MAX_WRITTEN_BYTES: usize = 4 * READ_BYTES;
+/// A receive buffer whose capacity exceeds its content by more than this is shrunk.
+const MAX_SPARE_INPUT_BYTES: usize = READ_BYTES;
 /// The most established connections that wait to be accepted by a listener.
 const ACCEPT_QUEUE_LENGTH: i32 = 1024;
 
@@ -52,23 +58,17 @@
     /// Reads once, so that a peer that sends much does not delay the others. Returns the number of bytes received and
     /// the state of the stream.
     pub fn read(&mut self) -> (usize, Flow) {
-        let buffered = self.input.len();
-        self.input.resize(buffered + READ_BYTES, 0);
+        let mut chunk = [const { MaybeUninit::<u8>::uninit() }; READ_BYTES];
         count(|c| c.reads += 1);
-        let result = self.stream.read(&mut self.input[buffered..]);
-        let (count, flow) = match result {
-            Ok(0) => (0, Flow::Ended),
-            Ok(n) => (n, Flow::Open),
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
-                (0, Flow::Open)
+        match rustix::net::recv(&self.stream, &mut chunk[..], RecvFlags::empty()) {
+            Ok((([], _), _)) => (0, Flow::Ended),
+            Ok(((received, _), _)) => {
+                append_compactly(&mut self.input, received);
+                (received.len(), Flow::Open)
             }
+            Err(Errno::AGAIN | Errno::INTR) => (0, Flow::Open),
             Err(_) => (0, Flow::Broken),
-        };
-        self.input.truncate(buffered + count);
-        if self.input.is_empty() && self.input.capacity() > READ_BYTES {
-            self.input = Vec::new();
         }
-        (count, flow)
     }
 
     /// Consumes bytes from the front of the input.
@@ -77,9 +77,17 @@
         if self.input.is_empty() {
             // An idle connection keeps no buffer.
             self.input = Vec::new();
+        } else if self.input.capacity() - self.input.len() > MAX_SPARE_INPUT_BYTES {
+            self.input.shrink_to_fit();
         }
     }
 
+    /// The memory of both buffers, in bytes.
+    #[must_use]
+    pub fn buffer_capacity(&self) -> usize {
+        self.input.capacity() + self.output.capacity()
+    }
+
     /// The send buffer: append here, then call [`flush`](Self::flush).
     pub fn output(&mut self) -> &mut Vec<u8> {
         &mut self.output
@@ -110,7 +118,7 @@
             } else {
                 self.output.clear();
             }
-        } else if self.written > MAX_KEPT_OUTPUT_BYTES {
+        } else if self.written > MAX_WRITTEN_BYTES {
             self.output.drain(..self.written);
             self.written = 0;
         }
@@ -148,6 +156,17 @@
     }
 }
 
+/// Appends bytes to a receive buffer. Its capacity at most doubles, and grows by [`READ_BYTES`] at most beyond what the
+/// bytes need: the buffers of many partial messages add up.
+fn append_compactly(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    let needed = buffer.len() + bytes.len();
+    if needed > buffer.capacity() {
+        let grown = buffer.capacity() + buffer.capacity().min(READ_BYTES);
+        buffer.reserve_exact(grown.max(needed) - buffer.len());
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 impl AsFd for Socket {
     fn as_fd(&self) -> BorrowedFd<'_> {
         self.stream.as_fd()
@@ -196,3 +215,6 @@
     rustix::net::listen(&fd, ACCEPT_QUEUE_LENGTH)?;
     Ok(TcpListener::from(fd))
 }
+
+#[cfg(test)]
+mod tests;
