RESP gateway: the buffers of all connections and requests together keep a budget

Callers: a process with 32 MiB and 1,024 descriptors was killed for memory, and everything it had taken was lost, once some hundred clients stopped half way through large requests, wrote them slowly, sent heads of very many short fields, or sent large requests to hanging backends. Cause: each connection and request had its own bound (66 KiB a command, 64 commands a connection, 64 KiB a value) and nothing bounded the sum; limits.memory_mb was read and used by nothing. Change: BufferBudget (connection-limits) gets half of what the program leaves of memory_mb. Above three quarters of it the largest partially received command is discarded as it arrives and rejected with -BUSY at its end, so that the framing stays intact and every complete command has a response; a request is rejected if four times its bytes are not left, so that small ones are admitted while large ones are not; once all is used no further response of a backend is begun to be read. Debug builds compare the counted bytes with those held after each iteration. Reading from a client pauses above 16 KiB of unwritten responses (128 before). The log says when requests are refused for memory and when that ends.

--- a/crates/resp-gateway/src/backends.rs
+++ b/crates/resp-gateway/src/backends.rs
@@ -5,13 +5,14 @@
 //! new incarnation in the meantime. [`io`] does the I/O.
 
 mod attempt;
+mod buffers;
 mod connection;
 mod io;
 
 pub(crate) use attempt::{AttemptEvent, AttemptUpdate, is_health_check};
 
 use crate::endpoints::{Endpoint, EndpointList};
-use crate::reactor::Reactor;
+use crate::reactor::{Reactor, Token};
 use crate::request::ForwardedCommand;
 use attempt::{Attempt, Payload, health_check_id};
 use connection::{BackendConnection, ConnectionState};
@@ -64,6 +65,10 @@
     /// Number of the latest incarnation of any backend. A backend has a new incarnation when it is restarted or gets
     /// another address.
     last_incarnation: u64,
+    /// Bytes buffered for all connections.
+    buffered_bytes: u64,
+    /// Connections that are not read until buffers are free again.
+    paused: Vec<Token>,
 }
 
 impl Backends {
@@ -154,9 +159,14 @@
         }
         self.last_incarnation += 1;
         backend.pool = ConnectionPool::new(self.last_incarnation);
-        self.connections.retain(|_, connection| {
-            connection.backend != *name || !matches!(connection.state, ConnectionState::Connecting { .. })
-        });
+        let is_obsolete = |connection: &BackendConnection| {
+            connection.backend == *name && matches!(connection.state, ConnectionState::Connecting { .. })
+        };
+        let obsolete = self.connections.iter().filter(|(_, connection)| is_obsolete(connection));
+        for index in obsolete.map(|(index, _)| index).collect::<Vec<_>>() {
+            // Not `close`: the new pool has never counted it.
+            self.remove_connection(index);
+        }
     }
 
     /// Returns the pool that a connection belongs to, or `None` if its backend has had a new incarnation since.
@@ -194,18 +204,18 @@
         &mut self, reactor: &mut Reactor, request: RequestId, name: &Name, payload: Payload,
         deadline: Millis, updates: &mut Vec<AttemptUpdate>,
     ) {
-        let Some(backend) = self.backends.get_mut(name).filter(|backend| backend.is_ready) else {
+        if !self.backends.get(name).is_some_and(|backend| backend.is_ready) {
             return updates.push(AttemptUpdate { request, event: AttemptEvent::Withdrawn });
-        };
+        }
         let attempt = Attempt { backend: name.clone(), payload, deadline, connection: None };
         self.attempts.insert(request, attempt);
         let idle_timeout = idle_limit(self.backend_idle_timeout);
         let mut expired = Vec::new();
-        loop {
+        while let Some(backend) = self.backends.get_mut(name) {
             let idle = backend.pool.take_idle(reactor.now, idle_timeout, &mut expired);
             for index in expired.drain(..) {
                 // Not `close`: the pool has removed it already.
-                self.connections.remove(index);
+                self.remove_connection(index);
             }
             let Some(index) = idle else { break };
             // Detects that the backend has closed the connection or sent unexpected bytes, which must not be read as
@@ -214,16 +224,20 @@
                 return self.write_attempt(reactor, index, request, updates);
             }
             // Not `close`: the connection's state is still idle, but the pool counts it as busy.
-            self.connections.remove(index);
-            backend.pool.request_ended();
+            self.remove_connection(index);
+            if let Some(backend) = self.backends.get_mut(name) {
+                backend.pool.request_ended();
+            }
+        }
+        if let Some(backend) = self.backends.get_mut(name) {
+            backend.pool.enqueue(request);
         }
-        backend.pool.enqueue(request);
         self.open_connections(reactor, name, updates);
     }
 
     /// Assigns a free connection to an attempt and encodes the attempt; the next flush writes it.
     fn write_attempt(
-        &mut self, reactor: &Reactor, index: usize, request: RequestId, updates: &mut Vec<AttemptUpdate>,
+        &mut self, reactor: &mut Reactor, index: usize, request: RequestId, updates: &mut Vec<AttemptUpdate>,
     ) {
         let Some(attempt) = self.attempts.get_mut(&request) else { return };
         let Some(connection) = self.connections.get_mut(index) else { return };
@@ -234,11 +248,12 @@
         if !std::mem::replace(&mut connection.flush_scheduled, true) {
             self.to_flush.push(index);
         }
+        self.count_buffers(reactor, index);
     }
 
     /// Assigns a free connection to the attempt that has waited longest, or keeps it idle. Closes it if its backend is
     /// not ready or has a new incarnation.
-    fn release(&mut self, reactor: &Reactor, index: usize, updates: &mut Vec<AttemptUpdate>) {
+    fn release(&mut self, reactor: &mut Reactor, index: usize, updates: &mut Vec<AttemptUpdate>) {
         let Some(connection) = self.connections.get_mut(index) else { return };
         let backend = self.backends.get_mut(&connection.backend);
         let Some(backend) = backend
@@ -259,7 +274,7 @@
 
     /// Closes a connection and removes it from its pool.
     fn close(&mut self, index: usize) {
-        let Some(connection) = self.connections.try_remove(index) else { return };
+        let Some(connection) = self.remove_connection(index) else { return };
         if let Some(pool) = self.pool_of(&connection.backend, connection.incarnation) {
             match connection.state {
                 ConnectionState::Connecting { .. } => pool.connect_ended(),
@@ -270,6 +285,13 @@
         self.remove_if_unused(&connection.backend);
     }
 
+    /// Removes a connection from the table alone.
+    fn remove_connection(&mut self, index: usize) -> Option<BackendConnection> {
+        let connection = self.connections.try_remove(index)?;
+        self.release_buffers(&connection);
+        Some(connection)
+    }
+
     /// Ends an attempt whose response is no longer needed: closes its connection, or cancels its wait for one.
     pub(crate) fn abandon(&mut self, request: RequestId) {
         let Some(attempt) = self.attempts.remove(&request) else { return };
--- a/crates/resp-gateway/src/backends/connection.rs
+++ b/crates/resp-gateway/src/backends/connection.rs
@@ -29,6 +29,8 @@
     replies: ReplyReader,
     /// Whether the next flush handles this connection.
     pub flush_scheduled: bool,
+    /// What the table has counted of the socket's buffers.
+    pub counted_bytes: u64,
     usage: Usage,
 }
 
@@ -54,6 +56,7 @@
             state: ConnectionState::Connecting { since: now },
             replies: ReplyReader::default(),
             flush_scheduled: false,
+            counted_bytes: 0,
             usage: Usage::default(),
         }
     }
@@ -96,6 +99,16 @@
         Some(ReadResponse { result, is_reusable })
     }
 
+    /// The memory of the connection's buffers, in bytes.
+    pub(super) fn buffered_bytes(&self) -> u64 {
+        self.registered.socket.buffer_capacity() as u64
+    }
+
+    /// Whether nothing has been received of a response.
+    pub(super) fn is_response_outstanding(&self) -> bool {
+        self.registered.socket.input.is_empty()
+    }
+
     /// Logs that the connection failed during an attempt.
     pub(super) fn log_failed_attempt(&self, now: Millis, event: &AttemptEvent) {
         tracing::trace!(
--- a/crates/resp-gateway/src/backends/io.rs
+++ b/crates/resp-gateway/src/backends/io.rs
@@ -87,7 +87,7 @@
                 if ready.write && !std::mem::replace(&mut connection.flush_scheduled, true) {
                     self.to_flush.push(index);
                 }
-                if ready.read || ready.broken {
+                if ready.broken || ready.read && self.may_read(reactor, index) {
                     self.read_response(reactor, index, request, updates);
                 }
             }
@@ -111,15 +111,18 @@
     }
 
     fn read_response(
-        &mut self, reactor: &Reactor, index: usize, request: RequestId, updates: &mut Vec<AttemptUpdate>,
+        &mut self, reactor: &mut Reactor, index: usize, request: RequestId, updates: &mut Vec<AttemptUpdate>,
     ) {
         let connection = &mut self.connections[index];
-        let Some(read) = connection.read_response(request) else { return };
+        let Some(read) = connection.read_response(request) else {
+            return self.count_buffers(reactor, index);
+        };
         self.attempts.remove(&request);
         match read.result {
             Ok(response) => {
                 updates.push(AttemptUpdate { request, event: AttemptEvent::Responded(response) });
                 if read.is_reusable {
+                    self.count_buffers(reactor, index);
                     self.release(reactor, index, updates);
                 } else {
                     self.close(index);
@@ -153,6 +156,7 @@
                 connection.state = ConnectionState::Busy { request, written: true };
                 updates.push(AttemptUpdate { request, event: AttemptEvent::Written });
             }
+            self.count_buffers(reactor, index);
         }
     }
 
--- a/crates/resp-gateway/src/backends/tests.rs
+++ b/crates/resp-gateway/src/backends/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::reactor::Token;
 use crate::request::{self, ClientCommand};
+use doorcourse_connection_limits::BufferBudget;
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 
@@ -34,7 +35,7 @@
     for (health, started_ms) in [("leaving", 0), ("left", 0), ("active", 7)] {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let mut reactor = Reactor::new().unwrap();
+        let mut reactor = Reactor::new(BufferBudget::new(u64::MAX)).unwrap();
         let mut updates = Vec::new();
         let mut backends = Backends::new(8, 250.0, 30_000.0);
         backends.apply_endpoints(&endpoint_list("active", address, 0), &mut updates);
@@ -68,7 +69,7 @@
 fn removed_backend_is_forgotten_with_its_last_connection() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let mut reactor = Reactor::new().unwrap();
+    let mut reactor = Reactor::new(BufferBudget::new(u64::MAX)).unwrap();
     let mut updates = Vec::new();
     let mut backends = Backends::new(8, 250.0, 30_000.0);
     for incarnation in 0..100 {
--- a/crates/resp-gateway/src/clients.rs
+++ b/crates/resp-gateway/src/clients.rs
@@ -4,6 +4,7 @@
 //! expires and which one is evicted; `doorcourse_graceful_shutdown` decides when one may close after SIGTERM.
 
 mod accept;
+mod buffers;
 mod close_reason;
 mod connection;
 mod response;
@@ -59,6 +60,10 @@
     timeouts_checked_at: Millis,
     /// Connections closed so far, by reason.
     closed: CloseCounts,
+    /// Bytes buffered for all connections.
+    buffered_bytes: u64,
+    /// Commands so far that were discarded because the buffers were used up.
+    discarded_commands: u64,
 }
 
 impl ClientTable {
@@ -74,6 +79,8 @@
             to_flush: Vec::new(),
             timeouts_checked_at: reactor.now,
             closed: CloseCounts::default(),
+            buffered_bytes: 0,
+            discarded_commands: 0,
         })
     }
 
@@ -88,7 +95,7 @@
         };
         if ready.peer_closed {
             // By the protocol, a client that closes its side has disconnected, even if commands of it are unread.
-            return self.remove(token.index, CloseReason::ClientDisconnected, events);
+            return self.remove(reactor, token.index, CloseReason::ClientDisconnected, events);
         }
         if ready.write {
             schedule_flush(&mut self.to_flush, connection);
@@ -110,17 +117,21 @@
             self.process_commands(reactor, deployment, index, events);
         }
         if flow != Flow::Open {
-            self.remove(index, CloseReason::ClientDisconnected, events);
+            return self.remove(reactor, index, CloseReason::ClientDisconnected, events);
         }
+        self.count_buffers(reactor, index);
+        self.limit_partial_commands(reactor, deployment, events);
     }
 
     fn process_commands(
-        &mut self, reactor: &Reactor, deployment: &Deployment, index: usize, events: &mut Vec<ClientEvent>,
+        &mut self, reactor: &mut Reactor, deployment: &Deployment, index: usize,
+        events: &mut Vec<ClientEvent>,
     ) {
         let Some(connection) = self.connections.get_mut(index) else { return };
         if connection.process_commands(reactor.now, deployment, events) {
             schedule_flush(&mut self.to_flush, connection);
         }
+        self.count_buffers(reactor, index);
     }
 
     /// Reads once more, and closes the connection if `may_close` holds after that: a command that was written before
@@ -141,11 +152,12 @@
         let activity = &connection.activity;
         // Lingering lets the client receive the last response: not needed once it is over, or without any response.
         if activity.lingering_close_until.is_some() || activity.last_response_at.is_none() {
-            self.remove(index, reason, events);
+            self.remove(reactor, index, reason, events);
         } else {
             connection.begin_lingering_close(reactor.now);
             connection.close_reason.get_or_insert(reason);
             connection.update_interest(reactor);
+            self.count_buffers(reactor, index);
         }
         true
     }
@@ -163,29 +175,35 @@
     }
 
     /// Sends the response to a command; drops it if the client has disconnected.
-    pub(crate) fn respond(&mut self, now: Millis, command: CommandId, response: Response) {
+    pub(crate) fn respond(&mut self, reactor: &mut Reactor, command: CommandId, response: Response) {
         let is_invalid = matches!(response, Response::InvalidRequest(_));
-        let Some(slot) = self.slot_mut(command) else { return };
-        *slot = ResponseSlot::Ready(response);
-        let connection = &mut self.connections[command.connection];
+        let Some(connection) = self.connection_mut(command) else { return };
+        if !connection.set_response(command.sequence, response) {
+            return;
+        }
         if is_invalid {
-            connection.record_invalid_command(now);
+            connection.record_invalid_command(reactor.now);
         }
-        connection.encode_ready_responses(now);
-        schedule_flush(&mut self.to_flush, connection);
+        connection.encode_ready_responses(reactor.now);
+        schedule_flush(&mut self.to_flush, &mut self.connections[command.connection]);
+        self.count_buffers(reactor, command.connection);
     }
 
-    fn slot_mut(&mut self, command: CommandId) -> Option<&mut ResponseSlot> {
+    fn connection_mut(&mut self, command: CommandId) -> Option<&mut ClientConnection> {
         let connection = self.connections.get_mut(command.connection)?;
-        if connection.registered.token.serial != command.serial {
-            return None;
-        }
-        connection.slot_mut(command.sequence)
+        (connection.registered.token.serial == command.serial).then_some(connection)
+    }
+
+    fn slot_mut(&mut self, command: CommandId) -> Option<&mut ResponseSlot> {
+        self.connection_mut(command)?.slot_mut(command.sequence)
     }
 
     /// Closes a connection. `reason` is counted unless its lingering close has begun for another one.
-    fn remove(&mut self, index: usize, reason: CloseReason, events: &mut Vec<ClientEvent>) {
+    fn remove(
+        &mut self, reactor: &mut Reactor, index: usize, reason: CloseReason, events: &mut Vec<ClientEvent>,
+    ) {
         let Some(connection) = self.connections.try_remove(index) else { return };
+        self.release_buffers(reactor, &connection);
         let reason = connection.close_reason.unwrap_or(reason);
         self.closed.record(reason);
         let open_requests = connection.activity.open_requests;
@@ -211,10 +229,12 @@
             };
             connection.flush_scheduled = false;
             if connection.flush(now) == Flow::Broken {
-                self.remove(index, CloseReason::ClientDisconnected, events);
+                self.remove(reactor, index, CloseReason::ClientDisconnected, events);
                 continue;
             }
-            if !connection.registered.socket.input.is_empty() {
+            if connection.registered.socket.input.is_empty() {
+                self.count_buffers(reactor, index);
+            } else {
                 self.process_commands(reactor, deployment, index, events);
             }
             if self.connections.get(index).is_some_and(|connection| may_close(&connection.activity)) {
--- a/crates/resp-gateway/src/clients/accept.rs
+++ b/crates/resp-gateway/src/clients/accept.rs
@@ -135,7 +135,7 @@
             {
                 // Removed without waiting for the lingering close, since its descriptor is needed now. A connection
                 // with an unwritten response has no eviction rank unless its unread timeout has passed.
-                self.remove(index, CloseReason::Evicted, events);
+                self.remove(reactor, index, CloseReason::Evicted, events);
                 return true;
             }
         }
--- a/crates/resp-gateway/src/clients/connection.rs
+++ b/crates/resp-gateway/src/clients/connection.rs
@@ -10,7 +10,7 @@
 use doorcourse_deployment::Deployment;
 use doorcourse_event_loop::{Flow, Socket};
 use doorcourse_fail_points::rule_disabled;
-use doorcourse_resp::{CommandLimits, CommandReader};
+use doorcourse_resp::{CommandError, CommandLimits, CommandReader};
 use std::collections::VecDeque;
 
 /// A value has at most 64 KiB; the other arguments are short.
@@ -18,8 +18,9 @@
     CommandLimits { arguments: 8, argument_bytes: 64 << 10, bytes: 66 << 10 };
 /// Maximum number of commands of one connection whose responses are due; at this number, reading pauses.
 const MAX_PIPELINED_COMMANDS: usize = 64;
-/// Maximum bytes of responses of one connection that are not written yet; above this, reading pauses.
-const MAX_UNWRITTEN_BYTES: usize = 128 << 10;
+/// Maximum bytes of responses of one connection that are not written yet; above this, reading pauses. The kernel's send
+/// buffer is full by then.
+const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
 /// How long a connection stays open after its last response, in ms. A close while received bytes are unread resets the
 /// connection, and the client may lose the response (RFC 9112 section 9.6 describes this for HTTP).
 const LINGER_MS: Millis = 250.0;
@@ -60,6 +61,12 @@
     read_resumes_at: Millis,
     /// No further command is read: the framing was invalid, or the gateway has closed its side.
     input_closed: bool,
+    /// Whether the command that is being received is discarded, and rejected at its end.
+    is_discarding: bool,
+    /// Bytes of the values in `slots`.
+    ready_value_bytes: usize,
+    /// What the table has counted of [`buffered_bytes`](Self::buffered_bytes).
+    pub counted_bytes: u64,
     /// Bytes that were discarded during the lingering close.
     discarded_bytes: usize,
     /// Whether the table's next flush handles this connection.
@@ -78,6 +85,9 @@
             invalid_commands: 0,
             read_resumes_at: f64::NEG_INFINITY,
             input_closed: false,
+            is_discarding: false,
+            ready_value_bytes: 0,
+            counted_bytes: 0,
             discarded_bytes: 0,
             flush_scheduled: false,
         }
@@ -92,8 +102,9 @@
         if self.activity.lingering_close_until.is_some() {
             return self.discarded_bytes < MAX_DISCARDED_BYTES;
         }
-        let has_capacity = self.slots.len() < MAX_PIPELINED_COMMANDS
-            && self.registered.socket.pending() <= MAX_UNWRITTEN_BYTES;
+        let unwritten_bytes = self.registered.socket.pending() + self.ready_value_bytes;
+        let has_capacity =
+            self.slots.len() < MAX_PIPELINED_COMMANDS && unwritten_bytes <= MAX_UNWRITTEN_BYTES;
         has_capacity && !self.input_closed && now >= self.read_resumes_at
     }
 
@@ -125,16 +136,18 @@
         let mut consumed = 0;
         while consumed < input.len() && self.reads_input(now) {
             let rest = &input[consumed..];
-            match self.commands.read(rest) {
-                Ok(None) => break,
-                Ok(Some((arguments, length))) => {
-                    consumed += length;
-                    self.activity.partial_request_since = None;
-                    self.process_command(now, request::parse(deployment, rest, &arguments), events);
-                }
+            let read = if self.is_discarding {
+                self.discard_command(rest)
+            } else {
+                self.read_command(now, deployment, rest, events)
+            };
+            match read {
+                Ok(0) => break,
+                Ok(length) => consumed += length,
                 Err(error) => {
                     // The error is written after the responses that are still due, and is the last response.
                     self.input_closed = true;
+                    self.is_discarding = false;
                     self.push_slot(ResponseSlot::Ready(Response::InvalidFraming(error)));
                     consumed = input.len();
                 }
@@ -142,7 +155,7 @@
         }
         self.registered.socket.input = input;
         self.registered.socket.consume(consumed);
-        if self.registered.socket.input.is_empty() {
+        if self.registered.socket.input.is_empty() && !self.is_discarding {
             self.activity.partial_request_since = None;
         } else {
             self.activity.partial_request_since.get_or_insert(now);
@@ -153,6 +166,47 @@
         consumed > 0
     }
 
+    /// Reads one command, and returns how many bytes of the input it consumed: 0 where it is incomplete.
+    fn read_command(
+        &mut self, now: Millis, deployment: &Deployment, input: &[u8], events: &mut Vec<ClientEvent>,
+    ) -> Result<usize, CommandError> {
+        let Some((arguments, length)) = self.commands.read(input)? else { return Ok(0) };
+        self.activity.partial_request_since = None;
+        self.process_command(now, request::parse(deployment, input, &arguments), events);
+        Ok(length)
+    }
+
+    /// Discards what has arrived of the current command, and rejects it at its end. Returns how many bytes of the input
+    /// were consumed.
+    fn discard_command(&mut self, input: &[u8]) -> Result<usize, CommandError> {
+        let discarded = self.commands.discard(input)?;
+        if discarded.is_complete {
+            self.is_discarding = false;
+            self.activity.partial_request_since = None;
+            self.push_slot(ResponseSlot::Ready(Response::Rejected { retry_after_ms: None }));
+        }
+        Ok(discarded.consumed)
+    }
+
+    /// The buffered bytes of a command that is being received and may be discarded.
+    pub(super) fn discardable_bytes(&self) -> usize {
+        let is_partial = self.commands.is_partial() && !self.is_discarding && !self.input_closed;
+        if is_partial { self.registered.socket.input.capacity() } else { 0 }
+    }
+
+    /// From now on, discards the command that is being received.
+    pub(super) fn begin_discarding(
+        &mut self, now: Millis, deployment: &Deployment, events: &mut Vec<ClientEvent>,
+    ) {
+        self.is_discarding = true;
+        self.process_commands(now, deployment, events);
+    }
+
+    /// The memory of the connection's buffers and of the responses that are not encoded yet, in bytes.
+    pub(super) fn buffered_bytes(&self) -> u64 {
+        (self.registered.socket.buffer_capacity() + self.ready_value_bytes) as u64
+    }
+
     fn process_command(
         &mut self, now: Millis, command: Result<ClientCommand, RequestError>, events: &mut Vec<ClientEvent>,
     ) {
@@ -191,6 +245,15 @@
         self.slots.get_mut(usize::try_from(offset).ok()?)
     }
 
+    /// Stores the response to a command; returns whether it is still due.
+    pub(super) fn set_response(&mut self, sequence: u64, response: Response) -> bool {
+        let bytes = response.value_bytes();
+        let Some(slot) = self.slot_mut(sequence) else { return false };
+        *slot = ResponseSlot::Ready(response);
+        self.ready_value_bytes += bytes;
+        true
+    }
+
     /// Backs off from reading after an invalid command.
     pub(super) fn record_invalid_command(&mut self, now: Millis) {
         self.invalid_commands += 1;
@@ -202,6 +265,7 @@
     pub(super) fn encode_ready_responses(&mut self, now: Millis) {
         while let Some(ResponseSlot::Ready(response)) = self.slots.front() {
             response.encode(self.registered.socket.output());
+            self.ready_value_bytes -= response.value_bytes();
             self.slots.pop_front();
             self.first_sequence += 1;
             if !rule_disabled("track-written-responses") {
@@ -239,6 +303,7 @@
     pub(super) fn begin_lingering_close(&mut self, now: Millis) {
         self.registered.socket.shutdown_write();
         self.registered.socket.input = Vec::new();
+        self.is_discarding = false;
         self.input_closed = true;
         self.activity.lingering_close_until = Some(now + LINGER_MS);
     }
--- a/crates/resp-gateway/src/clients/response.rs
+++ b/crates/resp-gateway/src/clients/response.rs
@@ -49,6 +49,14 @@
 }
 
 impl Response {
+    /// The bytes of the value that the response holds.
+    pub(super) fn value_bytes(&self) -> usize {
+        match self {
+            Self::Value(value) => value.capacity(),
+            _ => 0,
+        }
+    }
+
     /// Appends the response. Writing to a Vec cannot fail.
     pub(crate) fn encode(&self, output: &mut Vec<u8>) {
         let _ = match self {
--- a/crates/resp-gateway/src/clients/tests.rs
+++ b/crates/resp-gateway/src/clients/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use doorcourse_connection_limits::BufferBudget;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -7,7 +8,7 @@
 
 /// Returns a table with one client that has sent a request, and the id of its command.
 fn table_with_request(max_connections: usize) -> (Reactor, Deployment, ClientTable, CommandId, TcpStream) {
-    let mut reactor = Reactor::new().unwrap();
+    let mut reactor = Reactor::new(BufferBudget::new(u64::MAX)).unwrap();
     let deployment = doorcourse_deployment::parse(SETTINGS).unwrap();
     let listener = doorcourse_event_loop::listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let mut client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
@@ -42,7 +43,7 @@
 fn response_sent_long_after_its_command_is_written_before_the_idle_timeout_closes() {
     let (mut reactor, deployment, mut clients, command, client) = table_with_request(8);
     reactor.now += 2.0 * CONNECTION_TIMEOUTS.idle_timeout;
-    clients.respond(reactor.now, command, Response::Failed(RequestFailure::DeadlineExpired));
+    clients.respond(&mut reactor, command, Response::Failed(RequestFailure::DeadlineExpired));
     // Timeouts are checked before the flush of the same iteration.
     clients.handle_timeout(&mut reactor, &deployment, &mut Vec::new());
     assert_eq!(written_response(clients, reactor, &deployment, client), "-ERR failed: no answer in time\r\n");
@@ -51,7 +52,7 @@
 #[test]
 fn connection_with_an_unwritten_response_is_not_evicted() {
     let (mut reactor, deployment, mut clients, command, client) = table_with_request(1);
-    clients.respond(reactor.now, command, Response::Rejected { retry_after_ms: None });
+    clients.respond(&mut reactor, command, Response::Rejected { retry_after_ms: None });
     assert!(!clients.evict_connection(&mut reactor, &deployment, &mut Vec::new()));
     assert_eq!(written_response(clients, reactor, &deployment, client), "-BUSY\r\n");
 }
@@ -60,7 +61,7 @@
 fn command_received_just_before_the_close_is_served() {
     for cause in ["idle timeout", "eviction", "shutdown"] {
         let (mut reactor, deployment, mut clients, command, mut client) = table_with_request(1);
-        clients.respond(reactor.now, command, Response::Rejected { retry_after_ms: None });
+        clients.respond(&mut reactor, command, Response::Rejected { retry_after_ms: None });
         clients.flush(&mut reactor, &deployment, &GracefulShutdown::default(), &mut Vec::new());
         client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
         let mut events = Vec::new();
@@ -80,7 +81,7 @@
         let Some(ClientEvent::PingReceived { command }) = events.pop() else {
             panic!("{cause}: the command was lost")
         };
-        clients.respond(reactor.now, command, Response::Pong);
+        clients.respond(&mut reactor, command, Response::Pong);
         clients.flush(&mut reactor, &deployment, &shutdown, &mut events);
         let mut text = String::new();
         if cause == "shutdown" {
--- a/crates/resp-gateway/src/diagnostics.rs
+++ b/crates/resp-gateway/src/diagnostics.rs
@@ -16,7 +16,7 @@
     RejectReason, RequestId,
 };
 use doorcourse_event_loop::process_memory;
-use memory::MemoryWatch;
+use memory::{BufferUse, MemoryWatch};
 use std::collections::{BTreeMap, HashMap};
 
 const LOG_TARGET: &str = "doorcourse::watch";
@@ -157,14 +157,20 @@
 
     /// Logs the counts if the interval is over.
     pub(crate) fn handle_timeout(&mut self, reactor: &Reactor, components: &Components<'_>) {
-        let client_connections = components.clients.connection_count();
-        self.memory.check(reactor.now, client_connections, components.requests.len());
+        let usage = BufferUse {
+            buffered_bytes: reactor.buffers.used(),
+            client_connections: components.clients.connection_count(),
+            open_requests: components.requests.len(),
+            rejected_requests: components.requests.rejected_for_memory(),
+            discarded_commands: components.clients.discarded_commands(),
+        };
+        self.memory.check(reactor.now, &usage);
         if !self.is_enabled || reactor.now < self.logged_at + INTERVAL_MS {
             return;
         }
         self.logged_at = reactor.now;
         self.log_counter_and_rejections();
-        log_connections(components);
+        log_connections(reactor, components);
         let attempts = std::mem::take(&mut self.attempts);
         let none = AttemptCounts::default();
         for status in components.gateway.backends() {
@@ -219,7 +225,7 @@
     }
 }
 
-fn log_connections(components: &Components<'_>) {
+fn log_connections(reactor: &Reactor, components: &Components<'_>) {
     let gateway = components.gateway;
     tracing::debug!(
         target: LOG_TARGET,
@@ -231,6 +237,7 @@
         counter_unavailable = gateway.is_counter_silent(),
         customers = gateway.customers().count(),
         resident_bytes = process_memory().unwrap_or_default().resident,
+        buffered_bytes = reactor.buffers.used(),
         closed = ?components.clients.closed(),
         system_calls = doorcourse_event_loop::system_calls().total(),
         "connections"
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -33,7 +33,7 @@
 use crate::requests::{RequestCommand, RequestTable};
 use configuration::ReservedDescriptor;
 use doorcourse::{AccountingCheck, Action, ActionOutcome, Event, Gateway, Millis, RequestId};
-use doorcourse_connection_limits::DescriptorBudget;
+use doorcourse_connection_limits::{BufferBudget, DescriptorBudget};
 use doorcourse_deployment::Deployment;
 use doorcourse_discovery::Readiness;
 use doorcourse_event_loop::{Ready, listen, max_descriptors};
@@ -106,7 +106,7 @@
     /// # Errors
     /// When the settings cannot be used or the address cannot be bound.
     pub fn new(config_path: PathBuf, config: Config) -> anyhow::Result<Self> {
-        let mut reactor = Reactor::new()?;
+        let mut reactor = Reactor::new(BufferBudget::for_memory(config.limits.memory_bytes))?;
         let deployment = config.deployment;
         let decisions = Gateway::new(deployment.settings.clone(), config.seed)?;
         let listener = listen(config.listen)
@@ -163,6 +163,7 @@
             backend_connections = budget.backends,
             known_backends,
             memory_mib = limits.memory_bytes >> 20,
+            buffers_mib = self.reactor.buffers.limit() >> 20,
             keepalive_ms = self.deployment.host.backend_idle_timeout,
             connect_timeout_ms = self.deployment.host.connect_timeout,
             "started"
@@ -248,6 +249,8 @@
             self.respond_to_all();
         }
         self.flush();
+        self.backends.resume_reading(&mut self.reactor);
+        self.check_buffer_counts();
         self.recover_lost_attempts();
         self.log_diagnostics();
     }
@@ -380,6 +383,13 @@
         }
     }
 
+    /// Compares the counted buffers with those that the components hold.
+    fn check_buffer_counts(&self) {
+        debug_assert!(self.clients.is_count_exact(), "buffers of clients");
+        debug_assert!(self.requests.is_count_exact(), "buffers of requests");
+        debug_assert!(self.backends.is_count_exact(), "buffers of backends");
+    }
+
     fn log_diagnostics(&mut self) {
         let components = Components {
             gateway: &self.decisions,
--- a/crates/resp-gateway/src/gateway/actions.rs
+++ b/crates/resp-gateway/src/gateway/actions.rs
@@ -7,6 +7,7 @@
 use crate::request::{Request, RequestError};
 use crate::requests::{RequestCommand, StartOutcome};
 use doorcourse::{Action, ActionOutcome, Event, Millis, Name, RequestId};
+use doorcourse_connection_limits::BufferHolder;
 use doorcourse_counter::CounterCall;
 use doorcourse_request_lifecycle::{LifecycleEvent, connect_timeout};
 
@@ -93,7 +94,7 @@
             ClientEvent::PingReceived { command } => {
                 let is_ready = self.readiness.is_ready(self.reactor.now);
                 let response = if is_ready { Response::Pong } else { Response::Loading };
-                self.clients.respond(self.reactor.now, command, response);
+                self.clients.respond(&mut self.reactor, command, response);
             }
             ClientEvent::RequestReceived { command, request } => self.start_request(command, *request),
             ClientEvent::Disconnected { request } => {
@@ -108,7 +109,10 @@
             return;
         }
         let now = self.reactor.now;
-        let response = match self.requests.start(now, &self.deployment, &self.shutdown, command, request) {
+        let buffers = &self.reactor.buffers;
+        let started = self.requests.start(now, &self.deployment, &self.shutdown, buffers, command, request);
+        self.count_request_buffers();
+        let response = match started {
             StartOutcome::Started { request, deadline, event } => {
                 self.clients.request_started(command, request);
                 self.reactor.timers.schedule(deadline, Timer::RequestDeadline { request });
@@ -117,9 +121,11 @@
             StartOutcome::DuplicateId => Response::InvalidRequest(RequestError::DuplicateId),
             StartOutcome::DeadlineTooShort => Response::Failed(RequestFailure::DeadlineTooShort),
             // Another gateway can accept the request at once, so the client need not wait.
-            StartOutcome::ShuttingDown => Response::Rejected { retry_after_ms: None },
+            StartOutcome::ShuttingDown | StartOutcome::OutOfMemory => {
+                Response::Rejected { retry_after_ms: None }
+            }
         };
-        self.clients.respond(now, command, response);
+        self.clients.respond(&mut self.reactor, command, response);
     }
 
     pub(super) fn handle_attempt_update(&mut self, update: AttemptUpdate) {
@@ -127,6 +133,7 @@
         let send_retry_after = self.deployment.host.retry_after_allowed;
         let commands = &mut self.commands;
         self.requests.handle_attempt_event(now, update.request, update.event, send_retry_after, commands);
+        self.count_request_buffers();
         self.execute_commands();
     }
 
@@ -134,16 +141,21 @@
         let now = self.reactor.now;
         let send_retry_after = self.deployment.host.retry_after_allowed;
         self.requests.handle_event(now, request, event, send_retry_after, &mut self.commands);
+        self.count_request_buffers();
         self.execute_commands();
     }
 
+    fn count_request_buffers(&mut self) {
+        self.reactor.buffers.set_used(BufferHolder::Requests, self.requests.buffered_bytes());
+    }
+
     fn execute_commands(&mut self) {
         let mut commands = std::mem::take(&mut self.commands);
         for command in commands.drain(..) {
             match command {
                 RequestCommand::NotifyDecisions(event) => self.pending.decisions.push_back(event),
                 RequestCommand::Respond { command, response } => {
-                    self.clients.respond(self.reactor.now, command, response);
+                    self.clients.respond(&mut self.reactor, command, response);
                 }
                 RequestCommand::AbandonAttempt { request } => self.backends.abandon(request),
             }
--- a/crates/resp-gateway/src/reactor.rs
+++ b/crates/resp-gateway/src/reactor.rs
@@ -1,6 +1,8 @@
-//! The parts of the event loop that every component uses: poller, clock, timers and descriptor tokens.
+//! The parts of the event loop that every component uses: poller, clock, timers, descriptor tokens and the budget of
+//! buffers.
 
 use doorcourse::{Millis, RequestId};
+use doorcourse_connection_limits::BufferBudget;
 use doorcourse_event_loop::{Clock, Interest, Poller, Socket, Timers};
 
 /// Which component owns a descriptor. An iteration handles descriptors in this order: responses and changes are
@@ -73,22 +75,23 @@
     HealthCheckTimeout { check: RequestId },
 }
 
-/// The poller, the clock, the timers and the serial numbers of descriptors.
+/// The poller, the clock, the timers, the serial numbers of descriptors and the budget of buffers.
 pub(crate) struct Reactor {
     pub poller: Poller,
     pub clock: Clock,
     /// The time of this iteration, read once.
     pub now: Millis,
     pub timers: Timers<Timer>,
+    pub buffers: BufferBudget,
     last_serial: u32,
 }
 
 impl Reactor {
-    pub(crate) fn new() -> std::io::Result<Self> {
+    pub(crate) fn new(buffers: BufferBudget) -> std::io::Result<Self> {
         let clock = Clock::default();
         let poller = Poller::new()?;
         let now = clock.now();
-        Ok(Self { poller, clock, now, timers: Timers::default(), last_serial: 0 })
+        Ok(Self { poller, clock, now, timers: Timers::default(), buffers, last_serial: 0 })
     }
 
     /// Returns the serial number for a descriptor that is about to be registered.
--- a/crates/resp-gateway/src/request/forwarded.rs
+++ b/crates/resp-gateway/src/request/forwarded.rs
@@ -38,6 +38,13 @@
         }
     }
 
+    /// The memory that the command takes, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let body = self.body.as_ref().map_or(0, |body| body.len());
+        self.encoded_head.len() + self.before_timeout.len() + self.after_timeout.len() + body
+    }
+
     /// Appends the command with the time that remains for its response, in ms.
     pub fn encode(&self, remaining: Millis, output: &mut Vec<u8>) {
         let mut digits = [0; TIMEOUT_DIGITS];
--- a/crates/resp-gateway/src/requests.rs
+++ b/crates/resp-gateway/src/requests.rs
@@ -7,6 +7,7 @@
 use crate::clients::{CommandId, RequestFailure, Response};
 use crate::request::{ForwardedCommand, Request};
 use doorcourse::{AttemptEnd, AttemptOutcome, Event, IncomingRequest, LoadReport, Millis, Name, RequestId};
+use doorcourse_connection_limits::BufferBudget;
 use doorcourse_deployment::Deployment;
 use doorcourse_graceful_shutdown::{Admission, GracefulShutdown};
 use doorcourse_request_lifecycle::{
@@ -21,6 +22,9 @@
 /// Log target for the steps of each request, at the level `trace`; the first message holds the id that the client gave.
 const LOG_TARGET: &str = "doorcourse::requests";
 
+/// Memory of an open request beside its command and its response, here, in the decision library and in timers.
+const REQUEST_OVERHEAD_BYTES: usize = 2 << 10;
+
 /// What the event loop has to do for a request.
 pub(crate) enum RequestCommand {
     /// Pass an event to the decision library.
@@ -41,6 +45,8 @@
     DeadlineTooShort,
     /// The request could not finish before the process has to exit.
     ShuttingDown,
+    /// There is no memory to hold it.
+    OutOfMemory,
 }
 
 struct OpenRequest {
@@ -74,15 +80,20 @@
     /// The ids that clients gave to open requests; a second request with such an id is an error.
     by_client_id: HashMap<u64, RequestId>,
     last_id: RequestId,
+    /// Bytes that the open requests hold.
+    buffered_bytes: u64,
+    /// Requests so far that were rejected for want of memory.
+    rejected_for_memory: u64,
     /// Reused buffer for the actions of a lifecycle.
     actions: Vec<LifecycleAction>,
 }
 
 impl RequestTable {
-    /// Opens a request, unless its id is in use, its deadline is too short or the shutdown rejects it.
+    /// Opens a request, unless its id is in use, its deadline is too short, the shutdown rejects it or there is no memory
+    /// for it.
     pub(crate) fn start(
-        &mut self, now: Millis, deployment: &Deployment, shutdown: &GracefulShutdown, command: CommandId,
-        request: Request,
+        &mut self, now: Millis, deployment: &Deployment, shutdown: &GracefulShutdown, buffers: &BufferBudget,
+        command: CommandId, request: Request,
     ) -> StartOutcome {
         if self.by_client_id.contains_key(&request.id) {
             return StartOutcome::DuplicateId;
@@ -101,6 +112,13 @@
             tracing::trace!(target: LOG_TARGET, id = format_args!("{:016x}", request.id), "request rejected by shutdown");
             return StartOutcome::ShuttingDown;
         };
+        let size = request.forwarded.size() + REQUEST_OVERHEAD_BYTES;
+        if !buffers.admits(size) {
+            tracing::trace!(target: LOG_TARGET, id = format_args!("{:016x}", request.id), size, "request rejected: out of memory");
+            self.rejected_for_memory += 1;
+            return StartOutcome::OutOfMemory;
+        }
+        self.buffered_bytes += size as u64;
         self.last_id += 1;
         let id = self.last_id;
         tracing::trace!(target: LOG_TARGET, id = format_args!("{:016x}", request.id), number = id, timeout_ms = timeout, "request accepted");
@@ -172,6 +190,8 @@
             AttemptEvent::Written => LifecycleEvent::RequestSent,
             AttemptEvent::Responded(response) => {
                 if let Some(open) = self.open.get_mut(&id) {
+                    self.buffered_bytes += response.value.capacity() as u64;
+                    self.buffered_bytes -= open.value.capacity() as u64;
                     open.value = response.value;
                     open.load_report = response.load_report;
                 }
@@ -201,17 +221,35 @@
         }
         open.lifecycle.handle(event, &mut self.actions);
         let mut is_finished = false;
+        self.buffered_bytes -= open.size() as u64;
         for action in self.actions.drain(..) {
             is_finished |= action == LifecycleAction::Finished;
             commands.extend(open.execute(now, id, action, send_retry_after));
         }
+        self.buffered_bytes += open.size() as u64;
         if is_finished && let Some(open) = self.open.remove(&id) {
+            self.buffered_bytes -= open.size() as u64;
             self.by_client_id.remove(&open.client_id);
             let elapsed_ms = now - open.started_at;
             tracing::trace!(target: LOG_TARGET, number = id, elapsed_ms, "request finished");
         }
     }
 
+    /// The bytes that the open requests hold.
+    pub(crate) fn buffered_bytes(&self) -> u64 {
+        self.buffered_bytes
+    }
+
+    /// Requests so far that were rejected for want of memory.
+    pub(crate) fn rejected_for_memory(&self) -> u64 {
+        self.rejected_for_memory
+    }
+
+    /// Whether the counted bytes are those that the open requests hold.
+    pub(crate) fn is_count_exact(&self) -> bool {
+        self.buffered_bytes == self.open.values().map(|open| open.size() as u64).sum::<u64>()
+    }
+
     /// The requests whose clients wait for a response.
     pub(crate) fn awaiting_response(&self) -> Vec<RequestId> {
         let waiting = self.open.iter().filter(|(_, open)| open.lifecycle.awaits_response());
@@ -243,6 +281,11 @@
         }
     }
 
+    /// The memory that the request takes, in bytes.
+    fn size(&self) -> usize {
+        self.forwarded.size() + REQUEST_OVERHEAD_BYTES + self.value.capacity()
+    }
+
     /// Applies an action of the lifecycle to this request's state; returns the command for the event loop, if any.
     fn execute(
         &mut self, now: Millis, id: RequestId, action: LifecycleAction, send_retry_after: bool,
--- a/crates/resp/src/commands.rs
+++ b/crates/resp/src/commands.rs
@@ -46,6 +46,15 @@
 /// A complete command: the ranges of its arguments in the input, and how many bytes it consumed.
 pub(crate) type ParsedCommand = (Vec<Range<usize>>, usize);
 
+/// How far a command has been discarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DiscardedCommand {
+    /// The bytes of the input that were consumed.
+    pub consumed: usize,
+    /// Whether the command has ended; the bytes after those consumed belong to the next one.
+    pub is_complete: bool,
+}
+
 /// The element that is read next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -108,6 +117,34 @@
         Ok(None)
     }
 
+    /// Reads the rest of the current command without its content: unlike [`read`](Self::read), it consumes bytes that are
+    /// not a complete command. Once begun, the command has to be discarded to its end.
+    ///
+    /// # Errors
+    /// As for [`read`](Self::read).
+    pub fn discard(&mut self, input: &[u8]) -> Result<DiscardedCommand, CommandError> {
+        loop {
+            self.skip_bulk_data(input);
+            let Some(state) = self.read_element(input)? else { break };
+            self.state = state;
+            if state == State::ArrayHeader {
+                let (_, consumed) = self.take_command();
+                return Ok(DiscardedCommand { consumed, is_complete: true });
+            }
+        }
+        self.arguments.clear();
+        Ok(DiscardedCommand { consumed: std::mem::take(&mut self.position), is_complete: false })
+    }
+
+    /// Skips what has arrived of the bytes of a bulk string, up to its CRLF.
+    fn skip_bulk_data(&mut self, input: &[u8]) {
+        if let State::BulkData { remaining, length } = self.state {
+            let skipped = length.min(input.len().saturating_sub(self.position));
+            self.position += skipped;
+            self.state = State::BulkData { remaining, length: length - skipped };
+        }
+    }
+
     /// Reads what [`State`] expects and returns the state that follows, or `None` until more input arrives.
     fn read_element(&mut self, input: &[u8]) -> Result<Option<State>, CommandError> {
         match self.state {
--- a/crates/resp/src/commands/tests.rs
+++ b/crates/resp/src/commands/tests.rs
@@ -68,3 +68,40 @@
         assert_eq!((arguments.len(), consumed), (3, all.len()), "cut at {cut}");
     }
 }
+
+#[test]
+fn command_discarded_from_any_byte_ends_where_it_ends_when_read() {
+    let command = b"*3\r\n$5\r\nQ.ASK\r\n$3\r\na\r\n\r\n$1\r\nb\r\n";
+    let next = b"*1\r\n$4\r\nPING\r\n";
+    let all = [&command[..], next].concat();
+    for begin in 4..command.len() {
+        for piece in 1..=all.len() {
+            let mut commands = reader();
+            assert_eq!(commands.read(&all[..begin]), Ok(None));
+            let mut unconsumed = all[..begin].to_vec();
+            let mut arrived = begin;
+            loop {
+                let discarded = commands.discard(&unconsumed).unwrap();
+                unconsumed.drain(..discarded.consumed);
+                if discarded.is_complete {
+                    break;
+                }
+                assert!(unconsumed.len() < MAX_HEADER_LINE_BYTES, "{begin}, {piece}: {unconsumed:?}");
+                let end = (arrived + piece).min(all.len());
+                unconsumed.extend_from_slice(&all[arrived..end]);
+                arrived = end;
+            }
+            unconsumed.extend_from_slice(&all[arrived..]);
+            assert_eq!(commands.read(&unconsumed).unwrap().unwrap().1, next.len(), "{begin}, {piece}");
+        }
+    }
+}
+
+#[test]
+fn malformed_command_is_malformed_while_it_is_discarded() {
+    let mut commands = reader();
+    assert_eq!(commands.read(b"*2\r\n$4\r\nPI"), Ok(None));
+    let discarded = commands.discard(b"*2\r\n$4\r\nPI").unwrap();
+    assert_eq!(discarded, DiscardedCommand { consumed: 10, is_complete: false });
+    assert_eq!(commands.discard(b"NGS\r\n"), Err(CommandError::MissingLineEnd));
+}
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -12,6 +12,6 @@
 mod replies;
 mod value;
 
-pub use commands::{CommandError, CommandLimits, CommandReader};
+pub use commands::{CommandError, CommandLimits, CommandReader, DiscardedCommand};
 pub use replies::{MalformedReply, Reply, ReplyReader};
 pub use value::{DecodeError, Value, decode, encode, encode_command};
