--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -116,7 +116,8 @@
     match result {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("doorcourse: {error:#}");
+            use std::io::Write;
+            drop(writeln!(std::io::stderr(), "doorcourse: {error:#}"));
             ExitCode::from(2)
         }
     }
