An attempt that its client's very short deadline cuts short ejects no backend

Callers: while one client sent requests with deadlines of 1 ms at full speed on one connection, under ever new names, all other clients were refused with -BUSY: every backend was ejected, for longer with each such request (2.3 s after 3 s). Cause: record_backend_outcome let each attempt that timed out, or had no connection by its client's deadline, count as a failure of the backend. Only the concurrency limit allowed for short deadlines (LATE_FAILURE_FACTOR), ejection did not. Change: an attempt that ended at its client's deadline before a response could be expected (sooner than the class's smoothed latency; before any is known, than the latency beyond which a response is late) is no failure. Refused connections eject as before.

--- a/src/health/outcome.rs
+++ b/src/health/outcome.rs
@@ -37,6 +37,24 @@
     }
 }
 
+/// The latency that a served request of a class typically has, in ms: of its class, else the largest of other classes.
+/// Before any request was served, the latency beyond which a response is late.
+fn typical_latency(smoothed: &[SmoothedLatency], class_index: usize, objective: Millis) -> Millis {
+    let of_class = smoothed[class_index].0;
+    if of_class > 0.0 {
+        return of_class;
+    }
+    let of_any_class = smoothed.iter().map(|latency| latency.0).fold(0.0, Millis::max);
+    if of_any_class > 0.0 { of_any_class } else { objective * LATE_OBJECTIVE_SHARE }
+}
+
+/// Whether an attempt ended at its client's deadline before a response could be expected. It then says nothing about the
+/// backend: otherwise a client with very short deadlines would get every backend ejected.
+fn is_cut_short(end: &AttemptEnd, now: Millis, deadline: Millis, typical_latency: Millis) -> bool {
+    let may_be_deadline = matches!(end.outcome, AttemptOutcome::TimedOut | AttemptOutcome::ConnectFailed);
+    may_be_deadline && now >= deadline && end.latency < typical_latency
+}
+
 /// The line that says that a backend is no longer ejected. The text is frozen: it is recorded on the simulator's wire.
 fn readmitted_log(backend: &Name) -> String {
     format!("backend {backend} back: it answers again")
@@ -54,6 +72,10 @@
         let name = &end.backend;
         let Some(backend) = self.backends.get_mut(name) else { return };
         let class_index = self.requests.get(&end.id).map_or(0, |request| request.class_index);
+        let objective = self.settings.classes[class_index].latency_objective;
+        let typical_latency = typical_latency(&self.smoothed_latencies, class_index, objective);
+        let deadline = self.requests.get(&end.id).map_or(f64::INFINITY, |request| request.deadline);
+        let is_cut_short = is_cut_short(end, self.now, deadline, typical_latency);
         let smoothed_latency = &mut self.smoothed_latencies[class_index];
         match end.outcome {
             AttemptOutcome::NeverSent => return,
@@ -66,11 +88,10 @@
             }
             _ => {}
         }
-        let objective = self.settings.classes[class_index].latency_objective;
         let is_late = is_late(end.outcome, end.latency, objective, *smoothed_latency);
         backend.concurrency_limit.record_response(is_late, backend.occupancy.count());
         self.load_shedder.record_response(is_late);
-        if end.outcome != AttemptOutcome::Served {
+        if end.outcome != AttemptOutcome::Served && !is_cut_short {
             let connection_lost = end.outcome == AttemptOutcome::ConnectionLost;
             let failure = Failure { latency: end.latency, connection_lost };
             let slow_start_duration = self.settings.slow_start_duration;
--- a/tests/backend_health.rs
+++ b/tests/backend_health.rs
@@ -152,3 +152,55 @@
     fail(&mut gateway, 3, "keyed");
     assert!(!ejected(&gateway), "a served request between them ends the series");
 }
+
+/// Sends a request whose client waits for `timeout` ms, and lets its attempt end with `outcome` at that deadline.
+fn end_at_deadline(gateway: &mut TestGateway, id: RequestId, timeout: Millis, outcome: AttemptOutcome) {
+    let incoming = IncomingRequest {
+        id,
+        customer: format!("c{id}").as_str().into(),
+        plan: "plain".into(),
+        class: "safe".into(),
+        units: 1.0,
+        client_retry: false,
+        timeout,
+        first_gateway: 0,
+        gateway_count: 1,
+        sticky_route: Name::default(),
+    };
+    let mut actions = gateway.handle(Event::RequestReceived(incoming));
+    if let Some((counter, amount)) = first_counter_call(&actions) {
+        actions = gateway.counter_responds(counter, amount);
+    }
+    let (id, backend) = first_attempt(&actions).expect("an attempt");
+    gateway.now += timeout;
+    gateway.end_attempt_after(timeout, id, 0, &backend, outcome);
+}
+
+#[test]
+fn attempts_cut_short_by_very_short_deadlines_eject_no_backend() {
+    for outcome in [AttemptOutcome::TimedOut, AttemptOutcome::ConnectFailed] {
+        let mut gateway = TestGateway::new(settings(), &["a1"]);
+        for id in 1..=20 {
+            end_at_deadline(&mut gateway, id, 1.0, outcome);
+        }
+        let backend = gateway.forward(100, "served", "plain", "safe");
+        gateway.now += 50.0;
+        gateway.end_attempt_after(50.0, 100, 0, &backend, AttemptOutcome::Served);
+        // A response takes 50 ms by now: an attempt that had less says nothing, one that had more does.
+        end_at_deadline(&mut gateway, 101, 40.0, outcome);
+        let is_ejected = |gateway: &TestGateway| {
+            gateway.decisions.backends().any(|backend| backend.ejected_until > gateway.now)
+        };
+        assert!(!is_ejected(&gateway), "{outcome:?}");
+        end_at_deadline(&mut gateway, 102, 60.0, outcome);
+        assert!(is_ejected(&gateway), "{outcome:?}");
+    }
+}
+
+#[test]
+fn refused_connections_eject_however_short_the_deadline() {
+    let mut gateway = TestGateway::new(settings(), &["a1"]);
+    let backend = gateway.forward(1, "c", "plain", "safe");
+    gateway.end_attempt_after(0.2, 1, 0, &backend, AttemptOutcome::ConnectFailed);
+    assert!(gateway.decisions.backends().any(|backend| backend.ejected_until > gateway.now));
+}
