The state of customers has a limit, and a maintenance tick visits a bounded number

Callers: one client that sent small requests under ever new names at full speed on one connection made memory grow without end (release build, 8 s of a plan with a long refill period: 194.5 MB with a limit of 32), and each maintenance tick, 40 a second, visited all names. Cause: a customer is kept for two refill periods after its last request, whatever their number; a plan of 12 units at 0.01 a second keeps each for 40 minutes. Estimates of sampled quotas were kept for a minute without a bound. Change: Settings.max_customers, set by the RESP gateway to a quarter of what the program leaves of memory_mb at 640 bytes each (8,192 at 32 MiB). At most 16,384 estimates are kept. serve names its customers in the settings and has no limit. Three new tests of the decisions.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -281,6 +281,8 @@
         counter_timeout: counter.as_ref().map_or(50.0, |c| c.call_timeout),
         responses_report_units: true,
         max_request_units,
+        // The settings name every customer.
+        max_customers: None,
         max_attempts: checker.integer("attempts.most", attempts.most.unwrap_or(3).into(), 1..=100) as u32,
         max_retry_after: checker.number(
             "attempts.longest_advice_ms",
--- a/crates/connection-limits/src/buffer_budget.rs
+++ b/crates/connection-limits/src/buffer_budget.rs
@@ -1,4 +1,5 @@
-//! The memory that a gateway may use for the buffers of its connections and requests, all together.
+//! The memory that a gateway may use for the buffers of its connections and requests, all together, and for the state
+//! of customers.
 //!
 //! Each connection and each request has limits of its own, but a process with little memory cannot hold as many as it
 //! has connections. So the sum is bounded as well. The hosts report how much each of their components holds; this module
@@ -20,11 +21,27 @@
 /// The part of the remaining memory that buffers may use. The rest is for the state of customers and for what the
 /// allocator cannot return to the system.
 const BUFFER_SHARE: f64 = 0.5;
+/// The part of the remaining memory that the state of customers may use.
+const CUSTOMER_SHARE: f64 = 0.25;
+/// Memory of one customer's state, with its name and its entries in tables.
+const CUSTOMER_BYTES: f64 = 640.0;
 /// Partially received requests may use this part of the limit.
 const PARTIAL_REQUEST_SHARE: f64 = 0.75;
 /// A request is admitted if this many times its bytes are left: it is copied to be sent, and its response is buffered.
 const ADMISSION_FACTOR: u64 = 4;
 
+/// The memory that the program itself leaves of `memory_bytes`.
+fn memory_beside_program(memory_bytes: u64) -> f64 {
+    let program = PROGRAM_BYTES.min((memory_bytes as f64 * PROGRAM_SHARE) as u64);
+    (memory_bytes - program) as f64
+}
+
+/// The most customers whose state is kept by a process that may use `memory_bytes` in all.
+#[must_use]
+pub fn max_customers(memory_bytes: u64) -> usize {
+    (memory_beside_program(memory_bytes) * CUSTOMER_SHARE / CUSTOMER_BYTES) as usize
+}
+
 /// Who holds buffers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BufferHolder {
@@ -49,8 +66,7 @@
     /// The budget of a process that may use `memory_bytes` in all.
     #[must_use]
     pub fn for_memory(memory_bytes: u64) -> Self {
-        let program = PROGRAM_BYTES.min((memory_bytes as f64 * PROGRAM_SHARE) as u64);
-        Self::new(((memory_bytes - program) as f64 * BUFFER_SHARE) as u64)
+        Self::new((memory_beside_program(memory_bytes) * BUFFER_SHARE) as u64)
     }
 
     /// A budget of `limit` bytes.
--- a/crates/connection-limits/src/buffer_budget/tests.rs
+++ b/crates/connection-limits/src/buffer_budget/tests.rs
@@ -23,3 +23,8 @@
     assert_eq!(budget.used(), 3 * MIB + (900 << 10));
     assert!(budget.admits(64 << 10));
 }
+
+#[test]
+fn customers_get_a_quarter_of_what_the_program_leaves() {
+    assert_eq!((max_customers(32 * MIB), max_customers(192 * MIB)), (8192, 73_728));
+}
--- a/crates/deployment/src/settings.rs
+++ b/crates/deployment/src/settings.rs
@@ -121,6 +121,8 @@
         counter_timeout: extra.number("count-limit-ms")?,
         responses_report_units: extra.boolean("trued-up")?,
         max_request_units: extra.number("units-top")?,
+        // The host sets a limit by the memory that it has.
+        max_customers: None,
         load_reports,
         health_checks_allowed: permissions.boolean("probes")?,
         gossip_allowed: permissions.boolean("peers")?,
--- a/crates/resp-gateway/src/config.rs
+++ b/crates/resp-gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::endpoints::{EndpointList, EndpointListError};
 use anyhow::Context;
+use doorcourse_connection_limits::max_customers;
 use doorcourse_deployment::{Deployment, DeploymentError};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -100,7 +101,8 @@
         let limits = machine_limits(&root)?;
         let known_endpoints = known_endpoints(&root)?;
         let settings = root.get("settings").ok_or(ConfigError::Missing("settings"))?;
-        let deployment = doorcourse_deployment::read(settings)?;
+        let mut deployment = doorcourse_deployment::read(settings)?;
+        deployment.settings.max_customers = Some(max_customers(limits.memory_bytes));
         let counter = if deployment.settings.has_counter { Some(address(&root, "counter")?) } else { None };
         Ok(Self {
             name: string(&root, "name")?.to_owned(),
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -48,6 +48,10 @@
     pub(crate) queue: VecDeque<RequestId>,
 
     pub(crate) customers: BTreeMap<Name, Customer>,
+    /// The last customer that maintenance visited, while a pass over all of them is not complete.
+    pub(crate) last_maintained: Option<Name>,
+    /// The last customer that was looked at as a possible one to forget.
+    pub(crate) last_eviction_candidate: Option<Name>,
     /// One for each plan of the settings, in their order.
     pub(crate) plan_priors: Vec<PlanPrior>,
     pub(crate) admit_estimates: AdmitEstimates,
--- a/src/maintenance.rs
+++ b/src/maintenance.rs
@@ -4,6 +4,7 @@
 use crate::balancer::backend::Backend;
 use crate::quota::bucket::{idle_retention, refill_period};
 use crate::quota::customer::Customer;
+use crate::quota::customer_limit::names_after;
 use crate::quota::lease::{LEASE_SHARE, SCARCE_SHARE};
 use crate::quota::sampled::is_sampled;
 use crate::quota::{MIN_CALL_UNITS, UNITS_EPSILON};
@@ -19,6 +20,8 @@
 /// Units are reported without a new lease once they reach this share of the burst. Equal to the share of a refill
 /// period that a lease covers: the rate refills this many units in that time.
 const REPORT_SHARE: f64 = LEASE_SHARE;
+/// The most customers that one maintenance tick visits.
+const MAX_CUSTOMERS_PER_TICK: usize = 4096;
 /// The token of the maintenance timer; tokens of requests are even.
 pub(crate) const MAINTENANCE_TOKEN: u64 = 1;
 
@@ -54,10 +57,14 @@
         self.pending_call.is_none() && (has_report || !self.waiting.is_empty())
     }
 
+    /// Whether a request or a counter call of the customer is open.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.pending_call.is_some() || self.occupancy.count() > 0 || !self.waiting.is_empty()
+    }
+
     /// Whether the customer's state has to be kept.
     fn is_in_use(&self, now: Millis, plan: &Plan) -> bool {
-        let is_busy = self.pending_call.is_some() || self.occupancy.count() > 0 || !self.waiting.is_empty();
-        is_busy || now - self.demand.updated_at < idle_retention(plan)
+        self.is_busy() || now - self.demand.updated_at < idle_retention(plan)
     }
 }
 
@@ -101,12 +108,20 @@
     }
 
     /// Returns unused leases and forgets idle customers. Returns the customers to call the counter for.
+    ///
+    /// A tick visits [`MAX_CUSTOMERS_PER_TICK`] customers, so that its cost has a bound; the next one continues there.
     fn maintain_customers(&mut self) -> Vec<Name> {
         let mut to_call = Vec::new();
+        let mut to_forget = Vec::new();
+        let mut visited = 0;
+        let mut last = None;
         let now = self.now;
         let plans = &self.settings.plans;
         let returns_leases = self.returns_leases;
-        self.customers.retain(|name, customer| {
+        let next = self.customers.range_mut(names_after(self.last_maintained.take()));
+        for (name, customer) in next.take(MAX_CUSTOMERS_PER_TICK) {
+            visited += 1;
+            last = Some(name);
             let plan = &plans[customer.plan_index];
             customer.advance(now, plan);
             if customer.should_return_lease(now, plan, returns_leases) {
@@ -115,8 +130,16 @@
             if customer.needs_counter_call(plan, returns_leases) {
                 to_call.push(name.clone());
             }
-            customer.is_in_use(now, plan)
-        });
+            if !customer.is_in_use(now, plan) {
+                to_forget.push(name.clone());
+            }
+        }
+        if visited == MAX_CUSTOMERS_PER_TICK {
+            self.last_maintained = last.cloned();
+        }
+        for name in to_forget {
+            self.customers.remove(&name);
+        }
         to_call
     }
 }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod admit;
 pub(crate) mod bucket;
 pub(crate) mod customer;
+pub(crate) mod customer_limit;
 pub(crate) mod fallback;
 pub(crate) mod lease;
 pub(crate) mod lease_return;
--- a/src/quota/sampled.rs
+++ b/src/quota/sampled.rs
@@ -34,6 +34,8 @@
 const MIN_SAMPLING_PROBABILITY: f64 = MIN_CALL_RATE * MIN_CALL_RATE;
 /// Weight of the newest first total in a plan's prior.
 const PRIOR_WEIGHT: f64 = 0.1;
+/// The most customers with an admit estimate: each takes some 50 bytes, and all are visited by each maintenance tick.
+const MAX_ESTIMATES: usize = 16_384;
 /// The least mean loss that losses are compared with.
 const MIN_MEAN_LOSS: f64 = 1e-9;
 
@@ -101,8 +103,12 @@
 pub(crate) struct AdmitEstimates(BTreeMap<u64, AdmitEstimate>);
 
 impl AdmitEstimates {
-    /// Records an estimate and returns the one before.
+    /// Records an estimate and returns the one before. Where too many customers have one, that of a further customer is
+    /// not kept: the default of its plan applies.
     pub(crate) fn record(&mut self, name_hash: u64, probability: f64, now: Millis) -> Option<AdmitEstimate> {
+        if self.0.len() >= MAX_ESTIMATES && !self.0.contains_key(&name_hash) {
+            return None;
+        }
         self.0.insert(name_hash, AdmitEstimate { probability, estimated_at: now })
     }
 
--- a/src/request.rs
+++ b/src/request.rs
@@ -73,6 +73,9 @@
         };
         let units = if incoming.units.is_finite() { incoming.units.max(0.0) } else { DEFAULT_UNITS };
         let name = incoming.customer.clone();
+        if !self.customers.contains_key(&name) && !self.make_room_for_customer() {
+            return self.reject_without_room(id, out);
+        }
         self.update_customer(&incoming, plan_index, units);
         let request = Request {
             customer: incoming.customer,
@@ -91,6 +94,12 @@
         }
     }
 
+    /// Rejects a request of a customer for which there is no room.
+    fn reject_without_room(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let retry_after = self.settings.max_retry_after * MIN_RETRY_AFTER_SHARE;
+        self.reject(id, retry_after, RejectReason::Overloaded, out);
+    }
+
     /// Updates the plan, gateways and demand of a customer from a new request.
     fn update_customer(&mut self, incoming: &IncomingRequest, plan_index: usize, units: f64) {
         let now = self.now;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -131,6 +131,9 @@
     /// The most units of one request; 0 for no limit. The RESP gateway responds with an error to a request of more; the
     /// decisions do not use it.
     pub max_request_units: f64,
+    /// The most customers whose state is kept; `None` for no limit. A customer that would be one more takes the place of
+    /// one that is idle.
+    pub max_customers: Option<usize>,
     /// Where load reports come from. Not used yet.
     pub load_reports: LoadReportSource,
     /// Whether backends may be sent health checks. Not used yet.
--- a/tests/memory_bounds.rs
+++ b/tests/memory_bounds.rs
@@ -67,3 +67,63 @@
     }
     assert_eq!(seen.into_iter().collect::<Vec<_>>(), ["a2".into(), Name::from("a3")]);
 }
+
+#[test]
+fn customers_beyond_the_limit_take_the_place_of_idle_ones() {
+    let limit = 100;
+    let mut slow = settings();
+    // Two refill periods, for which an idle customer is kept otherwise, are longer than the test.
+    slow.plans[0].rate = 0.001;
+    slow.max_customers = Some(limit);
+    let mut gateway = TestGateway::new(slow, &["a1"]);
+    let backend = gateway.forward(1, "busy", "plain", "safe");
+    for id in 2..5000 {
+        let mut actions = gateway.request(id, &format!("once{id}"), "plain", "safe");
+        if let Some((counter, amount)) = first_counter_call(&actions) {
+            actions = gateway.counter_responds(counter, amount);
+        }
+        if let Some((id, backend)) = first_attempt(&actions) {
+            gateway.end_attempt(id, 0, &backend, AttemptOutcome::Served);
+        }
+        gateway.advance(1.0, &[id]);
+        assert!(gateway.decisions.customers().count() <= limit);
+    }
+    let names: Vec<Name> = gateway.decisions.customers().map(|customer| customer.name).collect();
+    assert!(names.contains(&"busy".into()), "its request is in flight");
+    assert!(names.contains(&"once4999".into()), "the newest customer is known");
+    gateway.end_attempt(1, 0, &backend, AttemptOutcome::Served);
+}
+
+#[test]
+fn request_of_a_further_customer_is_rejected_while_all_known_ones_are_busy() {
+    let mut few = settings();
+    few.max_customers = Some(2);
+    let mut gateway = TestGateway::new(few, &["a1", "a2"]);
+    let backend = gateway.forward(1, "c1", "plain", "safe");
+    gateway.forward(2, "c2", "plain", "safe");
+    let actions = gateway.request(3, "c3", "plain", "safe");
+    assert!(is_rejected(&actions, 3), "{actions:?}");
+    let actions = gateway.request(4, "c1", "plain", "safe");
+    assert!(!is_rejected(&actions, 4), "a known customer is served: {actions:?}");
+    gateway.handle(Event::ClientDisconnected { id: 4 });
+    gateway.end_attempt(1, 0, &backend, AttemptOutcome::Served);
+    let actions = gateway.request(5, "c3", "plain", "safe");
+    assert!(!is_rejected(&actions, 5), "{actions:?}");
+}
+
+#[test]
+fn maintenance_visits_every_customer_however_many_there_are() {
+    let mut gateway = TestGateway::new(settings(), &["a1"]);
+    for id in 1..=10_000 {
+        gateway.request(id, &format!("c{id}"), "plain", "safe");
+        gateway.handle(Event::ClientDisconnected { id });
+    }
+    let known = gateway.decisions.customers().count();
+    assert!(known >= 9_900, "{known}");
+    // Counter calls of the first requests are still out, and keep their customers busy.
+    for tick in 0..10 {
+        gateway.advance(if tick == 0 { 10_000.0 } else { 25.0 }, &[]);
+    }
+    let kept = gateway.decisions.customers().count();
+    assert!(kept <= 20, "{kept} customers are kept");
+}
