Timers of requests that have ended no longer stay until they are due

Callers: none apart from memory: at 30,000 refused requests a second, as one flooding client reaches in the release build, each left one or two timers until its deadline, up to 60 s where the settings allow that. Cause: the heap of timers has no cancellation, and timers of ended requests were only ignored when due. Change: once their number may have doubled, timers that nothing waits for are removed; the owners say which (RESP gateway: requests, attempts, health checks, decisions; serve: also closed client connections). Evidence: unit test with 100,000 timers of which 100 are needed at a time: at most 1,024 are kept, and the needed ones expire in order.

--- a/crates/event-loop/src/timers.rs
+++ b/crates/event-loop/src/timers.rs
@@ -1,4 +1,5 @@
-//! Timers in a heap. A timer cannot be cancelled: its owner ignores it when it expires and is no longer needed.
+//! Timers in a heap. A timer is not cancelled: its owner ignores it when it expires and is no longer needed. Those that
+//! are no longer needed are removed together, once there are many of them.
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
@@ -35,11 +36,16 @@
 pub struct Timers<T> {
     heap: BinaryHeap<Reverse<Entry<T>>>,
     sequence: u64,
+    /// How many timers were left when those not needed were last removed.
+    needed: usize,
 }
 
+/// Fewer timers than this are never examined.
+const MIN_EXAMINED: usize = 1024;
+
 impl<T> Default for Timers<T> {
     fn default() -> Self {
-        Self { heap: BinaryHeap::new(), sequence: 0 }
+        Self { heap: BinaryHeap::new(), sequence: 0, needed: 0 }
     }
 }
 
@@ -50,6 +56,29 @@
         self.heap.push(Reverse(Entry { deadline, sequence: self.sequence, value }));
     }
 
+    /// Removes the timers that are not needed, if their number may have doubled since the last time. So the timers of
+    /// requests that have ended take no more memory than those of open ones, however far their deadlines are.
+    pub fn remove_unneeded(&mut self, is_needed: impl Fn(&T) -> bool) {
+        if self.heap.len() < (2 * self.needed).max(MIN_EXAMINED) {
+            return;
+        }
+        self.heap.retain(|entry| is_needed(&entry.0.value));
+        self.heap.shrink_to(2 * self.heap.len());
+        self.needed = self.heap.len();
+    }
+
+    /// How many timers are scheduled.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Whether no timer is scheduled.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+
     /// The earliest deadline.
     #[must_use]
     pub fn next_deadline(&self) -> Option<f64> {
@@ -61,3 +90,6 @@
         if self.next_deadline()? <= now { self.heap.pop().map(|e| e.0.value) } else { None }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http-gateway/src/clients.rs
+++ b/crates/http-gateway/src/clients.rs
@@ -89,6 +89,11 @@
         self.listeners.clear();
     }
 
+    /// Whether a connection is open.
+    pub(crate) fn has_connection(&self, slot: usize, generation: u32) -> bool {
+        self.connections.get(slot).is_some_and(|client| client.generation == generation)
+    }
+
     /// The number of open connections.
     pub(crate) fn count(&self) -> usize {
         self.connections.len()
--- a/crates/http-gateway/src/gateway.rs
+++ b/crates/http-gateway/src/gateway.rs
@@ -38,7 +38,7 @@
 use crate::clients::Clients;
 use crate::counter::Counter;
 use crate::fleet::Fleet;
-use crate::io::Io;
+use crate::io::{Io, Timer};
 use crate::monitoring::Monitoring;
 use crate::requests::Requests;
 use crate::settings_reload::SettingsReload;
@@ -120,6 +120,7 @@
             self.tick_lifecycle();
             self.process_pending();
             self.recover_lost_attempts();
+            self.remove_unneeded_timers();
             if self.exit_requested {
                 self.finish();
                 return Ok(());
@@ -165,6 +166,17 @@
         self.process_pending();
     }
 
+    fn remove_unneeded_timers(&mut self) {
+        let Self { requests, decisions, clients, .. } = self;
+        self.io.timers.remove_unneeded(|timer| match timer {
+            Timer::Decision(token) => decisions.needs_timer(*token),
+            Timer::RequestDeadline(id) | Timer::RetryDeadline(id, _) => requests.contains(*id),
+            Timer::ClientTimeout(slot, generation) => clients.has_connection(*slot, *generation),
+            // One for each time that a backend connection became idle, or one at all.
+            Timer::BackendIdle(..) | Timer::EndpointListPoll | Timer::StateFileSave => true,
+        });
+    }
+
     fn tick_lifecycle(&mut self) {
         let pending = PendingWork {
             requests: self.requests.count(),
--- a/crates/http-gateway/src/requests.rs
+++ b/crates/http-gateway/src/requests.rs
@@ -36,6 +36,11 @@
         self.requests.len()
     }
 
+    /// Whether the request is in flight.
+    pub(crate) fn contains(&self, id: RequestId) -> bool {
+        self.requests.contains_key(&id)
+    }
+
     /// Whether an attempt of this request is in flight.
     pub(crate) fn has_attempt(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|request| request.lifecycle.has_attempt())
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -29,7 +29,7 @@
 use crate::counter::CounterPool;
 use crate::diagnostics::{Components, Diagnostics};
 use crate::discovery::DiscoveryClient;
-use crate::reactor::{Reactor, Token, TokenKind};
+use crate::reactor::{Reactor, Timer, Token, TokenKind};
 use crate::requests::{RequestCommand, RequestTable};
 use configuration::ReservedDescriptor;
 use doorcourse::{AccountingCheck, Action, ActionOutcome, Event, Gateway, Millis, RequestId};
@@ -251,6 +251,7 @@
         self.flush();
         self.backends.resume_reading(&mut self.reactor);
         self.check_buffer_counts();
+        self.remove_unneeded_timers();
         self.recover_lost_attempts();
         self.log_diagnostics();
     }
@@ -383,6 +384,18 @@
         }
     }
 
+    fn remove_unneeded_timers(&mut self) {
+        let Self { requests, decisions, health_checks, .. } = self;
+        self.reactor.timers.remove_unneeded(|timer| match timer {
+            Timer::Decision { token } => decisions.needs_timer(*token),
+            Timer::RequestDeadline { request } => requests.contains(*request),
+            Timer::ConnectTimeout { request, attempt } | Timer::WriteDeadline { request, attempt } => {
+                requests.is_in_flight(*request, *attempt)
+            }
+            Timer::HealthCheckTimeout { check } => health_checks.contains(*check),
+        });
+    }
+
     /// Compares the counted buffers with those that the components hold.
     fn check_buffer_counts(&self) {
         debug_assert!(self.clients.is_count_exact(), "buffers of clients");
--- a/crates/resp-gateway/src/gateway/health_checks.rs
+++ b/crates/resp-gateway/src/gateway/health_checks.rs
@@ -19,6 +19,13 @@
     in_flight: HashMap<RequestId, HealthCheck>,
 }
 
+impl HealthChecks {
+    /// Whether the health check is in flight.
+    pub(super) fn contains(&self, id: RequestId) -> bool {
+        self.in_flight.contains_key(&id)
+    }
+}
+
 impl RespGateway {
     /// Starts the health check of a backend.
     pub(super) fn start_health_check(&mut self, backend: Name) {
--- a/crates/resp-gateway/src/requests.rs
+++ b/crates/resp-gateway/src/requests.rs
@@ -168,6 +168,11 @@
         })
     }
 
+    /// Whether the request is open.
+    pub(crate) fn contains(&self, id: RequestId) -> bool {
+        self.open.contains_key(&id)
+    }
+
     /// Whether an attempt of this request is in flight.
     pub(crate) fn has_attempt(&self, id: RequestId) -> bool {
         self.open.get(&id).is_some_and(|open| open.lifecycle.has_attempt())
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -110,6 +110,12 @@
         }
     }
 
+    /// Whether the timer with this token has an effect when it expires. The host may drop others.
+    #[must_use]
+    pub fn needs_timer(&self, token: u64) -> bool {
+        token == MAINTENANCE_TOKEN || self.requests.contains_key(&request_of_token(token))
+    }
+
     /// Whether the shared counter is unavailable; always where there is none.
     #[must_use]
     pub fn is_counter_silent(&self) -> bool {
