serve: partially received requests keep within the limit on buffered bytes

Callers: with 60 clients that stopped half way through bodies of 200,000 bytes, or sent heads of many short fields, six times limits.buffered_bytes was held, and every other client got 503 GATEWAY_FULL until body_ms or head_ms ended (20 s and 10 s). Cause: the limit was looked at only when a head was complete, not while heads and bodies arrive, and partial requests could use all of it. Forwarded fields of an open request (cookies) were not counted. Change: above three quarters of the limit the largest partially received request gets 503 and its connection closes after it; so does one whose customer holds too much. Buffers count with their capacity, open requests with their fields. The share is the RESP gateway's.

--- a/crates/connection-limits/src/buffer_budget.rs
+++ b/crates/connection-limits/src/buffer_budget.rs
@@ -26,7 +26,7 @@
 /// Memory of one customer's state, with its name and its entries in tables.
 const CUSTOMER_BYTES: f64 = 640.0;
 /// Partially received requests may use this part of the limit.
-const PARTIAL_REQUEST_SHARE: f64 = 0.75;
+pub(crate) const PARTIAL_REQUEST_SHARE: f64 = 0.75;
 /// A request is admitted if this many times its bytes are left: it is copied to be sent, and its response is buffered.
 const ADMISSION_FACTOR: u64 = 4;
 
--- a/crates/connection-limits/src/client_limits.rs
+++ b/crates/connection-limits/src/client_limits.rs
@@ -1,6 +1,7 @@
 //! Limits on what a gateway buffers and keeps open for its clients: in total, for each customer and for each
 //! connection. A client that does not read its responses must not use up the resources that all clients share.
 
+use crate::buffer_budget::PARTIAL_REQUEST_SHARE;
 use doorcourse::{Millis, Name};
 use std::collections::HashMap;
 
@@ -62,6 +63,12 @@
 }
 
 impl ConnectionUsage {
+    /// The bytes that are buffered for the connection.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> u64 {
+        self.buffered_bytes
+    }
+
     /// Records how many response bytes are unread, and whether the client read some since the last update.
     fn record_unread(&mut self, now: Millis, unread_bytes: usize, has_read: bool) {
         if unread_bytes == 0 || has_read || self.unread_bytes == 0 {
@@ -129,6 +136,23 @@
         Ok(())
     }
 
+    /// Whether so much is buffered for all clients that the largest partially received request has to be rejected. The
+    /// rest of the limit is left for requests that are complete.
+    #[must_use]
+    pub fn must_reject_partial_requests(&self) -> bool {
+        self.buffered_bytes as f64 > self.limits.max_buffered_bytes as f64 * PARTIAL_REQUEST_SHARE
+    }
+
+    /// Checks whether a partially received request may be received further, as far as its customer is concerned.
+    ///
+    /// # Errors
+    /// [`LimitExceeded::CustomerBytes`] where too much is buffered for the customer's connections.
+    pub fn check_partial_request(&self, usage: &ConnectionUsage) -> Result<(), LimitExceeded> {
+        let customer_bytes = usage.customer.as_ref().and_then(|customer| self.customer_bytes.get(customer));
+        let is_exceeded = customer_bytes.is_some_and(|bytes| *bytes > self.limits.max_customer_bytes);
+        if is_exceeded { Err(LimitExceeded::CustomerBytes) } else { Ok(()) }
+    }
+
     /// Checks whether a complete request may be admitted while `requests` are open.
     ///
     /// # Errors
--- a/crates/http-gateway/src/clients.rs
+++ b/crates/http-gateway/src/clients.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod input;
 mod output;
+mod partial_requests;
 mod timeouts;
 
 pub(crate) use output::ForwardedHead;
--- a/crates/http-gateway/src/clients/input.rs
+++ b/crates/http-gateway/src/clients/input.rs
@@ -45,6 +45,7 @@
             self.decode_input(io, config, slot);
         }
         self.update_registration(io, slot);
+        self.limit_partial_requests(io, config, slot);
     }
 
     /// Reads and decodes input. Returns `false` if the connection has ended.
--- a/crates/http-gateway/src/clients/output.rs
+++ b/crates/http-gateway/src/clients/output.rs
@@ -136,7 +136,7 @@
         let buffers_input = client.has_request() || client.closing || held_back;
         let read = client.is_lingering() || !buffers_input || client.socket.input.len() < MAX_PIPELINED_BYTES;
         let interest = Interest::of(read, unread > 0).with_peer_close();
-        let bytes = (client.socket.input.len() + client.body.len() + unread) as u64;
+        let bytes = (client.socket.buffer_capacity() + client.body.capacity()) as u64;
         let progressed = std::mem::take(&mut client.progressed);
         self.budget.update(io.now(), &mut client.usage, client.customer.as_ref(), bytes, unread, progressed);
         let reset_at = self.budget.reset_at(&client.usage);
--- a/crates/http-gateway/src/gateway/pending.rs
+++ b/crates/http-gateway/src/gateway/pending.rs
@@ -183,7 +183,7 @@
         let now = self.io.now();
         let admitted = self.requests.admit(now, &self.config, client, &self.instance_name, request);
         let incoming = admitted.incoming;
-        self.clients.budget.reserve(admitted.body_bytes);
+        self.clients.budget.reserve(admitted.held_bytes);
         self.clients.request_admitted(client, incoming.id);
         let deadline = self.io.now() + incoming.timeout;
         self.io.timers.schedule(deadline, Timer::RequestDeadline(incoming.id));
--- a/crates/http-gateway/src/requests.rs
+++ b/crates/http-gateway/src/requests.rs
@@ -79,9 +79,9 @@
                 request.prepared.into_response_scanner(config.max_response_depth),
             ),
         };
-        let body_bytes = in_flight.body.len() as u64;
+        let held_bytes = in_flight.held_bytes();
         self.requests.insert(id, in_flight);
-        AdmittedRequest { incoming, body_bytes }
+        AdmittedRequest { incoming, held_bytes }
     }
 
     /// Records that the decisions start an attempt at a backend. Returns the number of the attempt, from 1.
@@ -206,7 +206,7 @@
         if let Some(connection) = request.attempt.connection {
             self.commands.push_back(RequestCommand::CloseBackendConnection { slot: connection.slot });
         }
-        self.commands.push_back(RequestCommand::ReleaseBytes(request.body.len() as u64));
+        self.commands.push_back(RequestCommand::ReleaseBytes(request.held_bytes()));
     }
 
     /// Reports an event to a request's life cycle and executes the actions that follow.
@@ -253,7 +253,7 @@
             }
             LifecycleAction::Finished => {
                 if let Some(request) = self.requests.remove(&id) {
-                    self.commands.push_back(RequestCommand::ReleaseBytes(request.body.len() as u64));
+                    self.commands.push_back(RequestCommand::ReleaseBytes(request.held_bytes()));
                 }
             }
         }
--- a/crates/http-gateway/src/requests/command.rs
+++ b/crates/http-gateway/src/requests/command.rs
@@ -55,5 +55,5 @@
     /// The request as reported to the decisions.
     pub incoming: IncomingRequest,
     /// The size of its body, which is buffered until the request ends.
-    pub body_bytes: u64,
+    pub held_bytes: u64,
 }
--- a/crates/http-gateway/src/requests/in_flight.rs
+++ b/crates/http-gateway/src/requests/in_flight.rs
@@ -33,6 +33,14 @@
 }
 
 impl InFlightRequest {
+    /// The memory of the request's body and fields, in bytes.
+    pub(super) fn held_bytes(&self) -> u64 {
+        let fields = self.forwarded_fields.iter();
+        let field_bytes =
+            fields.map(|(name, value)| name.len() + value.len() + size_of::<(String, String)>());
+        (self.body.capacity() + field_bytes.sum::<usize>()) as u64
+    }
+
     /// The final response as the metrics record it. `code` is its error code, or `SERVED`.
     pub(super) fn record(&self, now: Millis, code: &'static str) -> FinalResponseRecord {
         let plan = self.plan.clone();
