An id whose order may have run does not run again when it comes back

Callers: a client left while its order (no repeat allowed, or by key) ran; when the same id came again after the order had ended, it ran a second time. Cause: an id was only known while its request was open. An id whose request was never sent to a backend, or was rejected by it, may come again.

--- a/crates/http-gateway/src/requests/command.rs
+++ b/crates/http-gateway/src/requests/command.rs
@@ -54,6 +54,6 @@
 pub(crate) struct AdmittedRequest {
     /// The request as reported to the decisions.
     pub incoming: IncomingRequest,
-    /// The size of its body, which is buffered until the request ends.
+    /// The memory of its body and fields, which are held until the request ends.
     pub held_bytes: u64,
 }
--- a/crates/request-lifecycle/src/lib.rs
+++ b/crates/request-lifecycle/src/lib.rs
@@ -8,6 +8,7 @@
 //! | item | what it decides |
 //! | --- | --- |
 //! | [`RequestLifecycle`] | the state of one request; the host keeps one for each open request |
+//! | [`ExecutedIds`] | whether a request with a known id may have been executed already; the RESP gateway keeps one |
 //! | [`operation_class`] | the class of a GraphQL operation |
 //! | [`check_plan_capacity`] | whether a plan can ever admit a request of a given cost |
 //! | [`request_timeout`], [`connect_timeout`] | the timeouts of a request and of a connect for it |
@@ -19,6 +20,7 @@
 mod action;
 mod attempt;
 mod event;
+mod executed_ids;
 mod lifecycle;
 mod operation_class;
 mod plan_capacity;
@@ -28,6 +30,7 @@
 pub use action::{FailureReason, FinalResponse, LifecycleAction};
 pub use attempt::WireState;
 pub use event::{BackendReply, LifecycleEvent};
+pub use executed_ids::ExecutedIds;
 pub use lifecycle::RequestLifecycle;
 pub use operation_class::operation_class;
 pub use plan_capacity::{ExceedsPlanCapacity, check_plan_capacity};
--- a/crates/resp-gateway/src/gateway/actions.rs
+++ b/crates/resp-gateway/src/gateway/actions.rs
@@ -119,6 +119,7 @@
                 return self.pending.decisions.push_back(event);
             }
             StartOutcome::DuplicateId => Response::InvalidRequest(RequestError::DuplicateId),
+            StartOutcome::ExecutedId => Response::InvalidRequest(RequestError::ExecutedId),
             StartOutcome::DeadlineTooShort => Response::Failed(RequestFailure::DeadlineTooShort),
             // Another gateway can accept the request at once, so the client need not wait.
             StartOutcome::ShuttingDown | StartOutcome::OutOfMemory => {
--- a/crates/resp-gateway/src/request.rs
+++ b/crates/resp-gateway/src/request.rs
@@ -54,6 +54,9 @@
     /// A request with this id is open.
     #[error("a request with this id is open")]
     DuplicateId,
+    /// A request with this id that must not run twice may have been executed.
+    #[error("a request with this id may have been executed")]
+    ExecutedId,
 }
 
 /// A parsed request.
--- a/crates/resp-gateway/src/requests.rs
+++ b/crates/resp-gateway/src/requests.rs
@@ -6,12 +6,15 @@
 use crate::backends::AttemptEvent;
 use crate::clients::{CommandId, RequestFailure, Response};
 use crate::request::{ForwardedCommand, Request};
-use doorcourse::{AttemptEnd, AttemptOutcome, Event, IncomingRequest, LoadReport, Millis, Name, RequestId};
+use doorcourse::{
+    AttemptEnd, AttemptOutcome, Event, Idempotency, IncomingRequest, LoadReport, Millis, Name, RequestId,
+};
 use doorcourse_connection_limits::BufferBudget;
 use doorcourse_deployment::Deployment;
 use doorcourse_graceful_shutdown::{Admission, GracefulShutdown};
 use doorcourse_request_lifecycle::{
-    FailureReason, FinalResponse, LifecycleAction, LifecycleEvent, RequestLifecycle, request_timeout,
+    ExecutedIds, FailureReason, FinalResponse, LifecycleAction, LifecycleEvent, RequestLifecycle,
+    request_timeout,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -41,6 +44,8 @@
     Started { request: RequestId, deadline: Millis, event: Event },
     /// Another request with the same id is open.
     DuplicateId,
+    /// Another request with the same id, which must not run twice, may have been executed.
+    ExecutedId,
     /// No response could reach the client in time.
     DeadlineTooShort,
     /// The request could not finish before the process has to exit.
@@ -56,6 +61,10 @@
     forwarded: Arc<ForwardedCommand>,
     started_at: Millis,
     deadline: Millis,
+    /// Whether executing the request twice does no harm.
+    may_run_again: bool,
+    /// Whether an attempt that has ended may have been executed.
+    is_possibly_executed: bool,
     /// The backend of the last attempt.
     backend: Name,
     attempt_started_at: Millis,
@@ -79,6 +88,8 @@
     open: HashMap<RequestId, OpenRequest>,
     /// The ids that clients gave to open requests; a second request with such an id is an error.
     by_client_id: HashMap<u64, RequestId>,
+    /// The ids that clients gave to requests that may have been executed and must not run twice.
+    executed: ExecutedIds,
     last_id: RequestId,
     /// Bytes that the open requests hold.
     buffered_bytes: u64,
@@ -98,6 +109,9 @@
         if self.by_client_id.contains_key(&request.id) {
             return StartOutcome::DuplicateId;
         }
+        if self.executed.contains(now, request.id) {
+            return StartOutcome::ExecutedId;
+        }
         let max_timeout =
             deployment.host.client_timeouts.get(request.class).copied().filter(|timeout| *timeout > 0.0);
         let max_timeout = max_timeout.unwrap_or(f64::INFINITY);
@@ -136,7 +150,9 @@
             sticky_route: Name::default(),
         };
         let forwarded = Arc::new(request.forwarded);
-        let open = OpenRequest::new(now, deadline, command, request.id, forwarded);
+        let mut open = OpenRequest::new(now, deadline, command, request.id, forwarded);
+        open.may_run_again =
+            deployment.settings.classes[request.class].idempotency == Idempotency::Idempotent;
         self.open.insert(id, open);
         self.by_client_id.insert(request.id, id);
         StartOutcome::Started { request: id, deadline, event: Event::RequestReceived(incoming) }
@@ -235,6 +251,9 @@
         if is_finished && let Some(open) = self.open.remove(&id) {
             self.buffered_bytes -= open.size() as u64;
             self.by_client_id.remove(&open.client_id);
+            if open.is_possibly_executed && !open.may_run_again {
+                self.executed.record(now, open.client_id);
+            }
             let elapsed_ms = now - open.started_at;
             tracing::trace!(target: LOG_TARGET, number = id, elapsed_ms, "request finished");
         }
@@ -279,6 +298,8 @@
             forwarded,
             started_at: now,
             deadline,
+            may_run_again: false,
+            is_possibly_executed: false,
             backend: Name::default(),
             attempt_started_at: now,
             value: Vec::new(),
@@ -329,6 +350,7 @@
         final_response_sent: bool,
     ) -> AttemptEnd {
         let latency = now - self.attempt_started_at;
+        self.is_possibly_executed |= outcome.may_have_executed();
         tracing::trace!(target: LOG_TARGET, number = id, ?outcome, latency_ms = latency, "attempt ended");
         AttemptEnd {
             id,
--- a/src/event.rs
+++ b/src/event.rs
@@ -110,6 +110,14 @@
     NeverSent,
 }
 
+impl AttemptOutcome {
+    /// Whether a backend may have executed the request.
+    #[must_use]
+    pub fn may_have_executed(self) -> bool {
+        !matches!(self, Self::Rejected | Self::ConnectFailed | Self::NeverSent)
+    }
+}
+
 /// How a counter call ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CounterOutcome {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -20,11 +20,6 @@
     pub backend: Name,
 }
 
-/// Whether a backend certainly did not execute an attempt with this outcome.
-fn was_never_executed(outcome: AttemptOutcome) -> bool {
-    matches!(outcome, AttemptOutcome::Rejected | AttemptOutcome::ConnectFailed | AttemptOutcome::NeverSent)
-}
-
 /// Whether a further attempt is safe after `attempts` attempts.
 fn is_retry_safe(possibly_executed: bool, idempotency: Idempotency, attempts: u32) -> bool {
     match idempotency {
@@ -88,7 +83,7 @@
             }
             return self.remove_request(id);
         }
-        if !was_never_executed(end.outcome) && request.first_execution.is_none() {
+        if end.outcome.may_have_executed() && request.first_execution.is_none() {
             request.first_execution = Some(FirstExecution { sent_at: request.sent_at, backend: end.backend });
         }
         if self.may_retry(id) { self.forward_or_enqueue(id, out) } else { self.finish_unserved(id, out) }
