RESP gateway: commands unread behind a client's close are not forwarded

Callers: a client wrote more than the gateway had read, and closed its connection; up to eight of its forty orders were sent to backends 0.2 s after the close. Cause: a new connection was read when it was accepted, before the poller could tell of its close; and the close comes behind unread bytes: with a full receive buffer it has not even arrived, so that RDHUP shows nothing while reading pauses or takes 16 KiB at a time. Change: a new connection is read only once the poller has reported it; a read that takes all it can goes on until nothing is left, and commands are received ahead of their turn, both up to 1 MiB a connection and while a quarter of the buffer budget at most is in use; what was read together with the end of the stream is not processed. Limit: a client that leaves more than that unread is noticed as it is read (postmortem).

--- a/crates/connection-limits/src/buffer_budget/tests.rs
+++ b/crates/connection-limits/src/buffer_budget/tests.rs
@@ -12,6 +12,11 @@
 #[test]
 fn large_requests_are_refused_before_small_ones() {
     let mut budget = BufferBudget::new(10 * MIB);
+    budget.set_used(BufferHolder::Backends, 2 * MIB);
+    assert!(budget.allows_read_ahead());
+    budget.set_used(BufferHolder::Clients, MIB);
+    assert!(!budget.allows_read_ahead());
+    budget.set_used(BufferHolder::Backends, 0);
     budget.set_used(BufferHolder::Clients, 7 * MIB);
     assert!(budget.admits(64 << 10) && !budget.must_discard_partial_requests());
     budget.set_used(BufferHolder::Requests, 2 * MIB + (900 << 10));
--- a/crates/event-loop/src/socket.rs
+++ b/crates/event-loop/src/socket.rs
@@ -44,6 +44,9 @@
 const ACCEPT_QUEUE_LENGTH: i32 = 1024;
 
 impl Socket {
+    /// The most bytes that one [`read`](Self::read) receives.
+    pub const MAX_READ_BYTES: usize = READ_BYTES;
+
     /// Wraps a connected stream.
     ///
     /// # Errors
--- a/crates/resp-gateway/src/clients.rs
+++ b/crates/resp-gateway/src/clients.rs
@@ -100,7 +100,7 @@
         if ready.write {
             schedule_flush(&mut self.to_flush, connection);
         }
-        if ready.read && connection.reads_input(reactor.now) {
+        if ready.read && connection.receives(reactor) {
             self.read(reactor, deployment, token.index, events);
         } else {
             connection.update_interest(reactor);
@@ -112,13 +112,14 @@
         events: &mut Vec<ClientEvent>,
     ) {
         let Some(connection) = self.connections.get_mut(index) else { return };
-        let flow = connection.read();
-        if connection.activity.lingering_close_until.is_none() {
-            self.process_commands(reactor, deployment, index, events);
-        }
+        let flow = connection.read(reactor);
         if flow != Flow::Open {
+            // By the protocol, a client that closes its side has disconnected: what it wrote before is not processed.
             return self.remove(reactor, index, CloseReason::ClientDisconnected, events);
         }
+        if connection.activity.lingering_close_until.is_none() {
+            self.process_commands(reactor, deployment, index, events);
+        }
         self.count_buffers(reactor, index);
         self.limit_partial_commands(reactor, deployment, events);
     }
@@ -290,7 +291,7 @@
                     is_expired,
                     events,
                 );
-            } else if connection.has_invalid_commands() && connection.reads_input(now) {
+            } else if connection.has_invalid_commands() && connection.processes_commands(now) {
                 self.process_commands(reactor, deployment, index, events);
                 self.update_interest(reactor, index);
             }
--- a/crates/resp-gateway/src/clients/accept.rs
+++ b/crates/resp-gateway/src/clients/accept.rs
@@ -98,25 +98,18 @@
                 reject_connection(socket);
                 continue;
             }
-            self.insert(socket, reactor, deployment, events);
+            self.insert(socket, reactor);
         }
         AcceptQueue::MayHoldMore
     }
 
-    fn insert(
-        &mut self, socket: Socket, reactor: &mut Reactor, deployment: &Deployment,
-        events: &mut Vec<ClientEvent>,
-    ) {
+    /// Adds a connection. It is read once the next poll has reported it: only the poller tells that a client has closed
+    /// its connection behind more bytes than one read takes.
+    fn insert(&mut self, socket: Socket, reactor: &mut Reactor) {
         let index = self.connections.vacant_key();
         let token = Token { kind: TokenKind::Client, serial: reactor.next_serial(), index };
         let Ok(registered) = RegisteredSocket::new(reactor, socket, token, client_interest()) else { return };
-        let index = self.connections.insert(ClientConnection::new(registered, reactor.now));
-        // The first command usually arrives right after the connection. The second read detects a client that closed
-        // the connection while it was in the accept queue.
-        self.read(reactor, deployment, index, events);
-        if self.connections.get(index).is_some_and(ClientConnection::accepts_commands) {
-            self.read(reactor, deployment, index, events);
-        }
+        self.connections.insert(ClientConnection::new(registered, reactor.now));
     }
 
     /// Closes the connection with the lowest eviction rank; returns false if none may be evicted. A connection stays
--- a/crates/resp-gateway/src/clients/connection.rs
+++ b/crates/resp-gateway/src/clients/connection.rs
@@ -21,6 +21,8 @@
 /// Maximum bytes of responses of one connection that are not written yet; above this, reading pauses. The kernel's send
 /// buffer is full by then.
 const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
+/// Maximum bytes that are received of one connection before their commands are processed.
+const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
 /// How long a connection stays open after its last response, in ms. A close while received bytes are unread resets the
 /// connection, and the client may lose the response (RFC 9112 section 9.6 describes this for HTTP).
 const LINGER_MS: Millis = 250.0;
@@ -97,33 +99,44 @@
         self.registered.token.index
     }
 
-    /// Whether input is currently read from the client.
-    pub(super) fn reads_input(&self, now: Millis) -> bool {
+    /// Whether bytes are currently received from the client.
+    pub(super) fn receives(&self, reactor: &Reactor) -> bool {
         if self.activity.lingering_close_until.is_some() {
             return self.discarded_bytes < MAX_DISCARDED_BYTES;
         }
+        let may_read_ahead =
+            self.registered.socket.input.len() < MAX_READ_AHEAD_BYTES && reactor.buffers.allows_read_ahead();
+        !self.input_closed && (self.processes_commands(reactor.now) || may_read_ahead)
+    }
+
+    /// Whether received commands are currently processed.
+    pub(super) fn processes_commands(&self, now: Millis) -> bool {
         let unwritten_bytes = self.registered.socket.pending() + self.ready_value_bytes;
         let has_capacity =
             self.slots.len() < MAX_PIPELINED_COMMANDS && unwritten_bytes <= MAX_UNWRITTEN_BYTES;
         has_capacity && !self.input_closed && now >= self.read_resumes_at
     }
 
-    /// Whether further commands are read from the client.
-    pub(super) fn accepts_commands(&self) -> bool {
-        !self.input_closed
-    }
-
     /// Whether the client has sent invalid commands, after which reading backs off.
     pub(super) fn has_invalid_commands(&self) -> bool {
         self.invalid_commands > 0
     }
 
-    /// Reads once. Bytes that arrive during the lingering close are discarded.
-    pub(super) fn read(&mut self) -> Flow {
-        let (count, flow) = self.registered.socket.read();
+    /// Reads once; where that receives as much as a read can, goes on until nothing is left, up to
+    /// [`MAX_READ_AHEAD_BYTES`]: the client may have closed the connection behind what it wrote. Bytes that arrive during
+    /// the lingering close are discarded.
+    pub(super) fn read(&mut self, reactor: &Reactor) -> Flow {
+        let (mut count, mut flow) = self.registered.socket.read();
         if self.activity.lingering_close_until.is_some() {
             self.discarded_bytes += count;
             self.registered.socket.input = Vec::new();
+            return flow;
+        }
+        if count == Socket::MAX_READ_BYTES && reactor.buffers.allows_read_ahead() {
+            while count > 0 && flow == Flow::Open && self.registered.socket.input.len() < MAX_READ_AHEAD_BYTES
+            {
+                (count, flow) = self.registered.socket.read();
+            }
         }
         flow
     }
@@ -134,7 +147,7 @@
     ) -> bool {
         let input = std::mem::take(&mut self.registered.socket.input);
         let mut consumed = 0;
-        while consumed < input.len() && self.reads_input(now) {
+        while consumed < input.len() && self.processes_commands(now) {
             let rest = &input[consumed..];
             let read = if self.is_discarding {
                 self.discard_command(rest)
@@ -310,7 +323,7 @@
 
     /// Registers for the readiness that the connection currently needs.
     pub(super) fn update_interest(&mut self, reactor: &Reactor) {
-        let read = self.reads_input(reactor.now);
+        let read = self.receives(reactor);
         let write = self.registered.socket.pending() > 0;
         self.registered.set_interest(reactor, read, write);
     }
