A customer whose request waits for a backend is not forgotten

Callers: with a plan whose refill period is shorter than the wait for a backend (burst / rate under 0.12 s at an objective of 0.8 s), a request that had waited and whose attempt failed got no further attempt and no answer before its deadline; the decisions kept it for good, so memory grew. With the limit on customers any plan could show it. Cause: a customer counted as in use by attempts in flight and by waits for the counter, not by requests in the queue; attempt_ended returns where the customer is not known. Change: a customer counts its requests without a final response, and is kept while there is one; the recount of debug builds compares that number too.

--- a/src/accounting.rs
+++ b/src/accounting.rs
@@ -14,6 +14,8 @@
     AttemptsAt(Name),
     /// The requests of a customer that are in flight.
     RequestsOf(Name),
+    /// The requests of a customer without a final response.
+    OpenRequestsOf(Name),
     /// The requests of a customer that wait for the counter.
     WaitsOf(Name),
     /// The counter calls in flight of a customer.
@@ -78,6 +80,8 @@
                 in_flight,
                 self.requests_of(name, RequestStage::InFlight),
             );
+            let open = self.requests.values().filter(|request| request.customer == *name).count();
+            compare(Counted::OpenRequestsOf(name.clone()), customer.open_requests, open);
             let waits = self.requests_of(name, RequestStage::AwaitingCounter);
             compare(Counted::WaitsOf(name.clone()), customer.waiting.len(), waits);
             let calls = self.counter_calls.values().filter(|caller| *caller == name).count();
--- a/src/maintenance.rs
+++ b/src/maintenance.rs
@@ -59,7 +59,7 @@
 
     /// Whether a request or a counter call of the customer is open.
     pub(crate) fn is_busy(&self) -> bool {
-        self.pending_call.is_some() || self.occupancy.count() > 0 || !self.waiting.is_empty()
+        self.pending_call.is_some() || self.open_requests > 0
     }
 
     /// Whether the customer's state has to be kept.
--- a/src/quota/customer.rs
+++ b/src/quota/customer.rs
@@ -39,6 +39,8 @@
     pub waiting: VecDeque<RequestId>,
     /// Set from the first request that is decided without the counter until the customer's next total.
     pub fallback_budget: Option<FallbackBudget>,
+    /// The customer's requests without a final response.
+    pub open_requests: usize,
     /// The places of the customer's requests that are in flight at backends.
     pub occupancy: Occupancy,
 }
--- a/src/request.rs
+++ b/src/request.rs
@@ -117,6 +117,7 @@
         let rank = gateway_rank(self.settings.gateway_index, incoming.first_gateway, gateway_count);
         customer.set_gateways(customer_gateways, rank);
         customer.demand.record(units, now, refill_period(plan));
+        customer.open_requests += 1;
     }
 
     /// Sends the final response to a request that gets no further attempt: rejected where a retry by the client is
@@ -153,6 +154,7 @@
     pub(crate) fn remove_request(&mut self, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else { return };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        customer.open_requests = customer.open_requests.saturating_sub(1);
         if let Some(place) = request.customer_place {
             customer.occupancy.release(place);
         }
--- a/tests/memory_bounds.rs
+++ b/tests/memory_bounds.rs
@@ -127,3 +127,43 @@
     let kept = gateway.decisions.customers().count();
     assert!(kept <= 20, "{kept} customers are kept");
 }
+
+#[test]
+fn customer_whose_request_waits_for_a_backend_is_not_forgotten() {
+    let mut quick = settings();
+    // A customer is kept for two refill periods of 1 ms after its last request.
+    quick.plans[0].rate = 10_000.0;
+    quick.classes[0].latency_objective = 8000.0;
+    let mut gateway = TestGateway::new(quick, &["a1"]);
+    // Fill what may be in flight.
+    let mut id = 0;
+    let mut in_flight = Vec::new();
+    let waiting = loop {
+        id += 1;
+        let mut actions = gateway.request(id, &format!("c{id}"), "plain", "safe");
+        if let Some((counter, amount)) = first_counter_call(&actions) {
+            actions = gateway.counter_responds(counter, amount);
+        }
+        match first_attempt(&actions) {
+            Some((id, backend)) => in_flight.push((id, backend)),
+            None => break id,
+        }
+    };
+    for _ in 0..20 {
+        gateway.advance(25.0, &[]);
+    }
+    let names: Vec<Name> = gateway.decisions.customers().map(|customer| customer.name).collect();
+    assert!(names.contains(&format!("c{waiting}").as_str().into()), "{names:?}");
+    let mut forwarded = None;
+    for (id, backend) in in_flight {
+        let actions = gateway.end_attempt(id, 0, &backend, AttemptOutcome::Served);
+        forwarded = forwarded.or(first_attempt(&actions));
+    }
+    let (id, backend) = forwarded.expect("the waiting request is forwarded");
+    assert_eq!(id, waiting);
+    let actions = gateway.end_attempt(id, 0, &backend, AttemptOutcome::ConnectFailed);
+    assert!(
+        first_attempt(&actions).is_some() || is_rejected(&actions, id) || !actions.is_empty(),
+        "{actions:?}"
+    );
+}
