--- a/crates/resp-gateway/src/clients/tests.rs
+++ b/crates/resp-gateway/src/clients/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::reactor::TokenKind;
 use doorcourse_connection_limits::BufferBudget;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -99,3 +100,42 @@
         assert_eq!(text, "-BUSY\r\n+PONG\r\n", "{cause}");
     }
 }
+
+/// Polls once, and handles the readiness of client connections.
+fn handle_poll(clients: &mut ClientTable, reactor: &mut Reactor, deployment: &Deployment) {
+    let mut ready = Vec::new();
+    reactor.poller.wait(Some(std::time::Duration::from_millis(200)), &mut ready).unwrap();
+    for ready in ready {
+        let Some(token) = Token::unpack(ready.token).filter(|token| token.kind == TokenKind::Client) else {
+            continue;
+        };
+        clients.handle_readiness(reactor, deployment, token, ready, &mut Vec::new());
+    }
+}
+
+#[test]
+fn close_is_noticed_while_reading_is_paused_and_bytes_are_unread() {
+    let (mut reactor, deployment, mut clients, _, mut client) = table_with_request(8);
+    let mut bytes = Vec::new();
+    for id in 0..300 {
+        let arguments =
+            ["Q.ASK", "00000000b4d65521", &format!("{id:016x}"), "c=r,t=p,d=480,units=1,spread=1,first=0"];
+        doorcourse_resp::encode_command(&mut bytes, &arguments);
+    }
+    // Without memory nothing is received ahead: reading pauses once 64 commands are open.
+    reactor.buffers = BufferBudget::new(0);
+    client.write_all(&bytes).unwrap();
+    let is_paused = |clients: &ClientTable, reactor: &Reactor| {
+        clients.connections.iter().all(|(_, connection)| !connection.receives(reactor))
+    };
+    for _ in 0..100 {
+        if is_paused(&clients, &reactor) {
+            break;
+        }
+        handle_poll(&mut clients, &mut reactor, &deployment);
+    }
+    assert!(is_paused(&clients, &reactor) && clients.connection_count() == 1);
+    drop(client);
+    handle_poll(&mut clients, &mut reactor, &deployment);
+    assert_eq!(clients.connection_count(), 0);
+}
