A process that took a dead backend's address is not taken for that backend

Callers: a keyed request ran at a backend that then died; a process of another cell took its address, and until the change that removes the dead one came, the request was repeated there, where no memory of its key is shared: it ran up to four times. Cause: the RESP gateway knew a backend by its id alone; two ids at one address were both used. Change: of the backends listed at one address only the one that started last stays (endpoints/shared_address.rs); the others are removed for the decisions and the connections alike, whichever order the changes come in. Where no starts tell them apart, nothing changes. serve reads whole lists from a file that its operator writes, where a node that has gone is not named; connections there belong to address and start. Evidence: keyed_request_is_not_repeated_at_a_process_that_took_the_address_of_its_backend fails without the change (with a pause in place of its wait: 4 runs where 1 is allowed).

--- a/crates/resp-gateway/src/backends.rs
+++ b/crates/resp-gateway/src/backends.rs
@@ -16,7 +16,7 @@
 use crate::request::ForwardedCommand;
 use attempt::{Attempt, Payload, health_check_id};
 use connection::{BackendConnection, ConnectionState};
-use doorcourse::{BackendState, Millis, Name, RequestId};
+use doorcourse::{BackendEntry, BackendState, Millis, Name, RequestId};
 use doorcourse_connection_limits::{ConnectionPool, idle_limit};
 use doorcourse_event_loop::Flow;
 use doorcourse_fail_points::rule_disabled;
@@ -28,8 +28,8 @@
 /// One backend of the endpoint list.
 struct Backend {
     address: SocketAddr,
-    /// When the backend was started, if known.
-    started: Option<Millis>,
+    /// Its last entry in the endpoint list.
+    entry: BackendEntry,
     /// Whether attempts may be sent to it.
     is_ready: bool,
     /// Whether the endpoint list contains it.
@@ -81,6 +81,12 @@
         self.backend_idle_timeout = backend_idle_timeout;
     }
 
+    /// The backends that the endpoint list contains, with their addresses.
+    pub(crate) fn listed(&self) -> impl Iterator<Item = (SocketAddr, &BackendEntry)> + Clone {
+        let listed = self.backends.values().filter(|backend| backend.is_listed);
+        listed.map(|backend| (backend.address, &backend.entry))
+    }
+
     /// Applies an endpoint list. Attempts that their backend must no longer receive are appended to `updates` as
     /// withdrawn. The caller reports them after the decision library has processed the list, so that their retries do
     /// not go to a backend that the list drains.
@@ -104,10 +110,10 @@
         match (self.backends.get_mut(&entry.name), endpoint.address) {
             (Some(backend), address) => {
                 let has_moved = address.is_some_and(|address| address != backend.address);
-                let is_new_incarnation = has_moved || backend.started != entry.started;
+                let is_new_incarnation = has_moved || backend.entry.started != entry.started;
                 backend.is_ready = is_ready;
                 backend.is_listed = is_listed;
-                backend.started = entry.started;
+                backend.entry = entry.clone();
                 backend.address = address.unwrap_or(backend.address);
                 if is_new_incarnation || !is_ready {
                     self.withdraw_attempts(&entry.name, updates);
@@ -118,7 +124,7 @@
             }
             (None, Some(address)) if is_listed => {
                 let pool = ConnectionPool::default();
-                let backend = Backend { address, started: entry.started, is_ready, is_listed, pool };
+                let backend = Backend { address, entry: entry.clone(), is_ready, is_listed, pool };
                 self.backends.insert(entry.name.clone(), backend);
                 self.begin_incarnation(&entry.name);
             }
--- a/crates/resp-gateway/src/endpoints.rs
+++ b/crates/resp-gateway/src/endpoints.rs
@@ -1,5 +1,9 @@
 //! Parses the endpoint lists of the discovery service, complete lists and changes, from JSON.
 
+mod shared_address;
+
+pub(crate) use shared_address::remove_displaced;
+
 use doorcourse::{BackendEntry, BackendState, Millis, Name, Placement};
 use serde::Deserialize;
 use std::net::SocketAddr;
--- a/crates/resp-gateway/src/gateway/configuration.rs
+++ b/crates/resp-gateway/src/gateway/configuration.rs
@@ -2,7 +2,7 @@
 
 use super::RespGateway;
 use crate::config::Config;
-use crate::endpoints::EndpointList;
+use crate::endpoints::{EndpointList, remove_displaced};
 use crate::reactor::Token;
 use doorcourse::Event;
 use doorcourse_event_loop::Ready;
@@ -72,7 +72,8 @@
     ///
     /// The backends receive the addresses first, since the decision library may send an attempt as soon as it has the
     /// list. Withdrawn attempts are reported last: they are retried, and not at a backend that the list drains.
-    pub(super) fn apply_endpoints(&mut self, list: EndpointList) {
+    pub(super) fn apply_endpoints(&mut self, mut list: EndpointList) {
+        remove_displaced(&mut list, self.backends.listed());
         let entries = list.endpoints.iter().map(|endpoint| endpoint.entry.clone()).collect();
         let event = if list.complete { Event::BackendList(entries) } else { Event::BackendChanges(entries) };
         self.pending.decisions.push_back(event);
--- a/crates/resp-gateway/tests/moved.rs
+++ b/crates/resp-gateway/tests/moved.rs
@@ -76,3 +76,38 @@
         assert!(is_served(&response, if moves { "new" } else { "3" }), "moves {moves}: {response:?}");
     }
 }
+
+/// A backend dies after it has executed a keyed request, and a process of another cell takes its address; the change that
+/// removes the dead one has not come yet. Only its own cell would recognize the request, so that it must not be repeated
+/// at that address.
+#[test]
+fn keyed_request_is_not_repeated_at_a_process_that_took_the_address_of_its_backend() {
+    let released = Shared::new(false);
+    let backend_released = released.clone();
+    let process = Backend::start(move |command| {
+        if !command.arguments[3].starts_with("c=save") {
+            return Reply::Bytes(value("good"));
+        }
+        backend_released.wait("the change", |released| *released);
+        Reply::Reset
+    });
+    let rig = TestGateway::new(vec![backend_started_at(process.address, 1)], long_connect_timeout(), 1024);
+    let mut client = rig.client();
+    assert!(is_served(&client.request("lookup", 1000), "good"));
+    let fields = "c=save,t=team,d=3000,k=key-1,units=1,spread=1,first=0";
+    client.send(&["Q.DO", "00000000b4d65521", &rig::new_id(), fields, "B"]);
+    process.commands.wait("the keyed request", |commands| commands.len() == 2);
+    // A second connection, which is idle when the change comes.
+    assert!(is_served(&rig.client().request("lookup", 1000), "good"));
+    let mut successor = endpoint("b1", process.address, "active");
+    successor["born_ms"] = json!(2);
+    successor["block"] = json!(2);
+    rig.discovery.publish_changes(vec![successor]);
+    process.closed_connections.wait("the idle connection to close", |closed| closed.contains(&2));
+    released.update(|released| *released = true);
+    let response = client.read_response().unwrap();
+    assert!(rig::is_failed(&response), "{response:?}");
+    let keyed =
+        process.commands.update(|c| c.iter().filter(|c| c.arguments[3].starts_with("c=save")).count());
+    assert_eq!(keyed, 1, "the request ran in two cells");
+}
