--- a/crates/resp-gateway/tests/rig/backend.rs
+++ b/crates/resp-gateway/tests/rig/backend.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Chooses the reply of a backend to a command.
 pub(crate) type Script = dyn Fn(&Command) -> Reply + Send + Sync;
@@ -41,6 +41,8 @@
     pub commands: Arc<Shared<Vec<Command>>>,
     /// The numbers of the connections that have closed.
     pub closed_connections: Arc<Shared<Vec<usize>>>,
+    /// The ids of the requests that it received, and when.
+    arrivals: Arc<Shared<Vec<(String, Instant)>>>,
 }
 
 impl Backend {
@@ -54,7 +56,14 @@
         let closed_connections = Shared::new(Vec::new());
         let received = commands.clone();
         let closed = closed_connections.clone();
-        let script = Arc::new(script);
+        let arrivals = Shared::new(Vec::new());
+        let arrived = arrivals.clone();
+        let script = Arc::new(move |command: &Command| {
+            if let Some(id) = command.arguments.get(2) {
+                arrived.update(|arrived| arrived.push((id.clone(), Instant::now())));
+            }
+            script(command)
+        });
         std::thread::spawn(move || {
             let count = AtomicUsize::new(0);
             for stream in listener.incoming().flatten() {
@@ -68,7 +77,12 @@
                 });
             }
         });
-        Self { address, commands, closed_connections }
+        Self { address, commands, closed_connections, arrivals }
+    }
+
+    /// The ids of the requests that it received, and when.
+    pub(crate) fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.arrivals.update(|arrivals| arrivals.clone())
     }
 
     pub(crate) fn command_count(&self) -> usize {
