serve: an endpoint list that could not be read for a moment is read at the next poll

Callers: a changed node list was not followed until it changed again, if reading it failed once (EIO, or out of descriptors): drains in it were not kept. Cause: the file's version was recorded before it was read. Change: a version that could not be read counts as unavailable, which is reported once and looked at again at each poll. Evidence: list_that_could_not_be_read_for_a_moment_is_read_at_the_next_poll fails without the change.

--- a/crates/http-gateway/src/endpoint_list.rs
+++ b/crates/http-gateway/src/endpoint_list.rs
@@ -12,7 +12,7 @@
         modified: SystemTime,
         bytes: u64,
     },
-    /// The metadata of the file cannot be read; this is reported once.
+    /// The file or its metadata cannot be read; this is reported once.
     Unavailable,
 }
 
@@ -46,13 +46,19 @@
                 return Some(Err(format!("{}: {error}", self.path.display())));
             }
         };
-        if self.last_version.replace(version) == Some(version) {
+        let last_version = self.last_version.replace(version);
+        if last_version == Some(version) {
             return None;
         }
         let display_path = self.path.display().to_string();
         let text = match std::fs::read_to_string(&self.path) {
             Ok(text) => text,
-            Err(error) => return Some(Err(format!("{display_path}: {error}"))),
+            Err(error) => {
+                // It is read again at the next poll, whether it changes or not: the disk may fail for a moment.
+                self.last_version = Some(FileVersion::Unavailable);
+                let is_reported = last_version == Some(FileVersion::Unavailable);
+                return (!is_reported).then(|| Err(format!("{display_path}: {error}")));
+            }
         };
         Some(
             read_nodes(&display_path, &text)
@@ -65,3 +71,6 @@
         Ok(FileVersion::Present { modified: metadata.modified()?, bytes: metadata.len() })
     }
 }
+
+#[cfg(test)]
+mod tests;
