A backend whose stated start is in the future warms up from when it is listed

Callers: after a step of a wall clock (an hour, say) a backend that had just started stayed at its cold share of requests until that time had passed. Cause: slow start counted from the stated start, whatever the clocks say. Change: it counts from the first list that stated it where that is earlier.

--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -255,7 +255,7 @@
             ready,
             removed_at,
             slot,
-            start_time: StartTime { reported: entry.started, assumed: None },
+            start_time: StartTime { reported: entry.started, reported_at: self.now, assumed: None },
             occupancy,
             concurrency_limit: ConcurrencyLimit::new(self.settings.gateway_count),
             outlier: OutlierState::default(),
--- a/src/health/slow_start.rs
+++ b/src/health/slow_start.rs
@@ -13,6 +13,8 @@
 pub(crate) struct StartTime {
     /// As the endpoint list states it.
     pub reported: Option<Millis>,
+    /// When the endpoint list stated it first.
+    pub reported_at: Millis,
     /// Without a reported time: when a backend that refused a connection is tried again, as if it had started then.
     pub assumed: Option<Millis>,
 }
@@ -21,7 +23,9 @@
     /// The least share of its capacity that the backend has at `now`, up to 1. It rises linearly from the configured
     /// share.
     pub(crate) fn slow_start_weight(&self, now: Millis, settings: &Settings) -> f64 {
-        let Some(started) = self.reported.or(self.assumed) else { return 1.0 };
+        // A start in the future shows that the clocks differ: a backend that is listed has started.
+        let reported = self.reported.map(|reported| reported.min(self.reported_at));
+        let Some(started) = reported.or(self.assumed) else { return 1.0 };
         let duration = settings.slow_start_duration.max(MIN_SLOW_START_DURATION);
         let elapsed_share = ((now - started) / duration).clamp(0.0, 1.0);
         settings.slow_start_share + (1.0 - settings.slow_start_share) * elapsed_share
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -389,3 +389,24 @@
     }
     assert!(over.is_empty(), "{}", over.join("\n"));
 }
+
+#[test]
+fn a_backend_whose_start_is_in_the_future_warms_up_from_when_it_is_listed() {
+    let settings = settings();
+    let mut gateway = TestGateway::new(settings.clone(), &["a1", "a2"]);
+    let started = Some(gateway.now + 3_600_000.0);
+    gateway.handle(Event::BackendChanges(vec![backend_entry("a3", BackendState::Ready, started)]));
+    let count = |gateway: &mut TestGateway, first: RequestId| {
+        let mut sent = 0;
+        for id in first..first + 60 {
+            let backend = gateway.forward(id, &format!("c{id}"), "plain", "safe");
+            sent += usize::from(&*backend == "a3");
+            gateway.now += 5.0;
+            gateway.end_attempt(id, 0, &backend, AttemptOutcome::Served);
+        }
+        sent
+    };
+    assert!(count(&mut gateway, 1) <= 8, "it is cold at first");
+    gateway.advance(settings.slow_start_duration, &[]);
+    assert!(count(&mut gateway, 100) >= 12, "it has warmed up");
+}
