Commands are received ahead of their turn from a part of the buffers of its own

Cause: reading ahead, by which a close behind unread bytes is noticed, stopped while more than a quarter of the buffers was in use, and clients that stop half way through requests keep three quarters in use. 16 KiB at a time were read and processed instead. Change: an eighth of the buffers is for commands received ahead, whatever else is in use; 512 KiB a connection (1 MiB before).

--- a/crates/cli/tests/disconnected_clients.rs
+++ b/crates/cli/tests/disconnected_clients.rs
@@ -8,6 +8,7 @@
 use rig::{Backend, Client, Counter, Discovery, Reply, endpoint, is_invalid, is_served, new_id, value};
 use running_gateway::{Gateway, config, start};
 use rustix::process::Signal;
+use serde_json::json;
 use std::io::Write;
 use std::time::Duration;
 
@@ -26,16 +27,25 @@
 }
 
 /// A gateway that is held up finds a connection in its accept queue whose client wrote more than two reads take and has
-/// left long ago.
-#[test]
-fn commands_unread_behind_a_close_are_not_forwarded() {
+/// left long ago. `half_sent` other clients have stopped in the middle of large requests.
+fn assert_nothing_is_forwarded_behind_a_close(name: &str, half_sent: usize) {
     let backend = Backend::start(|_| Reply::Bytes(value("good")));
-    let (gateway, _discovery, _counter) = gateway_with("unread-close", &backend);
+    let discovery = Discovery::start(vec![endpoint("b0", backend.address, "active")]);
+    let counter = Counter::start();
+    let mut config = config(&discovery, &counter);
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 1024});
+    let gateway = start(name, &config);
+    let mut half = Vec::new();
+    encode_order(&new_id(), 1100, &"x".repeat(60_000), &mut half);
+    let mut crowd: Vec<Client> = (0..half_sent).map(|_| Client::open(gateway.address)).collect();
+    for client in &mut crowd {
+        client.stream.write_all(&half[..50_000]).unwrap();
+    }
     let mut used = Client::open(gateway.address);
     assert!(is_served(&used.request("order", 1000), "good"));
     let served = backend.command_count();
     let mut commands = Vec::new();
-    for _ in 0..20 {
+    for _ in 0..58 {
         encode_order(&new_id(), 1100, &"x".repeat(8000), &mut commands);
     }
     gateway.signal(Signal::STOP);
@@ -52,6 +62,16 @@
     assert_eq!(backend.command_count() - served, 1, "only the request of the client that stayed");
 }
 
+#[test]
+fn commands_unread_behind_a_close_are_not_forwarded() {
+    assert_nothing_is_forwarded_behind_a_close("unread-close", 0);
+}
+
+#[test]
+fn commands_unread_behind_a_close_are_not_forwarded_while_others_hold_the_buffers() {
+    assert_nothing_is_forwarded_behind_a_close("unread-close-crowd", 200);
+}
+
 /// The client leaves while its order runs, and the same id comes again once the order has ended.
 #[test]
 fn id_of_a_client_that_left_does_not_run_again() {
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -33,7 +33,7 @@
 /// A response this long after its deadline counts as missing; far beyond what a busy machine adds.
 const LATENESS_LIMIT: Duration = Duration::from_millis(1500);
 /// An attempt that begins this long after its client has left is late: the limit is 0.1 s, the rest is for a busy machine.
-const DISCONNECT_LIMIT: Duration = Duration::from_millis(500);
+const DISCONNECT_LIMIT: Duration = Duration::from_millis(300);
 
 /// What the threads of a run share.
 struct World {
@@ -164,22 +164,31 @@
     check_requests(&records, &world, &runs, &mut violations);
     for (id, left_at) in &left {
         let late = |at: &&Instant| **at > *left_at + DISCONNECT_LIMIT;
-        let late_runs = runs.get(id).map_or(0, |runs| runs.iter().filter(late).count());
-        if late_runs > 0 {
-            violations.push(format!("{id}: {late_runs} attempts after its client had left"));
+        for late in runs.get(id).into_iter().flatten().filter(late) {
+            violations.push(format!("{id}: an attempt {:?} after its client had left", *late - *left_at));
         }
     }
+    let mut delays: Vec<Duration> = left
+        .iter()
+        .flat_map(|(id, left_at)| {
+            runs.get(id).into_iter().flatten().map(|at| at.saturating_duration_since(*left_at))
+        })
+        .collect();
+    delays.sort_unstable();
+    let latest = delays.last().copied().unwrap_or_default();
     let answered = records.iter().filter(|record| record.answered).count();
     let peak = world.processes.iter().map(Process::peak_kib).max().unwrap_or_default();
     let distinct: HashSet<&String> = left.iter().map(|(id, _)| id).collect();
     eprintln!(
-        "seed {seed}: {} requests, {answered} answered, {} left by the crowd, peak {peak} KiB, {} violations",
+        "seed {seed}: {} requests, {answered} answered, {} left by the crowd (latest attempt after {latest:?}, {} over 0.1 s), peak {peak} KiB, {} violations",
         records.len(),
         distinct.len(),
+        delays.iter().filter(|delay| **delay > Duration::from_millis(100)).count(),
         violations.len()
     );
     assert!(answered > CLIENTS * 10, "seed {seed}: hardly any request was answered");
-    violations.into_iter().map(|violation| format!("seed {seed}: {violation}")).collect()
+    let name = |violation: String| format!("seed {seed}: {violation}");
+    violations.into_iter().map(name).inspect(|violation| eprintln!("{violation}")).collect()
 }
 
 #[test]
--- a/crates/connection-limits/src/buffer_budget.rs
+++ b/crates/connection-limits/src/buffer_budget.rs
@@ -27,8 +27,8 @@
 const CUSTOMER_BYTES: f64 = 640.0;
 /// Partially received requests may use this part of the limit.
 pub(crate) const PARTIAL_REQUEST_SHARE: f64 = 0.75;
-/// Commands are received ahead of their turn while no more than this part of the limit is in use.
-const READ_AHEAD_SHARE: f64 = 0.25;
+/// Commands that are received ahead of their turn may use this part of the limit, whatever else is in use.
+const READ_AHEAD_SHARE: f64 = 0.125;
 /// A request is admitted if this many times its bytes are left: it is copied to be sent, and its response is buffered.
 const ADMISSION_FACTOR: u64 = 4;
 
@@ -110,11 +110,11 @@
         self.used() as f64 > self.limit as f64 * PARTIAL_REQUEST_SHARE
     }
 
-    /// Whether so little is in use that a client's commands may be received before earlier ones have been answered. What
-    /// is not received hides the client's close, which comes behind it.
+    /// How many bytes of clients' commands may be received before earlier ones have been answered. What is not received
+    /// hides the client's close, which comes behind it.
     #[must_use]
-    pub fn allows_read_ahead(&self) -> bool {
-        self.used() as f64 <= self.limit as f64 * READ_AHEAD_SHARE
+    pub fn read_ahead_limit(&self) -> usize {
+        (self.limit as f64 * READ_AHEAD_SHARE) as usize
     }
 
     /// Whether all is in use.
--- a/crates/connection-limits/src/buffer_budget/tests.rs
+++ b/crates/connection-limits/src/buffer_budget/tests.rs
@@ -12,11 +12,6 @@
 #[test]
 fn large_requests_are_refused_before_small_ones() {
     let mut budget = BufferBudget::new(10 * MIB);
-    budget.set_used(BufferHolder::Backends, 2 * MIB);
-    assert!(budget.allows_read_ahead());
-    budget.set_used(BufferHolder::Clients, MIB);
-    assert!(!budget.allows_read_ahead());
-    budget.set_used(BufferHolder::Backends, 0);
     budget.set_used(BufferHolder::Clients, 7 * MIB);
     assert!(budget.admits(64 << 10) && !budget.must_discard_partial_requests());
     budget.set_used(BufferHolder::Requests, 2 * MIB + (900 << 10));
@@ -29,6 +24,13 @@
     assert!(budget.admits(64 << 10));
 }
 
+#[test]
+fn commands_received_ahead_have_a_part_of_their_own() {
+    let mut budget = BufferBudget::new(8 * MIB);
+    budget.set_used(BufferHolder::Clients, 8 * MIB);
+    assert_eq!(budget.read_ahead_limit(), 1 << 20);
+}
+
 #[test]
 fn customers_get_a_quarter_of_what_the_program_leaves() {
     assert_eq!((max_customers(32 * MIB), max_customers(192 * MIB)), (8192, 73_728));
--- a/crates/resp-gateway/src/clients.rs
+++ b/crates/resp-gateway/src/clients.rs
@@ -62,6 +62,8 @@
     closed: CloseCounts,
     /// Bytes buffered for all connections.
     buffered_bytes: u64,
+    /// Bytes of commands that were received ahead of their turn.
+    read_ahead_bytes: usize,
     /// Commands so far that were discarded because the buffers were used up.
     discarded_commands: u64,
 }
@@ -80,6 +82,7 @@
             timeouts_checked_at: reactor.now,
             closed: CloseCounts::default(),
             buffered_bytes: 0,
+            read_ahead_bytes: 0,
             discarded_commands: 0,
         })
     }
@@ -89,6 +92,7 @@
         &mut self, reactor: &mut Reactor, deployment: &Deployment, token: Token, ready: Ready,
         events: &mut Vec<ClientEvent>,
     ) {
+        let read_ahead = self.available_read_ahead(reactor);
         let connection = self.connections.get_mut(token.index);
         let Some(connection) = connection.filter(|connection| connection.registered.token == token) else {
             return;
@@ -100,10 +104,10 @@
         if ready.write {
             schedule_flush(&mut self.to_flush, connection);
         }
-        if ready.read && connection.receives(reactor) {
+        if ready.read && connection.receives(reactor, read_ahead) {
             self.read(reactor, deployment, token.index, events);
         } else {
-            connection.update_interest(reactor);
+            connection.update_interest(reactor, read_ahead);
         }
     }
 
@@ -111,8 +115,9 @@
         &mut self, reactor: &mut Reactor, deployment: &Deployment, index: usize,
         events: &mut Vec<ClientEvent>,
     ) {
+        let read_ahead = self.available_read_ahead(reactor);
         let Some(connection) = self.connections.get_mut(index) else { return };
-        let flow = connection.read(reactor);
+        let flow = connection.read(read_ahead);
         if flow != Flow::Open {
             // By the protocol, a client that closes its side has disconnected: what it wrote before is not processed.
             return self.remove(reactor, index, CloseReason::ClientDisconnected, events);
@@ -157,8 +162,8 @@
         } else {
             connection.begin_lingering_close(reactor.now);
             connection.close_reason.get_or_insert(reason);
-            connection.update_interest(reactor);
             self.count_buffers(reactor, index);
+            self.update_interest(reactor, index);
         }
         true
     }
@@ -253,8 +258,9 @@
     }
 
     fn update_interest(&mut self, reactor: &Reactor, index: usize) {
+        let read_ahead = self.available_read_ahead(reactor);
         if let Some(connection) = self.connections.get_mut(index) {
-            connection.update_interest(reactor);
+            connection.update_interest(reactor, read_ahead);
         }
     }
 
--- a/crates/resp-gateway/src/clients/buffers.rs
+++ b/crates/resp-gateway/src/clients/buffers.rs
@@ -16,15 +16,24 @@
         let bytes = connection.buffered_bytes();
         let counted = std::mem::replace(&mut connection.counted_bytes, bytes);
         self.buffered_bytes = self.buffered_bytes - counted + bytes;
+        let read_ahead = connection.read_ahead_bytes();
+        let counted = std::mem::replace(&mut connection.counted_read_ahead, read_ahead);
+        self.read_ahead_bytes = self.read_ahead_bytes - counted + read_ahead;
         reactor.buffers.set_used(BufferHolder::Clients, self.buffered_bytes);
     }
 
     /// No longer counts a connection that was removed.
     pub(super) fn release_buffers(&mut self, reactor: &mut Reactor, connection: &ClientConnection) {
         self.buffered_bytes -= connection.counted_bytes;
+        self.read_ahead_bytes -= connection.counted_read_ahead;
         reactor.buffers.set_used(BufferHolder::Clients, self.buffered_bytes);
     }
 
+    /// How many bytes more may be received ahead of their turn.
+    pub(super) fn available_read_ahead(&self, reactor: &Reactor) -> usize {
+        reactor.buffers.read_ahead_limit().saturating_sub(self.read_ahead_bytes)
+    }
+
     /// Discards partially received commands, the largest first, until the others fit into the budget.
     pub(super) fn limit_partial_commands(
         &mut self, reactor: &mut Reactor, deployment: &Deployment, events: &mut Vec<ClientEvent>,
--- a/crates/resp-gateway/src/clients/connection.rs
+++ b/crates/resp-gateway/src/clients/connection.rs
@@ -22,7 +22,7 @@
 /// buffer is full by then.
 const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
 /// Maximum bytes that are received of one connection before their commands are processed.
-const MAX_READ_AHEAD_BYTES: usize = 1 << 20;
+const MAX_READ_AHEAD_BYTES: usize = 512 << 10;
 /// How long a connection stays open after its last response, in ms. A close while received bytes are unread resets the
 /// connection, and the client may lose the response (RFC 9112 section 9.6 describes this for HTTP).
 const LINGER_MS: Millis = 250.0;
@@ -69,6 +69,8 @@
     ready_value_bytes: usize,
     /// What the table has counted of [`buffered_bytes`](Self::buffered_bytes).
     pub counted_bytes: u64,
+    /// What the table has counted of [`read_ahead_bytes`](Self::read_ahead_bytes).
+    pub counted_read_ahead: usize,
     /// Bytes that were discarded during the lingering close.
     discarded_bytes: usize,
     /// Whether the table's next flush handles this connection.
@@ -90,6 +92,7 @@
             is_discarding: false,
             ready_value_bytes: 0,
             counted_bytes: 0,
+            counted_read_ahead: 0,
             discarded_bytes: 0,
             flush_scheduled: false,
         }
@@ -99,13 +102,14 @@
         self.registered.token.index
     }
 
-    /// Whether bytes are currently received from the client.
-    pub(super) fn receives(&self, reactor: &Reactor) -> bool {
+    /// Whether bytes are currently received from the client. `read_ahead_bytes` may be received ahead of their turn, on
+    /// this connection or others.
+    pub(super) fn receives(&self, reactor: &Reactor, read_ahead_bytes: usize) -> bool {
         if self.activity.lingering_close_until.is_some() {
             return self.discarded_bytes < MAX_DISCARDED_BYTES;
         }
         let may_read_ahead =
-            self.registered.socket.input.len() < MAX_READ_AHEAD_BYTES && reactor.buffers.allows_read_ahead();
+            self.registered.socket.input.len() < MAX_READ_AHEAD_BYTES && read_ahead_bytes > 0;
         !self.input_closed && (self.processes_commands(reactor.now) || may_read_ahead)
     }
 
@@ -122,25 +126,30 @@
         self.invalid_commands > 0
     }
 
-    /// Reads once; where that receives as much as a read can, goes on until nothing is left, up to
-    /// [`MAX_READ_AHEAD_BYTES`]: the client may have closed the connection behind what it wrote. Bytes that arrive during
-    /// the lingering close are discarded.
-    pub(super) fn read(&mut self, reactor: &Reactor) -> Flow {
+    /// Reads once; where that receives as much as a read can, goes on until nothing is left, up to `read_ahead_bytes`: the
+    /// client may have closed the connection behind what it wrote. Bytes that arrive during the lingering close are
+    /// discarded.
+    pub(super) fn read(&mut self, read_ahead_bytes: usize) -> Flow {
         let (mut count, mut flow) = self.registered.socket.read();
         if self.activity.lingering_close_until.is_some() {
             self.discarded_bytes += count;
             self.registered.socket.input = Vec::new();
             return flow;
         }
-        if count == Socket::MAX_READ_BYTES && reactor.buffers.allows_read_ahead() {
-            while count > 0 && flow == Flow::Open && self.registered.socket.input.len() < MAX_READ_AHEAD_BYTES
-            {
+        if count == Socket::MAX_READ_BYTES {
+            let max_bytes = MAX_READ_AHEAD_BYTES.min(read_ahead_bytes);
+            while count > 0 && flow == Flow::Open && self.registered.socket.input.len() < max_bytes {
                 (count, flow) = self.registered.socket.read();
             }
         }
         flow
     }
 
+    /// The bytes of commands that were received ahead of their turn.
+    pub(super) fn read_ahead_bytes(&self) -> usize {
+        if self.commands.is_partial() { 0 } else { self.registered.socket.input.len() }
+    }
+
     /// Processes the commands that have been received completely; returns whether bytes were consumed.
     pub(super) fn process_commands(
         &mut self, now: Millis, deployment: &Deployment, events: &mut Vec<ClientEvent>,
@@ -322,8 +331,8 @@
     }
 
     /// Registers for the readiness that the connection currently needs.
-    pub(super) fn update_interest(&mut self, reactor: &Reactor) {
-        let read = self.receives(reactor);
+    pub(super) fn update_interest(&mut self, reactor: &Reactor, read_ahead_bytes: usize) {
+        let read = self.receives(reactor, read_ahead_bytes);
         let write = self.registered.socket.pending() > 0;
         self.registered.set_interest(reactor, read, write);
     }
--- a/crates/resp-gateway/src/clients/tests.rs
+++ b/crates/resp-gateway/src/clients/tests.rs
@@ -126,7 +126,10 @@
     reactor.buffers = BufferBudget::new(0);
     client.write_all(&bytes).unwrap();
     let is_paused = |clients: &ClientTable, reactor: &Reactor| {
-        clients.connections.iter().all(|(_, connection)| !connection.receives(reactor))
+        clients
+            .connections
+            .iter()
+            .all(|(_, connection)| !connection.receives(reactor, clients.available_read_ahead(reactor)))
     };
     for _ in 0..100 {
         if is_paused(&clients, &reactor) {
