http: a head in reception keeps no position of each line; resp-gateway: upkeep apart

Change: the head reader counts lines and bytes, and splits the head once it is complete; what an iteration does beside serving (timers, counts, log) is gateway/upkeep.rs, moved as it was. Measured: tests of http and of both gateways pass.

--- a/crates/http/src/decode/head.rs
+++ b/crates/http/src/decode/head.rs
@@ -9,8 +9,10 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadReader {
     search: LineFeedSearch,
-    /// The end of each line of the head found so far, without its CRLF.
-    line_ends: Vec<usize>,
+    /// The complete lines of the head so far.
+    lines: usize,
+    /// The bytes of the complete lines with their CRLFs: where the next line starts.
+    lines_bytes: usize,
 }
 
 impl HeadReader {
@@ -27,16 +29,15 @@
         let skipped = if has_empty_line { LINE_END_BYTES } else { 0 };
         let input = &input[skipped..];
         let Some(length) = self.find_end(input, limits)? else { return Ok(None) };
-        self.search.continue_at(0);
-        let line_ends = std::mem::take(&mut self.line_ends);
-        let head = parse_head(input, &line_ends, role)?;
+        *self = Self::default();
+        let head = parse_head(&input[..length], role)?;
         Ok(Some((skipped + length, head)))
     }
 
     /// Finds the ends of the lines up to the empty line. Returns the length of the head, including the empty line.
     fn find_end(&mut self, input: &[u8], limits: &Limits) -> Result<Option<usize>, Error> {
         loop {
-            let line_start = self.line_ends.last().map_or(0, |end| end + LINE_END_BYTES);
+            let line_start = self.lines_bytes;
             let Some(line_feed) = self.search.find(input) else {
                 // The last byte may be the carriage return.
                 self.check_limits(line_start, input.len().saturating_sub(1), limits)?;
@@ -48,7 +49,8 @@
             let line_end = line_feed - 1;
             self.check_limits(line_start, line_end, limits)?;
             self.search.continue_at(line_feed + 1);
-            self.line_ends.push(line_end);
+            self.lines += 1;
+            self.lines_bytes = line_feed + 1;
             let is_start_line = line_start == 0;
             if !is_start_line && line_end == line_start {
                 return Ok(Some(line_feed + 1));
@@ -62,7 +64,7 @@
         if is_start_line && line_end > limits.line {
             return Err(Error::StartLineTooLong);
         }
-        let fields = self.line_ends.len().saturating_sub(1);
+        let fields = self.lines.saturating_sub(1);
         if line_end > limits.head || fields > limits.fields {
             return Err(Error::HeadTooLarge);
         }
@@ -70,14 +72,12 @@
     }
 }
 
-/// Parses a head whose lines end at these positions; the last one is empty.
-fn parse_head(input: &[u8], line_ends: &[usize], role: Role) -> Result<Head, Error> {
-    let mut head = parse_start_line(&input[..line_ends[0]], role)?;
-    let before_empty_line = &line_ends[..line_ends.len() - 1];
-    for ends in before_empty_line.windows(2) {
-        let start = ends[0] + LINE_END_BYTES;
-        let end = ends[1];
-        head.fields.push(parse_field(&input[start..end])?);
+/// Parses a head: lines that end in CRLF, the last of them empty.
+fn parse_head(input: &[u8], role: Role) -> Result<Head, Error> {
+    let mut lines = input.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let mut head = parse_start_line(lines.next().unwrap_or_default(), role)?;
+    for line in lines.take_while(|line| !line.is_empty()) {
+        head.fields.push(parse_field(line)?);
     }
     Ok(head)
 }
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 mod lost_attempts;
 mod ready_order;
 mod signals;
+mod upkeep;
 
 pub use signals::{GatewayHandle, SignalHandlers};
 
@@ -27,9 +28,9 @@
 use crate::clients::{ClientEvent, ClientTable};
 use crate::config::{Config, MachineLimits};
 use crate::counter::CounterPool;
-use crate::diagnostics::{Components, Diagnostics};
+use crate::diagnostics::Diagnostics;
 use crate::discovery::DiscoveryClient;
-use crate::reactor::{Reactor, Timer, Token, TokenKind};
+use crate::reactor::{Reactor, Token, TokenKind};
 use crate::requests::{RequestCommand, RequestTable};
 use configuration::ReservedDescriptor;
 use doorcourse::{AccountingCheck, Action, ActionOutcome, Event, Gateway, Millis, RequestId};
@@ -383,34 +384,4 @@
             self.process_pending_events();
         }
     }
-
-    fn remove_unneeded_timers(&mut self) {
-        let Self { requests, decisions, health_checks, .. } = self;
-        self.reactor.timers.remove_unneeded(|timer| match timer {
-            Timer::Decision { token } => decisions.needs_timer(*token),
-            Timer::RequestDeadline { request } => requests.contains(*request),
-            Timer::ConnectTimeout { request, attempt } | Timer::WriteDeadline { request, attempt } => {
-                requests.is_in_flight(*request, *attempt)
-            }
-            Timer::HealthCheckTimeout { check } => health_checks.contains(*check),
-        });
-    }
-
-    /// Compares the counted buffers with those that the components hold.
-    fn check_buffer_counts(&self) {
-        debug_assert!(self.clients.is_count_exact(), "buffers of clients");
-        debug_assert!(self.requests.is_count_exact(), "buffers of requests");
-        debug_assert!(self.backends.is_count_exact(), "buffers of backends");
-    }
-
-    fn log_diagnostics(&mut self) {
-        let components = Components {
-            gateway: &self.decisions,
-            backends: &self.backends,
-            clients: &self.clients,
-            counter: &self.counter,
-            requests: &self.requests,
-        };
-        self.diagnostics.handle_timeout(&self.reactor, &components);
-    }
 }
