A partially received command whose connection pauses is not received further

Found on the last read of the change, not seen in a run: a connection that had stopped processing (responses unread, backoff) in the middle of a command went on receiving up to 512 KiB, which counted neither as received ahead nor as discardable, so that many of them could pass the buffers' limit. Change: only what follows complete commands is received ahead; within a command reading stops where processing does, as it did before reading ahead came in. Measured: tests of the RESP gateway pass. There is no test of this case.

--- a/crates/resp-gateway/src/clients/connection.rs
+++ b/crates/resp-gateway/src/clients/connection.rs
@@ -108,8 +108,10 @@
         if self.activity.lingering_close_until.is_some() {
             return self.discarded_bytes < MAX_DISCARDED_BYTES;
         }
-        let may_read_ahead =
-            self.registered.socket.input.len() < MAX_READ_AHEAD_BYTES && read_ahead_bytes > 0;
+        // What follows a partially received command is not ahead of its turn: the command itself grows.
+        let may_read_ahead = !self.commands.is_partial()
+            && self.registered.socket.input.len() < MAX_READ_AHEAD_BYTES
+            && read_ahead_bytes > 0;
         !self.input_closed && (self.processes_commands(reactor.now) || may_read_ahead)
     }
 
