A list of very many repeated fields is refused at the first repetition

Callers: beside 250 requests whose lists hold 16,000 times r=0, another client's requests took 1.2 s where the objective is 0.8 s (debug build), and one of 44 was refused. Cause: every field but r could occur once only; r=0 could be repeated without end, and each such list was read to its end. The test now wants the objective kept, which fails before.

--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -20,6 +20,8 @@
 const CROWD: usize = 500;
 /// Bytes of a large body; the protocol allows 65,536.
 const LARGE_BODY_BYTES: usize = 65_000;
+/// The latency objective of the requests beside a crowd.
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(800);
 /// The time that each crowd is kept up.
 const CROWD_TIME: Duration = Duration::from_millis(1500);
 
@@ -89,11 +91,14 @@
         Self { is_stopped, thread }
     }
 
-    /// Stops the client and asserts that each request was served with `text`.
+    /// Stops the client and asserts that each request was served with `text`, within its latency objective.
     fn assert_all_served(self, text: &str) {
         self.is_stopped.store(true, Ordering::SeqCst);
         let responses = self.thread.join().expect("every request has a response");
-        let unserved: Vec<_> = responses.iter().filter(|(response, _)| !is_served(response, text)).collect();
+        let is_good = |(response, latency): &&(Value, Duration)| {
+            is_served(response, text) && *latency <= LATENCY_OBJECTIVE
+        };
+        let unserved: Vec<_> = responses.iter().filter(|response| !is_good(response)).collect();
         assert!(responses.len() > 20 && unserved.is_empty(), "of {}: {unserved:?}", responses.len());
     }
 }
--- a/crates/resp-gateway/src/request/fields.rs
+++ b/crates/resp-gateway/src/request/fields.rs
@@ -2,7 +2,8 @@
 
 use super::RequestError;
 
-/// The fields of a request. Each occurs at most once, except `r=0`, which may be repeated.
+/// The fields of a request. Each occurs at most once, so that the cost of a list of very many fields ends with the first
+/// one that is repeated.
 ///
 /// Their names in the protocol are `c` (class), `t` (plan), `d` (deadline: how long the client waits, in ms), `k`
 /// (idempotency key), `units`, `spread` (number of gateways that serve the customer), `first` (index of the first of
@@ -17,6 +18,8 @@
     pub gateway_count: Option<&'a str>,
     pub first_gateway: Option<&'a str>,
     pub client_retry: bool,
+    /// Whether `r` has occurred.
+    has_client_retry: bool,
     /// The list up to the value of the deadline.
     pub before_deadline: &'a str,
     /// The list after the value of the deadline.
@@ -42,7 +45,8 @@
                 "units" => &mut fields.units,
                 "spread" => &mut fields.gateway_count,
                 "first" => &mut fields.first_gateway,
-                "r" if !fields.client_retry && matches!(value, "0" | "1") => {
+                "r" if !fields.has_client_retry && matches!(value, "0" | "1") => {
+                    fields.has_client_retry = true;
                     fields.client_retry = value == "1";
                     start = end + 1;
                     continue;
